Lay out the monorepo with checked published documents

Cause: the project has no code; everything else hangs on shared ids, outcomes and the published lists. Change: npm workspaces with TypeScript project references, branded ids, refusals, and documents that are accepted or refused whole with line numbers. Conclusion: the frame for the thin path.

--- /dev/null
+++ b/eslint.config.js
@@ -0,0 +1,12 @@
+import neostandard, { resolveIgnoresFromGitignore } from 'neostandard'
+
+export default [
+  ...neostandard({ ts: true, ignores: resolveIgnoresFromGitignore() }),
+  {
+    files: ['**/*.ts'],
+    rules: {
+      '@typescript-eslint/consistent-type-imports': ['error', { prefer: 'type-imports', fixStyle: 'separate-type-imports' }],
+      'max-lines': ['error', { max: 400, skipBlankLines: true, skipComments: true }]
+    }
+  }
+]
--- /dev/null
+++ b/packages/documents/src/index.ts
@@ -0,0 +1,5 @@
+export * from './types.js'
+export * from './errors.js'
+export * from './checkDocuments.js'
+export * from './diffDocuments.js'
+export * from './lookups.js'
