--- /dev/null
+++ b/packages/admission/src/types.ts
@@ -0,0 +1,36 @@
+/**
+ * Queues in front of the upstreams of a VM.
+ */
+
+import type { PriorityClass, Refusal, RequestId, TeamId } from '@cuminvale/common'
+
+/** A request that waits for an upstream. */
+export interface QueuedRequest {
+  readonly id: RequestId
+  readonly team: TeamId
+  readonly priority: PriorityClass
+  /** Share of the queue relative to other teams. */
+  readonly weight: number
+  /** Greatest number of tokens the request may use. */
+  readonly cost: number
+  /** Monotonic milliseconds. */
+  readonly enqueuedAt: number
+  readonly deadlineAt: number
+}
+
+export interface ShedRequest<Request extends QueuedRequest> {
+  readonly request: Request
+  readonly refusal: Refusal
+}
+
+export interface AdmissionQueue<Request extends QueuedRequest> {
+  /** Adds a request; returns the requests that had to be shed for it, itself among them perhaps. */
+  enqueue (request: Request): ReadonlyArray<ShedRequest<Request>>
+  /** Removes the next request that can be dispatched now. */
+  dequeue (canDispatch: (request: Request) => boolean): Request | undefined
+  /** Removes a request whose caller has gone; true where it was queued. */
+  remove (id: RequestId): boolean
+  /** Removes the requests whose deadline has passed. */
+  expire (): ReadonlyArray<ShedRequest<Request>>
+  readonly length: number
+}
--- /dev/null
+++ b/packages/caller/src/index.ts
@@ -0,0 +1,3 @@
+export * from './types.js'
+export * from './errors.js'
+export * from './client.js'
--- /dev/null
+++ b/packages/cli/src/constants.ts
@@ -0,0 +1,4 @@
+/** Exit codes of the command-line tool. */
+
+export const exitCodeFailed = 1
+export const exitCodeRefused = 2
--- /dev/null
+++ b/packages/cli/src/index.ts
@@ -0,0 +1,1 @@
+export { callAdministration } from './administrationClient.js'
--- /dev/null
+++ b/packages/cli/src/keyCommand.ts
@@ -0,0 +1,25 @@
+/**
+ * `cuminvale key new`: makes a caller key, prints it once, and the entry to publish.
+ */
+
+import { command, flag, option, string, subcommands } from 'cmd-ts'
+import { digestCallerKey, newCallerKey } from '@cuminvale/keys'
+import { print, printJson } from './output.js'
+
+const newCommand = command({
+  name: 'new',
+  description: 'Make a key for a team; the key is shown once and stored nowhere',
+  args: {
+    team: option({ type: string, long: 'team', description: 'Team that the key is for' }),
+    json: flag({ long: 'json', description: 'Print JSON' })
+  },
+  handler: ({ team, json }) => {
+    const key = newCallerKey()
+    const entry = { digest: digestCallerKey(key), team }
+    if (json) return printJson({ key, entry })
+    print(`key (give it to the team, it is not stored): ${key}`)
+    print(`entry to publish in keys.json: ${JSON.stringify(entry)}`)
+  }
+})
+
+export const keyCommand = subcommands({ name: 'key', description: 'Caller keys', cmds: { new: newCommand } })
--- /dev/null
+++ b/packages/configuration/src/configurationSpread.ts
@@ -0,0 +1,69 @@
+/**
+ * Spreads revisions between VMs: each announces the one it holds to a few
+ * peers, and fetches a newer one from whoever announced it.
+ */
+
+import { toRevision } from '@cuminvale/common'
+import type { Random, VmId } from '@cuminvale/common'
+import type { ConfigurationMessage, Outbound, PeerIdentity, PeerProtocol } from '@cuminvale/messages'
+import type { ConfigurationHolder } from './configurationHolder.js'
+import { AcceptanceKind } from './types.js'
+import type { Acceptance } from './types.js'
+
+export interface ConfigurationSpreadOptions {
+  readonly holder: ConfigurationHolder
+  readonly random: Random
+  /** Reachable peers, in any order. */
+  readonly peers: () => readonly VmId[]
+  readonly onAcceptance: (acceptance: Acceptance) => void
+}
+
+const announceFanout = 3
+const announceMilliseconds = 500
+
+export class ConfigurationSpread implements PeerProtocol<ConfigurationMessage> {
+  readonly tickMilliseconds = announceMilliseconds
+
+  constructor (private readonly options: ConfigurationSpreadOptions) {}
+
+  tick (): readonly Outbound[] {
+    return this.announce()
+  }
+
+  /** Announces the held revision to a few random peers. */
+  announce (): readonly Outbound[] {
+    const { holder, random, peers } = this.options
+    const revision = holder.current?.revision
+    const chosen = peers()
+      .map((vm) => ({ vm, order: random.next() }))
+      .sort((first, second) => first.order - second.order)
+      .slice(0, announceFanout)
+    if (revision === undefined) {
+      return chosen.map(({ vm }) => ({ to: vm, message: { kind: 'configuration.fetch', heldRevision: toRevision(0) } }))
+    }
+    return chosen.map(({ vm }) => ({ to: vm, message: { kind: 'configuration.announce', revision } }))
+  }
+
+  receive (from: PeerIdentity, message: ConfigurationMessage): readonly Outbound[] {
+    if (message.kind === 'configuration.announce') return this.onAnnounce(from, message.revision)
+    if (message.kind === 'configuration.fetch') return this.onFetch(from, message.heldRevision)
+    const acceptance = this.options.holder.offer(message)
+    this.options.onAcceptance(acceptance)
+    return acceptance.kind === AcceptanceKind.Accepted ? this.announce() : []
+  }
+
+  private onAnnounce (from: PeerIdentity, announced: number): readonly Outbound[] {
+    const held = this.options.holder.current?.revision
+    if (held === undefined || announced > held) {
+      return [{ to: from.vm, message: { kind: 'configuration.fetch', heldRevision: held ?? toRevision(0) } }]
+    }
+    if (announced < held) return [{ to: from.vm, message: { kind: 'configuration.announce', revision: held } }]
+    return []
+  }
+
+  private onFetch (from: PeerIdentity, heldRevision: number): readonly Outbound[] {
+    const published = this.options.holder.currentTexts
+    if (published === undefined || published.revision <= heldRevision) return []
+    return [{ to: from.vm, message: { kind: 'configuration.content', ...published } }]
+  }
+}
--- /dev/null
+++ b/packages/configuration/src/index.ts
@@ -0,0 +1,3 @@
+export * from './types.js'
+export * from './configurationHolder.js'
+export * from './configurationSpread.js'
--- /dev/null
+++ b/packages/daemon/src/administrationServer.ts
@@ -0,0 +1,103 @@
+/**
+ * The administration API, metrics and health, on a port of their own.
+ */
+
+import { createServer } from 'node:http'
+import { timingSafeEqual } from 'node:crypto'
+import { isIdentifier, toModelName, toRouteName, toTeamId } from '@cuminvale/common'
+import { allowedRegions, planOfTeam } from '@cuminvale/documents'
+import type { IncomingMessage, Server, ServerResponse } from 'node:http'
+import { sendJson } from './sendJson.js'
+import type { VmContext } from './vmContext.js'
+
+const bearerPrefix = 'Bearer '
+
+const isAuthorized = (context: VmContext, incoming: IncomingMessage): boolean => {
+  const header = incoming.headers.authorization ?? ''
+  if (!header.startsWith(bearerPrefix)) return false
+  const given = Buffer.from(header.slice(bearerPrefix.length))
+  return context.administrationToken.accepted.some((token) =>
+    token.length === given.length && timingSafeEqual(token, given))
+}
+
+export const isReady = (context: VmContext): boolean =>
+  context.configuration.current !== undefined && context.membership.hasList && !context.lifecycle.isDraining
+
+const status = (context: VmContext) => ({
+  vm: context.identity.vm,
+  region: context.identity.region,
+  failureDomain: context.identity.failureDomain,
+  incarnation: context.incarnation,
+  revision: context.configuration.current?.revision ?? null,
+  ready: isReady(context),
+  draining: context.lifecycle.isDraining,
+  activeRequests: context.lifecycle.activeRequests,
+  queueLength: context.scheduler.queueLength,
+  members: context.membership.members.map(({ vm, reachable }) => ({ vm: vm.name, reachable }))
+})
+
+const explain = (context: VmContext, url: URL, response: ServerResponse): void => {
+  const configuration = context.configuration.current
+  const team = url.searchParams.get('team') ?? ''
+  const routeName = url.searchParams.get('route') ?? ''
+  const model = url.searchParams.get('model')
+  if (configuration === undefined || !isIdentifier(team) || !isIdentifier(routeName)) {
+    return sendJson(response, 400, { error: 'team and route are required, and a configuration in force' })
+  }
+  const entry = configuration.teams.get(toTeamId(team))
+  const plan = planOfTeam(configuration, toTeamId(team))
+  const route = configuration.routes.get(toRouteName(routeName))
+  if (entry === undefined || plan === undefined) return sendJson(response, 404, { error: `there is no team "${team}"` })
+  if (route === undefined) return sendJson(response, 404, { error: `there is no route "${routeName}"` })
+  const isAllowed = plan.routes.includes(route.name) && (model === null || plan.models.includes(toModelName(model)))
+  const regions = allowedRegions(entry, plan, route)
+  const choice = context.scheduler.preview({
+    team: entry.name,
+    route: route.name,
+    ...(model === null ? {} : { model: toModelName(model) }),
+    allowedRegions: regions,
+    mayCrossBorder: true,
+    excluded: new Set(),
+    promptTokens: 0,
+    outputTokens: 0,
+    prompt: ''
+  })
+  sendJson(response, 200, { team, route: routeName, plan: plan.name, inPlan: isAllowed, allowedRegions: regions, choice })
+}
+
+const administer = (context: VmContext, incoming: IncomingMessage, response: ServerResponse): void => {
+  const url = new URL(incoming.url ?? '/', 'http://administration')
+  if (!isAuthorized(context, incoming)) return sendJson(response, 401, { error: 'send the administration token' })
+  if (url.pathname === '/administration/status') return sendJson(response, 200, status(context))
+  if (url.pathname === '/administration/explain') return explain(context, url, response)
+  if (url.pathname === '/administration/usage') {
+    return sendJson(response, 200, {
+      vm: context.identity.vm, incarnation: context.incarnation, counts: context.meter.snapshot()
+    })
+  }
+  if (url.pathname === '/administration/documents') {
+    return sendJson(response, 200, context.configuration.currentTexts ?? null)
+  }
+  if (url.pathname === '/administration/drain' && incoming.method === 'POST') {
+    context.lifecycle.drain()
+    return sendJson(response, 200, status(context))
+  }
+  sendJson(response, 404, { error: 'no such path' })
+}
+
+const handle = async (context: VmContext, incoming: IncomingMessage, response: ServerResponse): Promise<void> => {
+  if (incoming.url === '/healthz') return sendJson(response, 200, { healthy: true })
+  if (incoming.url === '/readyz') return sendJson(response, isReady(context) ? 200 : 503, { ready: isReady(context) })
+  if (incoming.url === '/metrics') {
+    context.metrics.queueLength.set(context.scheduler.queueLength)
+    response.writeHead(200, { 'content-type': context.metrics.registry.contentType })
+    response.end(await context.metrics.registry.metrics())
+    return
+  }
+  administer(context, incoming, response)
+}
+
+export const createAdministrationServer = (context: VmContext): Server =>
+  createServer((incoming, response) => {
+    handle(context, incoming, response).catch(() => response.destroy())
+  })
--- /dev/null
+++ b/packages/daemon/src/createContext.ts
@@ -0,0 +1,108 @@
+/**
+ * Builds the decision objects of a VM from its settings.
+ */
+
+import { FifoQueue } from '@cuminvale/admission'
+import { RequestIdSource, VmState, newIncarnationId, runtimeClock, runtimeRandom } from '@cuminvale/common'
+import { ConfigurationHolder } from '@cuminvale/configuration'
+import { UniformEntryChooser } from '@cuminvale/entries'
+import { StaticSplitLimiter } from '@cuminvale/limits'
+import { ListMembership } from '@cuminvale/membership'
+import { UsageMeter } from '@cuminvale/metering'
+import { OrderLedger, TicketMint, ledgerCapacity } from '@cuminvale/orders'
+import { HttpClientDirectory, HttpConfigurationService, HttpVmList, HttpWeightStore } from '@cuminvale/platform'
+import { LeastInFlightChooser, UpstreamTable } from '@cuminvale/routing'
+import type { RegionId } from '@cuminvale/common'
+import type { Membership } from '@cuminvale/membership'
+import type { RemoteRegionView, RoutingRequest } from '@cuminvale/routing'
+import { createLog } from './log.js'
+import { Metrics } from './metrics.js'
+import { Scheduler } from './scheduler.js'
+import { SecretFile } from './secrets.js'
+import { UpstreamClient } from './upstreamClient.js'
+import { Lifecycle } from './vmContext.js'
+import type { Waiting } from './scheduler.js'
+import type { Settings } from './settings.js'
+import type { Platform, VmContext } from './vmContext.js'
+
+const interRegionLatencyMilliseconds = 55
+
+const createPlatform = (settings: Settings): Platform => ({
+  configurationService: new HttpConfigurationService(settings.platform['configuration-service']),
+  vmList: new HttpVmList(settings.platform['vm-list']),
+  clientDirectory: new HttpClientDirectory(settings.platform['client-directory']),
+  weightStore: new HttpWeightStore(settings.platform['weight-store'])
+})
+
+/** Regions other than this VM's that have reachable VMs and upstreams for the route. */
+const createRemoteRegions = (
+  configuration: ConfigurationHolder,
+  membership: Membership,
+  self: RegionId
+) => (request: RoutingRequest): readonly RemoteRegionView[] => {
+  const serving = new Set([...configuration.current?.upstreams.values() ?? []]
+    .filter((upstream) => upstream.region !== self && upstream.routes.includes(request.route) &&
+      (request.model === undefined || upstream.models.includes(request.model)))
+    .map((upstream) => upstream.region))
+  return [...serving].map((region) => ({
+    region,
+    vms: membership.inRegion(region)
+      .filter(({ vm, reachable }) => reachable && vm.state === VmState.Live)
+      .map(({ vm }) => vm.name),
+    freeSlots: 1,
+    latencyMilliseconds: interRegionLatencyMilliseconds
+  }))
+}
+
+export const createContext = (settings: Settings): VmContext => {
+  const clock = runtimeClock
+  const random = runtimeRandom
+  const incarnation = newIncarnationId()
+  const identity = {
+    vm: settings.vm.name, incarnation, region: settings.vm.region, failureDomain: settings.vm['failure-domain']
+  }
+  const configuration = new ConfigurationHolder()
+  const membership = new ListMembership(identity.vm)
+  const table = new UpstreamTable(clock)
+  const limiter = new StaticSplitLimiter({
+    clock, region: identity.region, vmsInRegion: () => membership.inRegion(identity.region).length + 1
+  })
+  const metrics = new Metrics()
+  configuration.onChange((inForce) => {
+    limiter.configure(inForce)
+    table.configure(inForce)
+    metrics.revision.set(inForce.revision)
+  })
+  const scheduler = new Scheduler({
+    clock,
+    region: identity.region,
+    queue: new FifoQueue<Waiting>({ clock, capacity: settings.requests['queue-capacity'] }),
+    chooser: new LeastInFlightChooser(random),
+    table,
+    remoteRegions: createRemoteRegions(configuration, membership, identity.region)
+  })
+  return {
+    settings,
+    clock,
+    incarnation,
+    identity,
+    requestIds: new RequestIdSource(incarnation),
+    fleetSecret: new SecretFile(settings.security['fleet-secret-file']),
+    administrationToken: new SecretFile(settings.security['administration-token-file']),
+    log: createLog(identity.vm),
+    metrics,
+    platform: createPlatform(settings),
+    configuration,
+    membership,
+    limiter,
+    entries: new UniformEntryChooser(random),
+    table,
+    scheduler,
+    mint: new TicketMint({ clock, vm: identity.vm, incarnation }),
+    ledger: new OrderLedger({ clock, capacity: ledgerCapacity }),
+    meter: new UsageMeter(),
+    upstreamClient: new UpstreamClient(),
+    lifecycle: new Lifecycle(),
+    ports: { caller: 0, peer: 0, administration: 0 }
+  }
+}
--- /dev/null
+++ b/packages/daemon/src/createDaemon.ts
@@ -0,0 +1,151 @@
+/**
+ * Assembles one VM: decision objects, supervisor tree, links and edges.
+ */
+
+import { dispatch, spawnStateless, start, stop } from 'nact'
+import { onInvariantViolation, runtimeRandom, VmState } from '@cuminvale/common'
+import { ConfigurationSpread } from '@cuminvale/configuration'
+import { mechanismOf } from '@cuminvale/messages'
+import type { Server } from 'node:http'
+import type { AddressInfo } from 'node:net'
+import type { Ref } from 'nact'
+import type { Mechanism, Outbound } from '@cuminvale/messages'
+import { createAdministrationServer } from './administrationServer.js'
+import { createCallerServer } from './callerServer.js'
+import { configurationRetryMilliseconds, drainNoticeMilliseconds, vmListPollMilliseconds } from './constants.js'
+import { createContext } from './createContext.js'
+import { PeerLinks } from './peerLinks.js'
+import { createPeerServer } from './peerServer.js'
+import { createConfigurationPoll, createLoadPoll, createVmListPoll, logAcceptance } from './platformPolls.js'
+import { spawnPollingActor } from './pollingActor.js'
+import { spawnProtocolActor } from './protocolActor.js'
+import type { ProtocolActor } from './protocolActor.js'
+import type { Settings } from './settings.js'
+import type { VmContext } from './vmContext.js'
+
+export interface Daemon {
+  readonly context: VmContext
+  /** Leaves the entries answer, finishes what it has, then closes. */
+  shutdown (): Promise<void>
+}
+
+const listen = async (server: Server, host: string, port: number): Promise<number> => {
+  await new Promise<void>((resolve, reject) => {
+    server.once('error', reject)
+    server.listen(port, host, resolve)
+  })
+  return (server.address() as AddressInfo).port
+}
+
+const close = async (server: Server): Promise<void> => {
+  server.closeIdleConnections()
+  await new Promise<void>((resolve) => {
+    server.close(() => resolve())
+    server.closeAllConnections()
+  })
+}
+
+const reachablePeers = (context: VmContext) => () => context.membership.members
+  .filter(({ vm, reachable }) => reachable && vm.state === VmState.Live)
+  .map(({ vm }) => vm.name)
+
+/** One supervisor for the mechanisms and one for the platform; a crash in one leaves the others. */
+const spawnSupervisors = (system: Ref<never>) => ({
+  mechanisms: spawnStateless(system, () => {}, 'mechanisms') as Ref<never>,
+  platform: spawnStateless(system, () => {}, 'platform') as Ref<never>
+})
+
+const spawnMechanisms = (
+  parent: Ref<never>,
+  context: VmContext,
+  send: (outbound: readonly Outbound[]) => void
+): ReadonlyMap<Mechanism, ProtocolActor> => {
+  const spread = new ConfigurationSpread({
+    holder: context.configuration,
+    random: runtimeRandom,
+    peers: reachablePeers(context),
+    onAcceptance: (acceptance) => logAcceptance(context, acceptance)
+  })
+  context.configuration.onChange(() => send(spread.announce()))
+  return new Map([
+    ['configuration', spawnProtocolActor(parent, { name: 'configuration', protocol: spread, send, log: context.log })]
+  ])
+}
+
+const spawnPolls = (parent: Ref<never>, context: VmContext, links: PeerLinks): void => {
+  const { log } = context
+  spawnPollingActor(parent, {
+    name: 'configuration-service', poll: createConfigurationPoll(context), retryMilliseconds: configurationRetryMilliseconds, log
+  })
+  spawnPollingActor(parent, {
+    name: 'vm-list', poll: createVmListPoll(context, links), retryMilliseconds: vmListPollMilliseconds, log
+  })
+  spawnPollingActor(parent, {
+    name: 'upstream-load', poll: createLoadPoll(context), retryMilliseconds: vmListPollMilliseconds, log
+  })
+}
+
+const reportViolations = (context: VmContext): void => {
+  onInvariantViolation((error) => {
+    context.metrics.invariantViolations.inc({ invariant: error.invariant })
+    context.log.error('invariant-violated', { invariant: error.invariant, detail: error.message })
+  })
+}
+
+const createLinks = (context: VmContext, actors: () => ReadonlyMap<Mechanism, ProtocolActor>): PeerLinks =>
+  new PeerLinks({
+    self: context.identity,
+    secret: context.fleetSecret,
+    onMessage: (from, message) => {
+      const actor = actors().get(mechanismOf(message))
+      if (actor !== undefined) dispatch(actor, { type: 'peer', from, message })
+    },
+    onUp: (peer) => {
+      context.membership.heard(peer.vm, peer.incarnation)
+      context.log.info('peer-up', { peer: peer.vm, incarnation: peer.incarnation })
+    },
+    onDown: (peer) => {
+      context.membership.lost(peer.vm)
+      context.log.info('peer-down', { peer: peer.vm })
+    }
+  })
+
+export const createDaemon = async (settings: Settings): Promise<Daemon> => {
+  const context = createContext(settings)
+  reportViolations(context)
+  const system = start(settings.vm.name)
+  const supervisors = spawnSupervisors(system as Ref<never>)
+  let actors: ReadonlyMap<Mechanism, ProtocolActor> = new Map()
+  const links = createLinks(context, () => actors)
+  const send = (outbound: readonly Outbound[]): void => outbound.forEach(({ to, message }) => links.send(to, message))
+  const servers = [createCallerServer(context), createPeerServer(context), createAdministrationServer(context)] as const
+  const { host } = settings.listen
+  context.ports.peer = await listen(servers[1], host, settings.listen['peer-port'])
+  links.start(servers[1])
+  actors = spawnMechanisms(supervisors.mechanisms, context, send)
+  spawnPolls(supervisors.platform, context, links)
+  context.ports.caller = await listen(servers[0], host, settings.listen['caller-port'])
+  context.ports.administration = await listen(servers[2], host, settings.listen['administration-port'])
+  context.log.info('started', { region: context.identity.region, incarnation: context.incarnation })
+  return { context, shutdown: () => shutdown({ context, links, servers, system: system as Ref<never> }) }
+}
+
+interface Running {
+  readonly context: VmContext
+  readonly links: PeerLinks
+  readonly servers: readonly Server[]
+  readonly system: Ref<never>
+}
+
+const shutdown = async ({ context, links, servers, system }: Running): Promise<void> => {
+  context.lifecycle.drain()
+  context.log.info('draining', { activeRequests: context.lifecycle.activeRequests })
+  await new Promise((resolve) => setTimeout(resolve, drainNoticeMilliseconds))
+  await context.lifecycle.idle()
+  links.stop()
+  context.scheduler.stop()
+  stop(system)
+  await Promise.all(servers.map(close))
+  await context.upstreamClient.close()
+  context.log.info('stopped')
+}
--- /dev/null
+++ b/packages/daemon/src/errors.ts
@@ -0,0 +1,34 @@
+/**
+ * Errors of the daemon layer.
+ */
+
+export interface SettingFault {
+  readonly file: string
+  readonly section: string
+  readonly key: string
+  readonly read: string
+  readonly allowed: string
+}
+
+export const formatSettingFault = (fault: SettingFault): string =>
+  `${fault.file}: [${fault.section}] ${fault.key}: read ${fault.read}, allowed: ${fault.allowed}`
+
+export const UpstreamErrorKind = {
+  /** No byte of the request left this VM. */
+  NotSent: 'not-sent',
+  /** The connection broke or went silent after the request was sent. */
+  Broken: 'broken',
+  /** The upstream's answer is longer than allowed. */
+  TooLong: 'too-long',
+  /** The caller went away. */
+  Aborted: 'aborted'
+} as const
+
+export type UpstreamErrorKind = typeof UpstreamErrorKind[keyof typeof UpstreamErrorKind]
+
+export class UpstreamError extends Error {
+  constructor (readonly kind: UpstreamErrorKind, detail: string) {
+    super(detail)
+    this.name = 'UpstreamError'
+  }
+}
--- /dev/null
+++ b/packages/daemon/src/forwardRequest.ts
@@ -0,0 +1,74 @@
+/**
+ * Sends a request to another VM over the peer port, with proof of the key's
+ * check in place of the key.
+ */
+
+import { Result } from 'true-myth'
+import { assertInvariant, headerNames } from '@cuminvale/common'
+import { digestBody, forwardProofLifetimeMilliseconds, signForward } from '@cuminvale/keys'
+import type { VmId } from '@cuminvale/common'
+import type { ForwardClaims } from '@cuminvale/keys'
+import type { Member } from '@cuminvale/membership'
+import { maximumBorderCrossings, maximumHops } from './constants.js'
+import { UpstreamError, UpstreamErrorKind } from './errors.js'
+import { requestTokens } from './gatewayRequest.js'
+import type { RunningExchange } from './execution.js'
+import type { GatewayRequest } from './gatewayRequest.js'
+import type { VmContext } from './vmContext.js'
+
+export const forwardPath = '/forward'
+
+const claimsFor = (context: VmContext, request: GatewayRequest, to: Member): ForwardClaims => {
+  const { identity } = context
+  const crosses = to.vm.region !== identity.region
+  const now = context.clock.wall()
+  return {
+    requestId: request.id,
+    from: identity.vm,
+    fromRegion: identity.region,
+    to: to.vm.name,
+    team: request.team,
+    ...(request.identity === undefined ? {} : { keyDigest: request.identity.digest }),
+    revision: context.configuration.current?.revision ?? (0 as never),
+    route: request.route.name,
+    ...(request.model === undefined ? {} : { model: request.model }),
+    path: request.path,
+    method: request.method,
+    ...(request.ticketText === undefined ? {} : { ticket: request.ticketText }),
+    hops: request.hops + 1,
+    borderCrossings: request.borderCrossings + (crosses ? 1 : 0),
+    chargedTokens: requestTokens(request),
+    streaming: request.streaming,
+    deadlineAt: now + request.deadlineAt - context.clock.monotonic(),
+    expiresAt: now + forwardProofLifetimeMilliseconds,
+    bodyDigest: digestBody(request.body)
+  }
+}
+
+/** Forwards a request; the receiver's answer, refusals included, is the answer. */
+export const forwardRequest = async (
+  context: VmContext,
+  request: GatewayRequest,
+  vm: VmId
+): Promise<Result<RunningExchange, UpstreamError>> => {
+  const member = context.membership.find(vm)
+  if (member === undefined) return Result.err(new UpstreamError(UpstreamErrorKind.NotSent, `${vm} is not listed`))
+  const claims = claimsFor(context, request, member)
+  assertInvariant(claims.hops <= maximumHops && claims.borderCrossings <= maximumBorderCrossings, 'no-loops',
+    () => `request ${request.id} at hop ${claims.hops}, crossing ${claims.borderCrossings}`)
+  const result = await context.upstreamClient.exchange({
+    origin: `http://${member.vm.host}:${member.vm.peerPort}`,
+    path: forwardPath,
+    method: 'POST',
+    headers: {
+      'content-type': request.contentType,
+      [headerNames.forwarded]: signForward(claims, context.fleetSecret.signing),
+      ...(request.authorization === undefined ? {} : { authorization: request.authorization })
+    },
+    body: request.body,
+    signal: request.signal,
+    timeoutMilliseconds: Math.max(1, Math.ceil(request.deadlineAt - context.clock.monotonic())),
+    freshConnection: !request.route.idempotent
+  })
+  return result.map((exchange) => ({ exchange, servedBy: vm, forwarded: true, finish: () => {} }))
+}
--- /dev/null
+++ b/packages/daemon/src/gateway.ts
@@ -0,0 +1,114 @@
+/**
+ * The way of a request through one VM: charge, run, answer, settle, count.
+ */
+
+import { millisecondsPerSecond, Outcome, RefusalReason, refuse } from '@cuminvale/common'
+import { Result } from 'true-myth'
+import type { ServerResponse } from 'node:http'
+import type { Refusal } from '@cuminvale/common'
+import type { Charge } from '@cuminvale/limits'
+import { collectAnswer, contentTypeOf, isEventStream, relayEvents } from './answer.js'
+import { execute } from './execution.js'
+import { requestTokens } from './gatewayRequest.js'
+import { problemOf, sendRefusal } from './problemDocument.js'
+import { chargeRequest, copyOutcome, countCompleted, logRefusal, settleCharge } from './requestAccounting.js'
+import { serveOrder } from './serveOrder.js'
+import { usedTokens } from './usedTokens.js'
+import type { UpstreamError } from './errors.js'
+import type { RunningExchange } from './execution.js'
+import type { GatewayRequest } from './gatewayRequest.js'
+import type { VmContext } from './vmContext.js'
+
+const successStatusEnd = 400
+
+export class Gateway {
+  constructor (private readonly context: VmContext) {}
+
+  /** Serves a classified request to its end. */
+  async serve (request: GatewayRequest, response: ServerResponse): Promise<void> {
+    if (!request.route.idempotent) return await serveOrder(this.context, request, response)
+    const charge = chargeRequest(this.context, request)
+    if (charge.isErr) return this.refuse(request, response, charge.error)
+    const running = await execute(this.context, request)
+    if (running.isErr) {
+      settleCharge(this.context, charge.value, 0)
+      return this.refuse(request, response, running.error)
+    }
+    await this.answer(request, response, running.value, charge.value)
+  }
+
+  refuse (request: GatewayRequest, response: ServerResponse, refusal: Refusal): void {
+    logRefusal(this.context, request, refusal)
+    sendRefusal(response, refusal)
+  }
+
+  private async answer (
+    request: GatewayRequest,
+    response: ServerResponse,
+    running: RunningExchange,
+    charge: Charge | undefined
+  ): Promise<void> {
+    const { context } = this
+    const waitedSeconds = (context.clock.monotonic() - request.arrivedAt) / millisecondsPerSecond
+    context.metrics.firstByte.observe({ route: request.route.name }, waitedSeconds)
+    if (!running.forwarded) context.meter.begin(request.id)
+    const tokens = isEventStream(running.exchange)
+      ? await this.stream(request, response, running)
+      : await this.sendWhole(request, response, running)
+    running.finish(tokens.isOk)
+    settleCharge(context, charge, tokens.unwrapOr(requestTokens(request)))
+    if (tokens.isErr) {
+      context.meter.abandon(request.id)
+      return
+    }
+    if (!running.forwarded && running.exchange.status < successStatusEnd) countCompleted(context, request, tokens.value)
+    else context.meter.abandon(request.id)
+    context.metrics.requests.inc({ route: request.route.name, team: request.team, outcome: Outcome.Done })
+  }
+
+  private async sendWhole (
+    request: GatewayRequest,
+    response: ServerResponse,
+    running: RunningExchange
+  ): Promise<Result<number, UpstreamError>> {
+    const collected = await collectAnswer(running.exchange)
+    if (collected.isErr) {
+      this.refuse(request, response, refuse(RefusalReason.UpstreamFailed, collected.error.message, {
+        outcome: Outcome.Unknown
+      }))
+      return Result.err(collected.error)
+    }
+    copyOutcome(response, running)
+    response.writeHead(collected.value.status, {
+      'content-type': collected.value.contentType, 'content-length': collected.value.body.length
+    })
+    response.end(collected.value.body)
+    return Result.ok(usedTokens(request, collected.value))
+  }
+
+  private async stream (
+    request: GatewayRequest,
+    response: ServerResponse,
+    running: RunningExchange
+  ): Promise<Result<number, UpstreamError>> {
+    copyOutcome(response, running)
+    response.writeHead(running.exchange.status, {
+      'content-type': contentTypeOf(running.exchange), 'cache-control': 'no-cache'
+    })
+    const relayed = await relayEvents(running.exchange, response)
+    if (relayed.isErr) {
+      this.breakStream(request, response, relayed.error)
+      return Result.err(relayed.error)
+    }
+    response.end()
+    return Result.ok(request.promptTokens + relayed.value.events)
+  }
+
+  /** Ends a broken stream with an error event and a broken connection, never a clean end. */
+  private breakStream (request: GatewayRequest, response: ServerResponse, error: UpstreamError): void {
+    const refusal = refuse(RefusalReason.UpstreamFailed, error.message, { outcome: Outcome.Unknown })
+    logRefusal(this.context, request, refusal)
+    if (response.destroyed) return
+    response.write(`event: error\ndata: ${JSON.stringify({ error: problemOf(refusal) })}\n\n`, () => response.destroy())
+  }
+}
--- /dev/null
+++ b/packages/daemon/src/index.ts
@@ -0,0 +1,6 @@
+export { createDaemon } from './createDaemon.js'
+export { parseSettings, readSettings } from './settings.js'
+export { formatSettingFault } from './errors.js'
+export type { Daemon } from './createDaemon.js'
+export type { Settings } from './settings.js'
+export type { SettingFault } from './errors.js'
--- /dev/null
+++ b/packages/daemon/src/main.ts
@@ -0,0 +1,39 @@
+/**
+ * The `cuminvaled` process: reads its settings, starts one VM, and shuts it
+ * down in order on SIGTERM or SIGINT. SIGHUP reads the secrets again.
+ */
+
+import { exitCodeInvalidSettings } from './constants.js'
+import { createDaemon } from './createDaemon.js'
+import { formatSettingFault } from './errors.js'
+import { readSettings } from './settings.js'
+
+const usage = 'usage: cuminvaled <settings.ini>\n'
+
+const run = async (): Promise<void> => {
+  const file = process.argv[2]
+  if (file === undefined) {
+    process.stderr.write(usage)
+    process.exit(exitCodeInvalidSettings)
+  }
+  const settings = readSettings(file)
+  if (settings.isErr) {
+    process.stderr.write(settings.error.map(formatSettingFault).join('\n') + '\n')
+    process.exit(exitCodeInvalidSettings)
+  }
+  const daemon = await createDaemon(settings.value)
+  const stop = (): void => {
+    daemon.shutdown().then(() => process.exit(0), () => process.exit(1))
+  }
+  process.once('SIGTERM', stop)
+  process.once('SIGINT', stop)
+  process.on('SIGHUP', () => {
+    daemon.context.fleetSecret.reload()
+    daemon.context.administrationToken.reload()
+  })
+}
+
+run().catch((error: unknown) => {
+  process.stderr.write(`cuminvaled: ${error instanceof Error ? error.message : String(error)}\n`)
+  process.exit(1)
+})
--- /dev/null
+++ b/packages/daemon/src/peerLinks.ts
@@ -0,0 +1,170 @@
+/**
+ * WebSocket links to other VMs. Of each pair the VM with the lower name dials.
+ * A link that stays silent past its heartbeats is cut and dialled anew.
+ */
+
+import { WebSocket, WebSocketServer } from 'ws'
+import { decodePeerMessage, encodePeerMessage } from '@cuminvale/messages'
+import type { Server } from 'node:http'
+import type { VmId } from '@cuminvale/common'
+import type { PeerIdentity, PeerMessage } from '@cuminvale/messages'
+import type { Member } from '@cuminvale/membership'
+import {
+  linkHandshakeMilliseconds, linkHeartbeatMilliseconds, linkRetryMilliseconds, linkSilenceMilliseconds
+} from './constants.js'
+import {
+  HandshakeRole, helloSchema, isHandshakeProven, newNonce, parseFrame, proofSchema, proveHandshake, welcomeSchema
+} from './peerHandshake.js'
+import type { Transcript } from './peerHandshake.js'
+import type { SecretFile } from './secrets.js'
+
+export interface PeerLinksOptions {
+  readonly self: PeerIdentity
+  readonly secret: SecretFile
+  readonly onMessage: (from: PeerIdentity, message: PeerMessage) => void
+  readonly onUp: (peer: PeerIdentity) => void
+  readonly onDown: (peer: PeerIdentity) => void
+}
+
+interface Link {
+  readonly peer: PeerIdentity
+  readonly socket: WebSocket
+  heardAt: number
+}
+
+const linkPath = '/link'
+const maximumMessageBytes = 8 * 1024 * 1024
+const heartbeat = Buffer.alloc(0)
+
+export class PeerLinks {
+  private readonly links = new Map<VmId, Link>()
+  private readonly dialing = new Set<VmId>()
+  private members: readonly Member[] = []
+  private readonly timers: NodeJS.Timeout[] = []
+
+  constructor (private readonly options: PeerLinksOptions) {}
+
+  start (server: Server): void {
+    const sockets = new WebSocketServer({ noServer: true, maxPayload: maximumMessageBytes })
+    server.on('upgrade', (request, socket, head) => {
+      if (request.url !== linkPath) return socket.destroy()
+      sockets.handleUpgrade(request, socket, head, (webSocket) => this.listen(webSocket))
+    })
+    this.timers.push(setInterval(() => this.beat(), linkHeartbeatMilliseconds))
+    this.timers.push(setInterval(() => this.dialMissing(), linkRetryMilliseconds))
+  }
+
+  stop (): void {
+    for (const timer of this.timers) clearInterval(timer)
+    for (const link of this.links.values()) link.socket.terminate()
+    this.links.clear()
+  }
+
+  /** Adopts the peers that links should exist to. */
+  adoptMembers (members: readonly Member[]): void {
+    this.members = members
+    const listed = new Set(members.map(({ vm }) => vm.name))
+    for (const [vm, link] of this.links) {
+      if (!listed.has(vm)) link.socket.terminate()
+    }
+    this.dialMissing()
+  }
+
+  /** Sends a message, or drops it where no link is up. */
+  send (to: VmId, message: PeerMessage): void {
+    const link = this.links.get(to)
+    if (link?.socket.readyState === WebSocket.OPEN) link.socket.send(encodePeerMessage(message))
+  }
+
+  private beat (): void {
+    const now = performance.now()
+    for (const link of this.links.values()) {
+      if (now - link.heardAt > linkSilenceMilliseconds) link.socket.terminate()
+      else link.socket.send(heartbeat)
+    }
+  }
+
+  private dialMissing (): void {
+    for (const { vm } of this.members) {
+      const isOurs = this.options.self.vm < vm.name
+      if (isOurs && !this.links.has(vm.name) && !this.dialing.has(vm.name)) this.dial(vm.name, vm.host, vm.peerPort)
+    }
+  }
+
+  private dial (name: VmId, host: string, port: number): void {
+    this.dialing.add(name)
+    const socket = new WebSocket(`ws://${host}:${port}${linkPath}`, {
+      handshakeTimeout: linkHandshakeMilliseconds, perMessageDeflate: false, maxPayload: maximumMessageBytes
+    })
+    const { self } = this.options
+    const nonce = newNonce()
+    const timer = setTimeout(() => socket.terminate(), linkHandshakeMilliseconds)
+    socket.on('error', () => socket.terminate())
+    socket.on('open', () => socket.send(JSON.stringify({ identity: self, nonce })))
+    socket.on('close', () => {
+      clearTimeout(timer)
+      this.dialing.delete(name)
+    })
+    socket.once('message', (data) => {
+      const welcome = parseFrame(data.toString(), welcomeSchema)
+      if (welcome === undefined || welcome.identity.vm !== name) return socket.terminate()
+      const transcript = { dialer: self, dialerNonce: nonce, listener: welcome.identity, listenerNonce: welcome.nonce }
+      if (!this.isProven(HandshakeRole.Listener, transcript, welcome.proof)) return socket.terminate()
+      socket.send(JSON.stringify({ proof: this.prove(HandshakeRole.Dialer, transcript) }))
+      clearTimeout(timer)
+      this.adopt(welcome.identity, socket)
+    })
+  }
+
+  private listen (socket: WebSocket): void {
+    const { self } = this.options
+    const timer = setTimeout(() => socket.terminate(), linkHandshakeMilliseconds)
+    socket.on('error', () => socket.terminate())
+    socket.on('close', () => clearTimeout(timer))
+    socket.once('message', (first) => {
+      const hello = parseFrame(first.toString(), helloSchema)
+      if (hello === undefined) return socket.terminate()
+      const transcript = { dialer: hello.identity, dialerNonce: hello.nonce, listener: self, listenerNonce: newNonce() }
+      socket.send(JSON.stringify({
+        identity: self, nonce: transcript.listenerNonce, proof: this.prove(HandshakeRole.Listener, transcript)
+      }))
+      socket.once('message', (second) => {
+        const proof = parseFrame(second.toString(), proofSchema)?.proof ?? ''
+        if (!this.isProven(HandshakeRole.Dialer, transcript, proof)) return socket.terminate()
+        clearTimeout(timer)
+        this.adopt(hello.identity, socket)
+      })
+    })
+  }
+
+  private adopt (peer: PeerIdentity, socket: WebSocket): void {
+    this.links.get(peer.vm)?.socket.terminate()
+    const link: Link = { peer, socket, heardAt: performance.now() }
+    this.links.set(peer.vm, link)
+    socket.on('message', (data: Buffer) => this.receive(link, data))
+    socket.on('close', () => this.remove(link))
+    this.options.onUp(peer)
+  }
+
+  private receive (link: Link, data: Buffer): void {
+    link.heardAt = performance.now()
+    if (data.length === 0) return
+    const decoded = decodePeerMessage(data)
+    if (decoded.isErr) return link.socket.terminate()
+    this.options.onMessage(link.peer, decoded.value)
+  }
+
+  private remove (link: Link): void {
+    if (this.links.get(link.peer.vm) !== link) return
+    this.links.delete(link.peer.vm)
+    this.options.onDown(link.peer)
+  }
+
+  private prove (role: HandshakeRole, transcript: Transcript): string {
+    return proveHandshake(role, transcript, this.options.secret.signing)
+  }
+
+  private isProven (role: HandshakeRole, transcript: Transcript, proof: string): boolean {
+    return isHandshakeProven({ role, transcript, proof, secrets: this.options.secret.accepted })
+  }
+}
--- /dev/null
+++ b/packages/daemon/src/peerServer.ts
@@ -0,0 +1,40 @@
+/**
+ * The edge for other VMs: forwarded requests over HTTP, links over WebSocket.
+ */
+
+import { createServer } from 'node:http'
+import { headerNames, RefusalReason, refuse } from '@cuminvale/common'
+import type { IncomingMessage, Server, ServerResponse } from 'node:http'
+import { callerSignal, guard } from './callerServer.js'
+import { forwardPath } from './forwardRequest.js'
+import { Gateway } from './gateway.js'
+import { sendRefusal } from './problemDocument.js'
+import { receiveForward } from './receiveForward.js'
+import type { VmContext } from './vmContext.js'
+
+const forwardHeaderLimitBytes = 65_536
+
+const handle = async (
+  context: VmContext,
+  gateway: Gateway,
+  incoming: IncomingMessage,
+  response: ServerResponse
+): Promise<void> => {
+  response.setHeader(headerNames.vm, context.identity.vm)
+  if (incoming.url !== forwardPath) return sendRefusal(response, refuse(RefusalReason.RouteUnknown, 'no such path'))
+  const signal = callerSignal(response)
+  const received = await receiveForward(incoming, context, signal)
+  if (received.isErr) {
+    context.metrics.refusals.inc({ reason: received.error.reason })
+    return sendRefusal(response, received.error)
+  }
+  signal.addEventListener('abort', () => context.scheduler.abandon(received.value.id), { once: true })
+  await gateway.serve(received.value, response)
+}
+
+export const createPeerServer = (context: VmContext): Server => {
+  const gateway = new Gateway(context)
+  return createServer({ maxHeaderSize: forwardHeaderLimitBytes }, (incoming, response) => {
+    guard(context, response, () => handle(context, gateway, incoming, response)).catch(() => response.destroy())
+  })
+}
--- /dev/null
+++ b/packages/daemon/src/pollingActor.ts
@@ -0,0 +1,36 @@
+/**
+ * An actor that repeats one asynchronous step, such as reading a platform
+ * service, with a pause that the step itself decides.
+ */
+
+import { dispatch, spawnStateless } from 'nact'
+import type { Ref } from 'nact'
+import type { Log } from './log.js'
+
+export interface PollMessage {
+  readonly type: 'poll'
+}
+
+export interface PollingActorOptions {
+  readonly name: string
+  /** Does one step; returns the milliseconds until the next. */
+  readonly poll: () => Promise<number>
+  /** Pause after a step that threw. */
+  readonly retryMilliseconds: number
+  readonly log: Log
+}
+
+export const spawnPollingActor = (parent: Ref<never>, options: PollingActorOptions): Ref<PollMessage> => {
+  const step = async (): Promise<void> => {
+    let pause = options.retryMilliseconds
+    try {
+      pause = await options.poll()
+    } catch (error) {
+      options.log.error('poll-failed', { poll: options.name, detail: String(error) })
+    }
+    setTimeout(() => dispatch(actor, { type: 'poll' }), pause).unref()
+  }
+  const actor = spawnStateless(parent, step, options.name) as Ref<PollMessage>
+  dispatch(actor, { type: 'poll' })
+  return actor
+}
--- /dev/null
+++ b/packages/daemon/src/protocolActor.ts
@@ -0,0 +1,39 @@
+/**
+ * An actor that owns one peer protocol: it feeds it messages and ticks, and
+ * sends what it answers over the links.
+ */
+
+import { dispatch, spawnStateless } from 'nact'
+import type { Ref } from 'nact'
+import type { Outbound, PeerIdentity, PeerMessage, PeerProtocol } from '@cuminvale/messages'
+import type { Log } from './log.js'
+
+export type ProtocolActorMessage =
+  | { readonly type: 'tick' }
+  | { readonly type: 'peer', readonly from: PeerIdentity, readonly message: PeerMessage }
+
+export type ProtocolActor = Ref<ProtocolActorMessage>
+
+export interface ProtocolActorOptions<Message extends PeerMessage> {
+  readonly name: string
+  readonly protocol: PeerProtocol<Message>
+  readonly send: (outbound: readonly Outbound[]) => void
+  readonly log: Log
+}
+
+/** A message that crashes its handler is logged and dropped; the protocol's state stays. */
+export const spawnProtocolActor = <Message extends PeerMessage>(
+  parent: Ref<never>,
+  { name, protocol, send, log }: ProtocolActorOptions<Message>
+): ProtocolActor => {
+  const handle = (message: ProtocolActorMessage): void => {
+    try {
+      send(message.type === 'tick' ? protocol.tick() : protocol.receive(message.from, message.message as Message))
+    } catch (error) {
+      log.error('protocol-failed', { protocol: name, detail: error instanceof Error ? error.stack : String(error) })
+    }
+  }
+  const actor = spawnStateless(parent, handle, name) as ProtocolActor
+  setInterval(() => dispatch(actor, { type: 'tick' }), protocol.tickMilliseconds).unref()
+  return actor
+}
--- /dev/null
+++ b/packages/daemon/src/readBody.ts
@@ -0,0 +1,42 @@
+/**
+ * Reads a request's whole body within a size and a time limit.
+ */
+
+import { Result } from 'true-myth'
+import { RefusalReason, refuse } from '@cuminvale/common'
+import type { IncomingMessage } from 'node:http'
+import type { Refusal } from '@cuminvale/common'
+
+export interface BodyLimits {
+  readonly limitBytes: number
+  readonly timeoutMilliseconds: number
+}
+
+const tooLarge = (limits: BodyLimits): Refusal =>
+  refuse(RefusalReason.BodyTooLarge, `the body is longer than ${limits.limitBytes} bytes`)
+
+export const readBody = (request: IncomingMessage, limits: BodyLimits): Promise<Result<Buffer, Refusal>> => {
+  if (Number(request.headers['content-length'] ?? 0) > limits.limitBytes) {
+    return Promise.resolve(Result.err(tooLarge(limits)))
+  }
+  return new Promise((resolve) => {
+    const chunks: Buffer[] = []
+    let length = 0
+    const finish = (result: Result<Buffer, Refusal>): void => {
+      clearTimeout(timer)
+      request.removeAllListeners('data')
+      resolve(result)
+    }
+    const timer = setTimeout(() => finish(Result.err(
+      refuse(RefusalReason.BodyTimeout, `the body did not arrive within ${limits.timeoutMilliseconds} ms`)
+    )), limits.timeoutMilliseconds)
+    request.on('data', (chunk: Buffer) => {
+      length += chunk.length
+      if (length > limits.limitBytes) return finish(Result.err(tooLarge(limits)))
+      chunks.push(chunk)
+    })
+    request.on('end', () => finish(Result.ok(chunks.length === 1 && chunks[0] !== undefined ? chunks[0] : Buffer.concat(chunks))))
+    request.on('error', () => finish(Result.err(refuse(RefusalReason.BodyTruncated, 'the body ended early'))))
+    request.on('aborted', () => finish(Result.err(refuse(RefusalReason.BodyTruncated, 'the body ended early'))))
+  })
+}
--- /dev/null
+++ b/packages/daemon/src/receiveForward.ts
@@ -0,0 +1,145 @@
+/**
+ * Takes a request that another VM has forwarded: verifies its proof, and
+ * checks key, regions and hops again under this VM's own configuration.
+ */
+
+import { Result } from 'true-myth'
+import { RefusalReason, headerNames, refuse } from '@cuminvale/common'
+import { RouteKind, allowedRegions, planOfTeam } from '@cuminvale/documents'
+import { isKeyInForce, verifyForward } from '@cuminvale/keys'
+import { parseTicket } from '@cuminvale/orders'
+import type { IncomingMessage } from 'node:http'
+import type { Refusal, RegionId } from '@cuminvale/common'
+import type { Configuration, Plan, Route } from '@cuminvale/documents'
+import type { ForwardClaims, KeyIdentity } from '@cuminvale/keys'
+import { maximumBorderCrossings, maximumHops } from './constants.js'
+import { readBody } from './readBody.js'
+import { readCompletionBody } from './completionBody.js'
+import { requireConfiguration } from './receiveRequest.js'
+import type { GatewayRequest } from './gatewayRequest.js'
+import type { VmContext } from './vmContext.js'
+
+const forwardBodyLimitBytes = 64 * 1024 * 1024
+
+interface CheckedClaims {
+  readonly claims: ForwardClaims
+  readonly route: Route
+  readonly identity?: KeyIdentity
+  readonly plan?: Plan
+  readonly allowedRegions: readonly RegionId[]
+}
+
+const checkHops = (claims: ForwardClaims): Result<ForwardClaims, Refusal> => {
+  const isWithin = claims.hops <= maximumHops && claims.borderCrossings <= maximumBorderCrossings
+  if (isWithin) return Result.ok(claims)
+  return Result.err(refuse(RefusalReason.HopLimit, 'the request has been forwarded too often'))
+}
+
+const checkOpenRoute = (claims: ForwardClaims, route: Route, region: RegionId): Result<CheckedClaims, Refusal> => {
+  if (!route.open) return Result.err(refuse(RefusalReason.KeyMissing, 'the forwarded request names no key'))
+  return Result.ok({ claims, route, allowedRegions: [region] })
+}
+
+const checkClaims = (
+  claims: ForwardClaims,
+  configuration: Configuration,
+  region: RegionId
+): Result<CheckedClaims, Refusal> => {
+  const route = configuration.routes.get(claims.route)
+  if (route === undefined) return Result.err(refuse(RefusalReason.RouteUnknown, `there is no route "${claims.route}"`))
+  if (claims.keyDigest === undefined) return checkOpenRoute(claims, route, region)
+  const identity = { team: claims.team, digest: claims.keyDigest }
+  if (!isKeyInForce(identity, configuration)) {
+    return Result.err(refuse(RefusalReason.KeyUnknown, 'the key is not known or was withdrawn'))
+  }
+  const team = configuration.teams.get(claims.team)
+  const plan = planOfTeam(configuration, claims.team)
+  if (team === undefined || plan?.routes.includes(route.name) !== true) {
+    return Result.err(refuse(RefusalReason.NotInPlan, `the plan of team "${claims.team}" has no route "${route.name}"`))
+  }
+  return Result.ok({ claims, route, identity, plan, allowedRegions: allowedRegions(team, plan, route) })
+}
+
+const readVerifiedClaims = async (
+  incoming: IncomingMessage,
+  context: VmContext
+): Promise<Result<{ readonly claims: ForwardClaims, readonly body: Buffer }, Refusal>> => {
+  const body = await readBody(incoming, {
+    limitBytes: forwardBodyLimitBytes,
+    timeoutMilliseconds: context.settings.requests['body-timeout-milliseconds']
+  })
+  if (body.isErr) return Result.err(body.error)
+  const verified = verifyForward(String(incoming.headers[headerNames.forwarded] ?? ''), {
+    secrets: context.fleetSecret.accepted,
+    self: context.identity.vm,
+    body: body.value,
+    now: context.clock.wall()
+  })
+  return verified
+    .map((claims) => ({ claims, body: body.value }))
+    .mapErr((error) => refuse(RefusalReason.KeyUnknown, error.message))
+}
+
+/** Builds the classified request that a peer forwarded, or says why it is refused. */
+export const receiveForward = async (
+  incoming: IncomingMessage,
+  context: VmContext,
+  signal: AbortSignal
+): Promise<Result<GatewayRequest, Refusal>> => {
+  const verified = await readVerifiedClaims(incoming, context)
+  if (verified.isErr) return Result.err(verified.error)
+  const { claims, body } = verified.value
+  const checked = checkHops(claims)
+    .andThen(() => requireConfiguration(context))
+    .andThen((configuration) => checkClaims(claims, configuration, context.identity.region))
+  return checked.map((accepted) => buildRequest({ accepted, body, context, signal, incoming }))
+}
+
+/** After its one border crossing a request runs here or not at all. */
+const regionsLeft = (accepted: CheckedClaims, region: RegionId): readonly RegionId[] => {
+  if (accepted.claims.borderCrossings < maximumBorderCrossings) return accepted.allowedRegions
+  return accepted.allowedRegions.filter((allowed) => allowed === region)
+}
+
+interface BuildOptions {
+  readonly accepted: CheckedClaims
+  readonly body: Buffer
+  readonly context: VmContext
+  readonly signal: AbortSignal
+  readonly incoming: IncomingMessage
+}
+
+const buildRequest = ({ accepted, body, context, signal, incoming }: BuildOptions): GatewayRequest => {
+  const { claims, route } = accepted
+  const isCompletion = route.kind === RouteKind.Completion
+  const fields = isCompletion ? readCompletionBody(body, claims.path.includes('/chat/')) : undefined
+  const ticket = claims.ticket === undefined ? undefined : parseTicket(claims.ticket)
+  const now = context.clock.monotonic()
+  const authorization = route.open ? incoming.headers.authorization : undefined
+  return {
+    id: claims.requestId,
+    ...(accepted.identity === undefined ? {} : { identity: accepted.identity }),
+    team: claims.team,
+    ...(accepted.plan === undefined ? {} : { plan: accepted.plan }),
+    route,
+    ...(claims.model === undefined ? {} : { model: claims.model }),
+    method: claims.method,
+    path: claims.path,
+    contentType: incoming.headers['content-type'] ?? 'application/json',
+    ...(authorization === undefined ? {} : { authorization }),
+    body,
+    prompt: fields?.isOk === true ? fields.value.prompt : '',
+    promptTokens: fields?.isOk === true ? fields.value.promptTokens : claims.chargedTokens,
+    outputTokens: fields?.isOk === true ? fields.value.outputTokens : 0,
+    streaming: claims.streaming,
+    allowedRegions: regionsLeft(accepted, context.identity.region),
+    arrivedAt: now,
+    deadlineAt: now + claims.deadlineAt - context.clock.wall(),
+    hops: claims.hops,
+    borderCrossings: claims.borderCrossings,
+    charged: true,
+    ...(claims.ticket === undefined ? {} : { ticketText: claims.ticket }),
+    ...(ticket?.isJust === true ? { ticket: ticket.value } : {}),
+    signal
+  }
+}
--- /dev/null
+++ b/packages/daemon/src/receiveRequest.ts
@@ -0,0 +1,136 @@
+/**
+ * Reads and classifies what a caller sent: key, route, plan, body and model.
+ * Whatever is wrong is refused here, before anything is charged or sent.
+ */
+
+import { Result } from 'true-myth'
+import { RefusalReason, headerNames, refuse, toTeamId } from '@cuminvale/common'
+import { allowedRegions, planOfTeam, RouteKind } from '@cuminvale/documents'
+import { checkKey } from '@cuminvale/keys'
+import { parseTicket } from '@cuminvale/orders'
+import type { IncomingMessage } from 'node:http'
+import type { Refusal, RequestId } from '@cuminvale/common'
+import type { Configuration, Plan, Route } from '@cuminvale/documents'
+import type { KeyIdentity } from '@cuminvale/keys'
+import { readBody } from './readBody.js'
+import { readCompletionBody } from './completionBody.js'
+import { resolvePath } from './requestPath.js'
+import type { GatewayRequest } from './gatewayRequest.js'
+import type { VmContext } from './vmContext.js'
+
+/** Team under which requests without a key on open routes are queued. */
+export const openTeam = toTeamId('open')
+
+export const routeHeaderName = 'cuminvale-route'
+
+export interface Caller {
+  readonly identity?: KeyIdentity
+  readonly plan?: Plan
+}
+
+const notReady = (): Refusal =>
+  refuse(RefusalReason.NotReady, 'this VM has no configuration yet', { retryAfterMilliseconds: 1_000 })
+
+export const requireConfiguration = (context: VmContext): Result<Configuration, Refusal> => {
+  const configuration = context.configuration.current
+  return configuration === undefined ? Result.err(notReady()) : Result.ok(configuration)
+}
+
+const identify = (
+  request: IncomingMessage,
+  route: Route,
+  configuration: Configuration
+): Result<Caller, Refusal> => {
+  if (route.open) return Result.ok({})
+  return checkKey(request.headers.authorization, configuration).andThen((identity) => {
+    const plan = planOfTeam(configuration, identity.team)
+    if (plan?.routes.includes(route.name) === true) return Result.ok({ identity, plan })
+    return Result.err(refuse(RefusalReason.NotInPlan, `the plan of team "${identity.team}" has no route "${route.name}"`))
+  })
+}
+
+const regionsFor = (caller: Caller, route: Route, configuration: Configuration): GatewayRequest['allowedRegions'] => {
+  const team = caller.identity === undefined ? undefined : configuration.teams.get(caller.identity.team)
+  if (team !== undefined && caller.plan !== undefined) return allowedRegions(team, caller.plan, route)
+  return [...new Set([...configuration.upstreams.values()].map((upstream) => upstream.region))]
+}
+
+const headerOf = (request: IncomingMessage, name: string): string | undefined => {
+  const value = request.headers[name]
+  return typeof value === 'string' ? value : undefined
+}
+
+/** Fields that only completion routes read from the body. */
+type BodyFields = Pick<GatewayRequest, 'model' | 'prompt' | 'promptTokens' | 'outputTokens' | 'streaming'>
+
+const readFields = (route: Route, path: string, body: Buffer): Result<BodyFields, Refusal> => {
+  if (route.kind === RouteKind.Completion) return readCompletionBody(body, path.includes('/chat/'))
+  return Result.ok({ prompt: '', promptTokens: route.chargeTokens, outputTokens: 0, streaming: false })
+}
+
+const checkModel = (fields: BodyFields, caller: Caller, configuration: Configuration): Result<BodyFields, Refusal> => {
+  const { model } = fields
+  if (model === undefined) return Result.ok(fields)
+  const isServed = [...configuration.upstreams.values()].some((upstream) => upstream.models.includes(model))
+  if (!isServed) return Result.err(refuse(RefusalReason.ModelUnknown, `there is no model "${model}"`))
+  if (caller.plan !== undefined && !caller.plan.models.includes(model)) {
+    return Result.err(refuse(RefusalReason.NotInPlan, `the plan "${caller.plan.name}" has no model "${model}"`))
+  }
+  return Result.ok(fields)
+}
+
+export interface ReceiveOptions {
+  readonly context: VmContext
+  readonly id: RequestId
+  readonly signal: AbortSignal
+}
+
+/** Builds the classified request, or says why it is refused. */
+export const receiveRequest = async (
+  incoming: IncomingMessage,
+  options: ReceiveOptions
+): Promise<Result<GatewayRequest, Refusal>> => {
+  const { context, id, signal } = options
+  const ready = requireConfiguration(context)
+  if (ready.isErr) return Result.err(ready.error)
+  const configuration = ready.value
+  const resolved = resolvePath(incoming.url ?? '/', headerOf(incoming, routeHeaderName), configuration)
+  if (resolved.isErr) return Result.err(resolved.error)
+  const { route, upstreamPath } = resolved.value
+  const identified = identify(incoming, route, configuration)
+  if (identified.isErr) return Result.err(identified.error)
+  const body = await readBody(incoming, {
+    limitBytes: route.bodyLimitBytes,
+    timeoutMilliseconds: context.settings.requests['body-timeout-milliseconds']
+  })
+  if (body.isErr) return Result.err(body.error)
+  const fields = readFields(route, upstreamPath, body.value)
+    .andThen((read) => checkModel(read, identified.value, configuration))
+  if (fields.isErr) return Result.err(fields.error)
+  const caller = identified.value
+  const now = context.clock.monotonic()
+  const ticketText = headerOf(incoming, headerNames.ticket)
+  const ticket = ticketText === undefined ? undefined : parseTicket(ticketText).unwrapOr(undefined as never)
+  const authorization = route.open ? headerOf(incoming, 'authorization') : undefined
+  return Result.ok({
+    id,
+    team: caller.identity?.team ?? openTeam,
+    ...caller,
+    ...fields.value,
+    route,
+    method: incoming.method ?? 'GET',
+    path: upstreamPath,
+    contentType: headerOf(incoming, 'content-type') ?? 'application/json',
+    ...(authorization === undefined ? {} : { authorization }),
+    body: body.value,
+    allowedRegions: regionsFor(caller, route, configuration),
+    arrivedAt: now,
+    deadlineAt: now + route.deadlineMilliseconds,
+    hops: 0,
+    borderCrossings: 0,
+    charged: false,
+    ...(ticketText === undefined ? {} : { ticketText }),
+    ...(ticket === undefined ? {} : { ticket }),
+    signal
+  })
+}
--- /dev/null
+++ b/packages/daemon/src/requestAccounting.ts
@@ -0,0 +1,65 @@
+/**
+ * Steps that every way of serving a request shares: charging, counting, and
+ * the headers and log line of its end.
+ */
+
+import { Result } from 'true-myth'
+import { Outcome, headerNames } from '@cuminvale/common'
+import type { ServerResponse } from 'node:http'
+import type { Refusal } from '@cuminvale/common'
+import type { Charge } from '@cuminvale/limits'
+import { requestTokens } from './gatewayRequest.js'
+import type { CollectedAnswer } from './answer.js'
+import type { RunningExchange } from './execution.js'
+import type { GatewayRequest } from './gatewayRequest.js'
+import type { VmContext } from './vmContext.js'
+
+/** Charges the team unless another VM has, or the route is open. */
+export const chargeRequest = (context: VmContext, request: GatewayRequest): Result<Charge | undefined, Refusal> => {
+  if (request.charged || request.identity === undefined) return Result.ok(undefined)
+  return context.limiter.charge(request.team, requestTokens(request))
+}
+
+export const settleCharge = (context: VmContext, charge: Charge | undefined, tokens: number): void => {
+  if (charge !== undefined) context.limiter.settle(charge, tokens)
+}
+
+export const writeAnswerHead = (response: ServerResponse, answer: CollectedAnswer, servedBy: string): void => {
+  response.setHeader(headerNames.outcome, Outcome.Done)
+  response.setHeader(headerNames.upstream, servedBy)
+  response.writeHead(answer.status, { 'content-type': answer.contentType, 'content-length': answer.body.length })
+}
+
+/** Counts a request that ran here; one that was forwarded is counted where it ran. */
+export const countCompleted = (context: VmContext, request: GatewayRequest, tokens: number): void => {
+  context.meter.complete({
+    id: request.id,
+    team: request.team,
+    route: request.route.name,
+    weight: request.route.usageWeight,
+    tokens
+  })
+}
+
+/** A forwarded answer keeps the outcome that the other VM stated. */
+export const copyOutcome = (response: ServerResponse, running: RunningExchange): void => {
+  const stated = running.forwarded ? running.exchange.headers[headerNames.outcome] : undefined
+  const servedBy = running.forwarded ? running.exchange.headers[headerNames.upstream] : undefined
+  const retryAfter = running.forwarded ? running.exchange.headers['retry-after'] : undefined
+  response.setHeader(headerNames.outcome, typeof stated === 'string' ? stated : Outcome.Done)
+  response.setHeader(headerNames.upstream, typeof servedBy === 'string' ? servedBy : running.servedBy)
+  if (typeof retryAfter === 'string') response.setHeader('retry-after', retryAfter)
+}
+
+export const logRefusal = (context: VmContext, request: GatewayRequest, refusal: Refusal): void => {
+  context.metrics.refusals.inc({ reason: refusal.reason })
+  context.metrics.requests.inc({ route: request.route.name, team: request.team, outcome: refusal.outcome })
+  context.log.info('refusal', {
+    request: request.id,
+    team: request.team,
+    route: request.route.name,
+    reason: refusal.reason,
+    outcome: refusal.outcome,
+    detail: refusal.detail
+  })
+}
--- /dev/null
+++ b/packages/daemon/src/scheduler.ts
@@ -0,0 +1,148 @@
+/**
+ * Matches queued requests with upstreams. Requests wait in the admission
+ * queue while every permitted upstream is full.
+ */
+
+import { Result } from 'true-myth'
+import { RefusalReason, refuse } from '@cuminvale/common'
+import { RoutingChoiceKind } from '@cuminvale/routing'
+import type { Clock, Refusal, RegionId, RequestId, UpstreamId } from '@cuminvale/common'
+import type { AdmissionQueue, QueuedRequest, ShedRequest } from '@cuminvale/admission'
+import type { RemoteRegionView, RoutingChoice, RoutingRequest, UpstreamChooser, UpstreamTable } from '@cuminvale/routing'
+import { maximumBorderCrossings, queueTickMilliseconds } from './constants.js'
+import { requestTokens } from './gatewayRequest.js'
+import type { GatewayRequest } from './gatewayRequest.js'
+
+/** A choice that can be acted on at once. */
+export type Assignment = Extract<RoutingChoice, { kind: 'run' | 'forward' }>
+
+export interface Waiting extends QueuedRequest {
+  readonly routing: RoutingRequest
+  readonly settle: (result: Result<Assignment, Refusal>) => void
+}
+
+export interface SchedulerOptions {
+  readonly clock: Clock
+  readonly region: RegionId
+  readonly queue: AdmissionQueue<Waiting>
+  readonly chooser: UpstreamChooser
+  readonly table: UpstreamTable
+  readonly remoteRegions: (request: RoutingRequest) => readonly RemoteRegionView[]
+}
+
+const unavailableRetryMilliseconds = 1_000
+
+export class Scheduler {
+  private readonly timer: NodeJS.Timeout
+
+  constructor (private readonly options: SchedulerOptions) {
+    this.timer = setInterval(() => this.tick(), queueTickMilliseconds)
+    this.timer.unref()
+  }
+
+  get queueLength (): number {
+    return this.options.queue.length
+  }
+
+  stop (): void {
+    clearInterval(this.timer)
+  }
+
+  /** Decides for a request without queueing it; for `explain`. */
+  preview (routing: RoutingRequest): RoutingChoice {
+    return this.choose(routing)
+  }
+
+  /** Waits for an assignment. A local one counts as in flight from here until `release`. */
+  acquire (request: GatewayRequest, excluded: ReadonlySet<UpstreamId>): Promise<Result<Assignment, Refusal>> {
+    const routing = routingRequestOf(request, excluded)
+    if (this.options.queue.length === 0) {
+      const choice = this.choose(routing)
+      if (choice.kind !== RoutingChoiceKind.Wait) return Promise.resolve(this.take(choice))
+    }
+    return new Promise((resolve) => this.enqueue(request, routing, resolve))
+  }
+
+  release (upstream: UpstreamId, succeeded: boolean): void {
+    this.options.table.end(upstream, succeeded)
+    this.pump()
+  }
+
+  /** Drops a queued request whose caller has gone. */
+  abandon (id: RequestId): void {
+    this.options.queue.remove(id)
+  }
+
+  /** Dispatches queued requests while upstreams have room. */
+  pump (): void {
+    for (;;) {
+      let found: RoutingChoice | undefined
+      const waiting = this.options.queue.dequeue((candidate) => {
+        const choice = this.choose(candidate.routing)
+        if (choice.kind === RoutingChoiceKind.Wait) return false
+        found = choice
+        return true
+      })
+      if (waiting === undefined || found === undefined) return
+      waiting.settle(this.take(found))
+    }
+  }
+
+  private tick (): void {
+    this.settleShed(this.options.queue.expire())
+    this.pump()
+  }
+
+  private enqueue (
+    request: GatewayRequest,
+    routing: RoutingRequest,
+    settle: (result: Result<Assignment, Refusal>) => void
+  ): void {
+    this.settleShed(this.options.queue.enqueue({
+      id: request.id,
+      team: request.team,
+      priority: request.route.priority,
+      weight: request.plan?.weight ?? 1,
+      cost: Math.max(1, requestTokens(request)),
+      enqueuedAt: this.options.clock.monotonic(),
+      deadlineAt: request.deadlineAt,
+      routing,
+      settle
+    }))
+  }
+
+  private settleShed (shed: ReadonlyArray<ShedRequest<Waiting>>): void {
+    for (const { request, refusal } of shed) request.settle(Result.err(refusal))
+  }
+
+  private choose (routing: RoutingRequest): RoutingChoice {
+    const { chooser, region, table, remoteRegions } = this.options
+    return chooser.choose(routing, { region, upstreams: table.views(), remoteRegions: remoteRegions(routing) })
+  }
+
+  private take (choice: RoutingChoice): Result<Assignment, Refusal> {
+    if (choice.kind === RoutingChoiceKind.Run) {
+      this.options.table.begin(choice.upstream)
+      return Result.ok(choice)
+    }
+    if (choice.kind === RoutingChoiceKind.Forward) return Result.ok(choice)
+    return Result.err(refuse(RefusalReason.NoUpstream, choice.reason, {
+      retryAfterMilliseconds: unavailableRetryMilliseconds
+    }))
+  }
+}
+
+export const routingRequestOf = (
+  request: GatewayRequest,
+  excluded: ReadonlySet<UpstreamId>
+): RoutingRequest => ({
+  team: request.team,
+  route: request.route.name,
+  ...(request.model === undefined ? {} : { model: request.model }),
+  allowedRegions: request.allowedRegions,
+  mayCrossBorder: request.borderCrossings < maximumBorderCrossings,
+  excluded,
+  promptTokens: request.promptTokens,
+  outputTokens: request.outputTokens,
+  prompt: request.prompt
+})
--- /dev/null
+++ b/packages/daemon/src/settings.ts
@@ -0,0 +1,81 @@
+/**
+ * The daemon's INI settings, checked whole at start: every fault is listed
+ * with its file, section and key, what was read and what is allowed.
+ */
+
+import { readFileSync } from 'node:fs'
+import { isIP } from 'node:net'
+import { parse } from 'ini'
+import { Result } from 'true-myth'
+import { z } from 'zod'
+import { isIdentifier, toFailureDomainId, toRegionId, toVmId } from '@cuminvale/common'
+import type { SettingFault } from './errors.js'
+
+const identifier = z.string().refine(isIdentifier, { error: '1 to 63 lower-case letters, digits, dots, dashes or underscores' })
+const integer = (minimum: number, maximum: number) =>
+  z.coerce.number({ error: `a whole number from ${minimum} to ${maximum}` }).int().min(minimum).max(maximum)
+const port = integer(0, 65_535)
+const address = z.string().regex(/^https?:\/\/[^/]+$/, 'http://host:port or https://host:port')
+const fileName = z.string().min(1, 'the name of a readable file')
+
+const settingsSchema = z.strictObject({
+  vm: z.strictObject({
+    name: identifier.transform(toVmId),
+    region: identifier.transform(toRegionId),
+    'failure-domain': identifier.transform(toFailureDomainId)
+  }),
+  listen: z.strictObject({
+    host: z.string().refine((value) => isIP(value) !== 0, { error: 'an IP address' }),
+    'caller-port': port,
+    'peer-port': port,
+    'administration-port': port
+  }),
+  platform: z.strictObject({
+    'configuration-service': address,
+    'vm-list': address,
+    'client-directory': address,
+    'weight-store': address
+  }),
+  security: z.strictObject({
+    'fleet-secret-file': fileName,
+    'administration-token-file': fileName
+  }),
+  requests: z.strictObject({
+    'header-limit-bytes': integer(1_024, 1_048_576).default(16_384),
+    'body-timeout-milliseconds': integer(100, 600_000).default(10_000),
+    'queue-capacity': integer(1, 1_000_000).default(2_000)
+  }).prefault({})
+})
+
+export type Settings = z.output<typeof settingsSchema>
+
+const readAt = (source: unknown, path: readonly PropertyKey[]): unknown =>
+  path.reduce<unknown>((value, key) => (value as Record<PropertyKey, unknown> | undefined)?.[key], source)
+
+const describeRead = (value: unknown): string => value === undefined ? 'nothing' : JSON.stringify(value)
+
+export const parseSettings = (file: string, text: string): Result<Settings, readonly SettingFault[]> => {
+  const source: unknown = JSON.parse(JSON.stringify(parse(text)))
+  const parsed = settingsSchema.safeParse(source)
+  if (parsed.success) return Result.ok(parsed.data)
+  return Result.err(parsed.error.issues.flatMap((issue) => {
+    const unknownKeys = issue.code === 'unrecognized_keys' ? issue.keys : undefined
+    const paths = unknownKeys === undefined ? [issue.path] : unknownKeys.map((key) => [...issue.path, key])
+    return paths.map((path): SettingFault => ({
+      file,
+      section: String(path[0] ?? ''),
+      key: path.slice(1).map(String).join('.') || '(section)',
+      read: describeRead(readAt(source, path)),
+      allowed: unknownKeys === undefined ? issue.message : 'no such key'
+    }))
+  }))
+}
+
+export const readSettings = (file: string): Result<Settings, readonly SettingFault[]> => {
+  try {
+    return parseSettings(file, readFileSync(file, 'utf8'))
+  } catch (error) {
+    const read = error instanceof Error ? error.message : String(error)
+    return Result.err([{ file, section: '', key: '(file)', read, allowed: 'a readable INI file' }])
+  }
+}
--- /dev/null
+++ b/packages/daemon/src/upstreamClient.ts
@@ -0,0 +1,85 @@
+/**
+ * The byte path to upstreams and to other VMs: undici pools, one for each
+ * origin. An abandoned exchange destroys its connection, so that no later
+ * request can read its answer.
+ */
+
+import { Client, Pool, errors } from 'undici'
+import { Result } from 'true-myth'
+import type { Dispatcher } from 'undici'
+import { upstreamConnectMilliseconds, upstreamIdleMilliseconds } from './constants.js'
+import { UpstreamError, UpstreamErrorKind } from './errors.js'
+
+export interface ExchangeRequest {
+  readonly origin: string
+  readonly path: string
+  readonly method: string
+  readonly headers: Readonly<Record<string, string>>
+  readonly body: Buffer
+  readonly signal: AbortSignal
+  readonly timeoutMilliseconds: number
+  /** Use a connection of its own, so that a silent pooled one cannot swallow the request. */
+  readonly freshConnection: boolean
+}
+
+export interface Exchange {
+  readonly status: number
+  readonly headers: Readonly<Record<string, string | string[] | undefined>>
+  readonly body: Dispatcher.ResponseData['body']
+}
+
+const connectionErrorCodes: readonly string[] = ['ECONNREFUSED', 'EHOSTUNREACH', 'ENETUNREACH', 'UND_ERR_CONNECT_TIMEOUT']
+const connectionsPerOrigin = 256
+
+/** Converts a transport error of undici or the socket below it. */
+export const toUpstreamError = (error: unknown): UpstreamError => {
+  const { code, message, name } = error as { code?: string, message?: string, name?: string }
+  if (name === 'AbortError' || error instanceof errors.RequestAbortedError) {
+    return new UpstreamError(UpstreamErrorKind.Aborted, 'the caller went away')
+  }
+  const kind = connectionErrorCodes.includes(code ?? '') ? UpstreamErrorKind.NotSent : UpstreamErrorKind.Broken
+  return new UpstreamError(kind, message ?? String(error))
+}
+
+export class UpstreamClient {
+  private readonly pools = new Map<string, Pool>()
+
+  async exchange (request: ExchangeRequest): Promise<Result<Exchange, UpstreamError>> {
+    const dispatcher = request.freshConnection ? this.freshClient(request.origin) : this.pool(request.origin)
+    try {
+      const response = await dispatcher.request({
+        path: request.path,
+        method: request.method as Dispatcher.HttpMethod,
+        headers: request.headers,
+        body: request.body.length > 0 ? request.body : null,
+        signal: request.signal,
+        headersTimeout: request.timeoutMilliseconds,
+        bodyTimeout: Math.min(request.timeoutMilliseconds, upstreamIdleMilliseconds)
+      })
+      if (request.freshConnection) response.body.once('close', () => { dispatcher.destroy().catch(() => {}) })
+      return Result.ok({ status: response.statusCode, headers: response.headers, body: response.body })
+    } catch (error) {
+      if (request.freshConnection) dispatcher.destroy().catch(() => {})
+      return Result.err(toUpstreamError(error))
+    }
+  }
+
+  async close (): Promise<void> {
+    await Promise.all([...this.pools.values()].map((pool) => pool.destroy()))
+    this.pools.clear()
+  }
+
+  private freshClient (origin: string): Client {
+    return new Client(origin, { connect: { timeout: upstreamConnectMilliseconds }, pipelining: 1 })
+  }
+
+  private pool (origin: string): Pool {
+    const existing = this.pools.get(origin)
+    if (existing !== undefined) return existing
+    const pool = new Pool(origin, {
+      connections: connectionsPerOrigin, pipelining: 1, connect: { timeout: upstreamConnectMilliseconds }
+    })
+    this.pools.set(origin, pool)
+    return pool
+  }
+}
--- /dev/null
+++ b/packages/daemon/src/vmContext.ts
@@ -0,0 +1,94 @@
+/**
+ * The decision objects of one VM and the links that serve them. Actors own
+ * their timed work and messages; the request path calls them directly, so that
+ * a check and the act it allows share one turn of the event loop.
+ */
+
+import type { Clock, IncarnationId, RequestIdSource } from '@cuminvale/common'
+import type { ConfigurationHolder } from '@cuminvale/configuration'
+import type { EntryChooser } from '@cuminvale/entries'
+import type { TeamLimiter } from '@cuminvale/limits'
+import type { Membership } from '@cuminvale/membership'
+import type { PeerIdentity } from '@cuminvale/messages'
+import type { OrderLedger, TicketMint } from '@cuminvale/orders'
+import type { ClientDirectory, ConfigurationService, VmList, WeightStore } from '@cuminvale/platform'
+import type { UpstreamTable } from '@cuminvale/routing'
+import type { UsageMeter } from '@cuminvale/metering'
+import type { Log } from './log.js'
+import type { Metrics } from './metrics.js'
+import type { Scheduler } from './scheduler.js'
+import type { SecretFile } from './secrets.js'
+import type { Settings } from './settings.js'
+import type { UpstreamClient } from './upstreamClient.js'
+
+export interface Platform {
+  readonly configurationService: ConfigurationService
+  readonly vmList: VmList
+  readonly clientDirectory: ClientDirectory
+  readonly weightStore: WeightStore
+}
+
+export interface VmContext {
+  readonly settings: Settings
+  readonly clock: Clock
+  readonly incarnation: IncarnationId
+  readonly identity: PeerIdentity
+  readonly requestIds: RequestIdSource
+  readonly fleetSecret: SecretFile
+  readonly administrationToken: SecretFile
+  readonly log: Log
+  readonly metrics: Metrics
+  readonly platform: Platform
+  readonly configuration: ConfigurationHolder
+  readonly membership: Membership
+  readonly limiter: TeamLimiter
+  readonly entries: EntryChooser
+  readonly table: UpstreamTable
+  readonly scheduler: Scheduler
+  readonly mint: TicketMint
+  readonly ledger: OrderLedger
+  readonly meter: UsageMeter
+  readonly upstreamClient: UpstreamClient
+  readonly lifecycle: Lifecycle
+  readonly ports: ListeningPorts
+}
+
+/** Ports that the edges listen on, known once they do; settings may ask for port 0. */
+export interface ListeningPorts {
+  caller: number
+  peer: number
+  administration: number
+}
+
+/** Whether this VM takes new requests, and how many it is serving. */
+export class Lifecycle {
+  private draining = false
+  private active = 0
+  private readonly idleWaiters: Array<() => void> = []
+
+  get isDraining (): boolean {
+    return this.draining
+  }
+
+  get activeRequests (): number {
+    return this.active
+  }
+
+  begin (): void {
+    this.active += 1
+  }
+
+  end (): void {
+    this.active -= 1
+    if (this.active === 0) this.idleWaiters.splice(0).forEach((resolve) => resolve())
+  }
+
+  drain (): void {
+    this.draining = true
+  }
+
+  async idle (): Promise<void> {
+    if (this.active === 0) return
+    await new Promise<void>((resolve) => this.idleWaiters.push(resolve))
+  }
+}
--- /dev/null
+++ b/packages/demo/src/main.ts
@@ -0,0 +1,44 @@
+/**
+ * `npm run demo`: the fakes and eight daemons on loopback, and what happens to
+ * requests while an operator edits and a VM dies.
+ */
+
+import { mkdtempSync, rmSync, writeFileSync } from 'node:fs'
+import { tmpdir } from 'node:os'
+import { join } from 'node:path'
+import { parseArgs } from 'node:util'
+import { randomBytes } from 'node:crypto'
+import { cooperativa, deployments } from './deployments.js'
+import { DemoFleet } from './demoFleet.js'
+import { runScenario } from './scenario.js'
+
+const secretBytes = 32
+
+const writeSecrets = (directory: string) => {
+  const secrets = { fleetSecret: join(directory, 'fleet-secret'), administrationToken: join(directory, 'administration-token') }
+  for (const file of Object.values(secrets)) writeFileSync(file, randomBytes(secretBytes).toString('hex') + '\n', { mode: 0o600 })
+  return secrets
+}
+
+const run = async (): Promise<void> => {
+  const { values } = parseArgs({ options: { deployment: { type: 'string', default: cooperativa.name } } })
+  const deployment = deployments.find(({ name }) => name === values.deployment)
+  if (deployment === undefined) {
+    process.stderr.write(`unknown deployment "${values.deployment}"; there are: ${deployments.map(({ name }) => name).join(', ')}\n`)
+    process.exitCode = 2
+    return
+  }
+  const directory = mkdtempSync(join(tmpdir(), 'cuminvale-demo-'))
+  const fleet = await DemoFleet.start({ deployment, directory, secrets: writeSecrets(directory) })
+  try {
+    process.exitCode = await runScenario(fleet)
+  } finally {
+    await fleet.stop()
+    rmSync(directory, { recursive: true, force: true })
+  }
+}
+
+run().catch((error: unknown) => {
+  process.stderr.write(`demo failed: ${error instanceof Error ? error.message : String(error)}\n`)
+  process.exitCode = 1
+})
--- /dev/null
+++ b/packages/demo/src/scenario.ts
@@ -0,0 +1,117 @@
+/**
+ * The requests and events of the demo, each printed with what came of it.
+ */
+
+import { Outcome } from '@cuminvale/common'
+import { Client } from '@cuminvale/caller'
+import { keysDocument } from './deployments.js'
+import { waitFor } from './waitFor.js'
+import type { CallAnswer, CallError } from '@cuminvale/caller'
+import type { Result } from 'true-myth'
+import type { DemoFleet } from './demoFleet.js'
+
+type Answer = Result<CallAnswer, CallError>
+
+const takeEffectMilliseconds = 5_000
+
+class Report {
+  private failures = 0
+
+  line (what: string, detail: string): void {
+    process.stdout.write(`${what.padEnd(34)} ${detail}\n`)
+  }
+
+  expect (what: string, holds: boolean, detail: string): void {
+    if (!holds) this.failures += 1
+    this.line(what, `${holds ? 'ok' : 'FAILED'}  ${detail}`)
+  }
+
+  get exitCode (): number {
+    return this.failures === 0 ? 0 : 1
+  }
+}
+
+const describe = (answer: Answer): string => answer.isOk
+  ? `${answer.value.status} ${answer.value.outcome}, by ${answer.value.vm} on ${answer.value.upstream || 'no upstream'}, ${answer.value.attempts} attempt(s)`
+  : `${answer.error.outcome}: ${answer.error.message}`
+
+const isDone = (answer: Answer): boolean =>
+  answer.isOk && answer.value.status === 200 && answer.value.outcome === Outcome.Done
+
+const clientFor = (fleet: DemoFleet, index: number): Client => {
+  const key = fleet.platform.keys[index]?.key ?? ''
+  return new Client({ seeds: fleet.callerAddresses(), key })
+}
+
+const sendAll = async (fleet: DemoFleet, client: Client, report: Report, when: string): Promise<void> => {
+  const { routes, model } = fleet.options.deployment
+  const streamed = await client.call({
+    path: '/v1/completions', route: routes.streamed, body: { model, prompt: 'Describe a cloth-bound diary.', stream: true, max_tokens: 24 }
+  })
+  const isWhole = streamed.isOk && streamed.value.body.trimEnd().endsWith('data: [DONE]')
+  report.expect(`${when}: ${routes.streamed} (streamed)`, isDone(streamed) && isWhole, describe(streamed))
+  const counter = await client.call({
+    path: '/v1/chat/completions', route: routes.counter, body: { model, messages: [{ role: 'user', content: 'Is it in stock?' }], max_tokens: 8 }
+  })
+  report.expect(`${when}: ${routes.counter}`, isDone(counter), describe(counter))
+  const order = await client.order({ path: `/v1/services/${routes.order}/place`, body: { item: 'diary', when } })
+  report.expect(`${when}: ${routes.order} (once)`, isDone(order) && timesRun(fleet, when) === 1, describe(order))
+  const status = await client.call({ path: `/v1/services/${routes.status}/last`, method: 'GET' })
+  report.expect(`${when}: ${routes.status}`, isDone(status), describe(status))
+}
+
+/** How often the order services ran the order that was sent at a step. */
+const timesRun = (fleet: DemoFleet, when: string): number =>
+  [...fleet.platform.services.values()].flatMap(({ calls }) => calls)
+    .filter(({ body }) => body.includes(`"when":"${when}"`)).length
+
+const editPlan = async (fleet: DemoFleet, report: Report): Promise<void> => {
+  const plans = fleet.platform.configuration.text('plans').replace('"rateTokensPerSecond": 5000', '"rateTokensPerSecond": 6000')
+  const revision = fleet.platform.configuration.publish({ plans })
+  const took = await fleet.inForce(revision)
+  report.expect('plan "small" edited', true, `revision ${revision} in force on all VMs after ${Math.round(took)} ms`)
+}
+
+const breakPlan = async (fleet: DemoFleet, report: Report): Promise<void> => {
+  const good = fleet.platform.configuration.text('plans')
+  fleet.platform.configuration.publish({ plans: good.replace('"weight": 4', '"weigth": 4') })
+  const repaired = fleet.platform.configuration.publish({ plans: good })
+  await fleet.inForce(repaired)
+  report.expect('misspelt plan published', true, 'refused whole; the repaired one is in force')
+}
+
+const withdrawKey = async (fleet: DemoFleet, client: Client, report: Report): Promise<void> => {
+  const kept = fleet.platform.keys.slice(0, -1)
+  fleet.platform.configuration.publish({ keys: keysDocument(kept) })
+  const took = await waitFor('the key to stop working', async () => {
+    const answer = await client.call({ path: `/v1/services/${fleet.options.deployment.routes.status}/last`, method: 'GET' })
+    return answer.isOk && answer.value.status === 401
+  }, takeEffectMilliseconds)
+  report.expect('key withdrawn', true, `refused after ${Math.round(took)} ms`)
+}
+
+const killVm = async (fleet: DemoFleet, client: Client, report: Report): Promise<void> => {
+  const first = (await client.addresses())[0]
+  const victim = fleet.daemons.find(({ vm }) => first === `http://${vm.host}:${vm.callerPort}`)
+  if (victim === undefined) return report.expect('VM killed', false, 'the client uses no known VM')
+  fleet.kill(victim)
+  report.line('VM killed', `${victim.vm.name}, which the caller was using`)
+  await sendAll(fleet, client, report, 'after the kill')
+}
+
+export const runScenario = async (fleet: DemoFleet): Promise<number> => {
+  const report = new Report()
+  const { deployment } = fleet.options
+  report.line('deployment', `${deployment.name}: ${fleet.vms.length} VMs, ${deployment.upstreams.length} upstreams, ${deployment.teams.length} teams`)
+  report.expect('all VMs ready', true, `after ${Math.round(await fleet.ready())} ms`)
+  await new Promise((resolve) => setTimeout(resolve, 1_000))
+  const large = clientFor(fleet, 0)
+  const small = clientFor(fleet, deployment.teams.length - 1)
+  await sendAll(fleet, large, report, 'at first')
+  await editPlan(fleet, report)
+  await breakPlan(fleet, report)
+  await withdrawKey(fleet, small, report)
+  await killVm(fleet, large, report)
+  await Promise.all([large.close(), small.close()])
+  return report.exitCode
+}
--- /dev/null
+++ b/packages/demo/src/testFleet.ts
@@ -0,0 +1,83 @@
+/**
+ * A fleet inside one process, for tests of the whole path: real daemons on
+ * port 0 and the fakes they talk to.
+ */
+
+import { mkdtempSync, rmSync, writeFileSync } from 'node:fs'
+import { tmpdir } from 'node:os'
+import { join } from 'node:path'
+import { createDaemon, parseSettings } from '@cuminvale/daemon'
+import type { Daemon } from '@cuminvale/daemon'
+import type { ListedVm } from '@cuminvale/common'
+import { listedVm, settingsText } from './daemonProcess.js'
+import { startFakePlatform } from './fakePlatform.js'
+import { waitFor } from './waitFor.js'
+import type { Deployment, VmSpecification } from './deployments.js'
+import type { FakePlatform } from './fakePlatform.js'
+
+export interface TestVm {
+  readonly listed: ListedVm
+  readonly daemon: Daemon
+}
+
+const readyMilliseconds = 10_000
+
+export class TestFleet {
+  readonly vms: TestVm[] = []
+
+  private constructor (readonly deployment: Deployment, readonly platform: FakePlatform, readonly directory: string) {}
+
+  static async start (deployment: Deployment, vmCount: number): Promise<TestFleet> {
+    const directory = mkdtempSync(join(tmpdir(), 'cuminvale-test-'))
+    const fleet = new TestFleet(deployment, await startFakePlatform(deployment), directory)
+    for (const file of Object.values(fleet.secrets)) writeFileSync(file, 'a secret for tests\n')
+    for (const vm of deployment.vms.slice(0, vmCount)) await fleet.add(vm)
+    fleet.list()
+    await fleet.linked()
+    return fleet
+  }
+
+  /** Starts a VM; `list` shows it to the others. */
+  async add (vm: VmSpecification): Promise<TestVm> {
+    const text = settingsText(listedVm(vm, []), this.platform, this.secrets)
+    const settings = parseSettings('test.ini', text)
+    if (settings.isErr) throw new Error(JSON.stringify(settings.error))
+    const daemon = await createDaemon(settings.value)
+    const { caller, peer, administration } = daemon.context.ports
+    const started = { listed: listedVm(vm, [caller, peer, administration]), daemon }
+    this.vms.push(started)
+    return started
+  }
+
+  list (): void {
+    this.platform.vmList.set(this.vms.map(({ listed }) => listed))
+  }
+
+  /** Waits until every VM is ready and linked to every other. */
+  async linked (): Promise<void> {
+    await waitFor('the fleet to be linked', () => Promise.resolve(this.vms.every(({ daemon }) => {
+      const { configuration, membership } = daemon.context
+      const reachable = membership.members.filter((member) => member.reachable)
+      return configuration.current !== undefined && reachable.length === this.vms.length - 1
+    })), readyMilliseconds)
+  }
+
+  key (team: number): string {
+    return this.platform.keys[team]?.key ?? ''
+  }
+
+  address (vm: number): string {
+    const listed = this.vms[vm]?.listed
+    return `http://${listed?.host}:${listed?.callerPort}`
+  }
+
+  async stop (): Promise<void> {
+    await Promise.all(this.vms.map(async ({ daemon }) => await daemon.shutdown()))
+    await this.platform.stop()
+    rmSync(this.directory, { recursive: true, force: true })
+  }
+
+  private get secrets () {
+    return { fleetSecret: join(this.directory, 'fleet-secret'), administrationToken: join(this.directory, 'administration-token') }
+  }
+}
--- /dev/null
+++ b/packages/demo/src/waitFor.ts
@@ -0,0 +1,18 @@
+/**
+ * Waits until a condition holds.
+ */
+
+const pollMilliseconds = 50
+
+export const waitFor = async (
+  what: string,
+  condition: () => Promise<boolean>,
+  timeoutMilliseconds: number
+): Promise<number> => {
+  const startedAt = performance.now()
+  while (performance.now() - startedAt < timeoutMilliseconds) {
+    if (await condition().catch(() => false)) return performance.now() - startedAt
+    await new Promise((resolve) => setTimeout(resolve, pollMilliseconds))
+  }
+  throw new Error(`gave up waiting for ${what} after ${timeoutMilliseconds} ms`)
+}
--- /dev/null
+++ b/packages/fakes/src/fakeService.ts
@@ -0,0 +1,42 @@
+/**
+ * Stand-in for a plain service. It records every call, so that a test can see
+ * what ran, how often, and which headers it was shown.
+ */
+
+import type { IncomingHttpHeaders, IncomingMessage, ServerResponse } from 'node:http'
+import { HttpFake, pathOf, readText, sendJson } from './httpFake.js'
+
+export interface ServiceCall {
+  readonly method: string
+  readonly path: string
+  readonly headers: IncomingHttpHeaders
+  readonly body: string
+}
+
+export class FakeService {
+  readonly server = new HttpFake((request, response) => this.handle(request, response))
+  readonly calls: ServiceCall[] = []
+  delayMilliseconds = 0
+  leaving = false
+  /** Bodies holding this text break the connection, as a crash would. */
+  crashText: string | undefined
+  private running = 0
+
+  private async handle (request: IncomingMessage, response: ServerResponse): Promise<void> {
+    if (pathOf(request).pathname === '/control/load') return this.reportLoad(response)
+    const body = await readText(request)
+    this.calls.push({ method: request.method ?? '', path: request.url ?? '', headers: request.headers, body })
+    if (this.crashText !== undefined && body.includes(this.crashText)) {
+      response.destroy()
+      return
+    }
+    this.running += 1
+    await new Promise((resolve) => setTimeout(resolve, this.delayMilliseconds))
+    this.running -= 1
+    sendJson(response, 200, { call: this.calls.length, path: request.url, received: body.length })
+  }
+
+  private reportLoad (response: ServerResponse): void {
+    sendJson(response, 200, { running: this.running, queued: 0, ageMilliseconds: 0, leaving: this.leaving })
+  }
+}
--- /dev/null
+++ b/packages/fakes/src/index.ts
@@ -0,0 +1,7 @@
+export * from './fakeClientDirectory.js'
+export * from './fakeConfigurationService.js'
+export * from './fakeEngine.js'
+export * from './fakeService.js'
+export * from './fakeVmList.js'
+export * from './fakeWeightStore.js'
+export * from './httpFake.js'
--- /dev/null
+++ b/packages/keys/src/callerKey.ts
@@ -0,0 +1,18 @@
+/**
+ * Caller keys. Only digests are published and held; a key itself is seen once
+ * by the operator who makes it and on each request of its caller.
+ */
+
+import { createHash, randomBytes } from 'node:crypto'
+import { toKeyDigest } from '@cuminvale/common'
+import type { KeyDigest } from '@cuminvale/common'
+import { keyPrefix, keyRandomBytes } from './constants.js'
+
+const keyPattern = /^cmv_[A-Za-z0-9_-]{43}$/
+
+export const newCallerKey = (): string => keyPrefix + randomBytes(keyRandomBytes).toString('base64url')
+
+export const isCallerKey = (value: string): boolean => keyPattern.test(value)
+
+export const digestCallerKey = (key: string): KeyDigest =>
+  toKeyDigest(createHash('sha256').update(key).digest('hex'))
--- /dev/null
+++ b/packages/keys/src/constants.ts
@@ -0,0 +1,6 @@
+/** Sizes and lifetimes of keys and proofs. */
+
+export const keyPrefix = 'cmv_'
+export const keyRandomBytes = 32
+export const forwardProofLifetimeMilliseconds = 5_000
+export const clockSkewAllowanceMilliseconds = 2_000
--- /dev/null
+++ b/packages/keys/src/index.ts
@@ -0,0 +1,5 @@
+export * from './constants.js'
+export * from './errors.js'
+export * from './callerKey.js'
+export * from './keyCheck.js'
+export * from './forwardProof.js'
--- /dev/null
+++ b/packages/limits/src/index.ts
@@ -0,0 +1,3 @@
+export * from './types.js'
+export * from './tokenBucket.js'
+export * from './staticSplitLimiter.js'
--- /dev/null
+++ b/packages/limits/src/staticSplitLimiter.ts
@@ -0,0 +1,78 @@
+/**
+ * Baseline limiter: each VM holds a fixed, equal part of its region's part of
+ * a team's rate and burst. It never overspends while VMs agree on their
+ * number, and refuses needlessly whenever demand is uneven.
+ */
+
+import { Result } from 'true-myth'
+import { RefusalReason, refuse } from '@cuminvale/common'
+import { planOfTeam, regionShare } from '@cuminvale/documents'
+import type { Clock, Refusal, RegionId, TeamId } from '@cuminvale/common'
+import type { Configuration, Plan } from '@cuminvale/documents'
+import { TokenBucket } from './tokenBucket.js'
+import type { BucketShape } from './tokenBucket.js'
+import type { Charge, TeamLimiter } from './types.js'
+
+export interface StaticSplitOptions {
+  readonly clock: Clock
+  readonly region: RegionId
+  /** VMs listed in this region, at least 1. */
+  readonly vmsInRegion: () => number
+}
+
+const longestRetryAfterMilliseconds = 60_000
+
+export class StaticSplitLimiter implements TeamLimiter {
+  private configuration: Configuration | undefined
+  private readonly buckets = new Map<TeamId, TokenBucket>()
+  private nextCharge = 1
+
+  constructor (private readonly options: StaticSplitOptions) {}
+
+  configure (configuration: Configuration): void {
+    this.configuration = configuration
+    const now = this.options.clock.monotonic()
+    for (const team of this.buckets.keys()) {
+      if (!configuration.teams.has(team)) this.buckets.delete(team)
+    }
+    for (const team of configuration.teams.keys()) this.configureTeam(configuration, team, now)
+  }
+
+  charge (team: TeamId, tokens: number): Result<Charge, Refusal> {
+    const now = this.options.clock.monotonic()
+    const bucket = this.buckets.get(team)
+    if (bucket === undefined) return Result.err(refuse(RefusalReason.NotInPlan, `team "${team}" has no plan`))
+    if (bucket.take(tokens, now)) {
+      this.nextCharge += 1
+      return Result.ok({ id: this.nextCharge, team, tokens })
+    }
+    const wait = Math.min(bucket.millisecondsUntil(tokens, now), longestRetryAfterMilliseconds)
+    return Result.err(refuse(RefusalReason.RateExceeded, `team "${team}" is over its rate`, {
+      retryAfterMilliseconds: wait
+    }))
+  }
+
+  settle (charge: Charge, usedTokens: number): void {
+    const unused = Math.max(0, charge.tokens - usedTokens)
+    this.buckets.get(charge.team)?.put(unused, this.options.clock.monotonic())
+  }
+
+  /** Call when the number of VMs in the region has changed. */
+  rebalance (): void {
+    if (this.configuration !== undefined) this.configure(this.configuration)
+  }
+
+  private configureTeam (configuration: Configuration, team: TeamId, now: number): void {
+    const plan = planOfTeam(configuration, team)
+    if (plan === undefined) return
+    const shape = this.shapeOf(plan)
+    const bucket = this.buckets.get(team)
+    if (bucket === undefined) this.buckets.set(team, new TokenBucket(shape, now))
+    else bucket.reshape(shape, now)
+  }
+
+  private shapeOf (plan: Plan): BucketShape {
+    const part = regionShare(plan, this.options.region) / Math.max(1, this.options.vmsInRegion())
+    return { ratePerSecond: plan.rateTokensPerSecond * part, capacity: plan.burstTokens * part }
+  }
+}
--- /dev/null
+++ b/packages/limits/src/tokenBucket.ts
@@ -0,0 +1,58 @@
+/**
+ * A bucket that fills at a rate up to a capacity. In any window the tokens
+ * taken are at most the capacity plus the rate times the window.
+ */
+
+import { millisecondsPerSecond } from '@cuminvale/common'
+
+export interface BucketShape {
+  readonly ratePerSecond: number
+  readonly capacity: number
+}
+
+export class TokenBucket {
+  private level = 0
+  private updatedAt: number
+
+  /** Starts empty, so that a restart is not a second burst. */
+  constructor (private shape: BucketShape, now: number) {
+    this.updatedAt = now
+  }
+
+  reshape (shape: BucketShape, now: number): void {
+    this.refill(now)
+    this.shape = shape
+    this.level = Math.min(this.level, shape.capacity)
+  }
+
+  available (now: number): number {
+    this.refill(now)
+    return this.level
+  }
+
+  take (tokens: number, now: number): boolean {
+    this.refill(now)
+    if (tokens > this.level) return false
+    this.level -= tokens
+    return true
+  }
+
+  put (tokens: number, now: number): void {
+    this.refill(now)
+    this.level = Math.min(this.shape.capacity, this.level + tokens)
+  }
+
+  /** Milliseconds until the bucket holds the tokens; infinite where it never will. */
+  millisecondsUntil (tokens: number, now: number): number {
+    this.refill(now)
+    if (tokens <= this.level) return 0
+    if (tokens > this.shape.capacity || this.shape.ratePerSecond <= 0) return Infinity
+    return (tokens - this.level) / this.shape.ratePerSecond * millisecondsPerSecond
+  }
+
+  private refill (now: number): void {
+    const elapsedSeconds = Math.max(0, now - this.updatedAt) / millisecondsPerSecond
+    this.level = Math.min(this.shape.capacity, this.level + elapsedSeconds * this.shape.ratePerSecond)
+    this.updatedAt = Math.max(this.updatedAt, now)
+  }
+}
--- /dev/null
+++ b/packages/limits/src/types.ts
@@ -0,0 +1,23 @@
+/**
+ * The decision whether a team may spend tokens now.
+ */
+
+import type { Refusal, TeamId } from '@cuminvale/common'
+import type { Result } from 'true-myth'
+import type { Configuration } from '@cuminvale/documents'
+
+/** A charge held for one request until it is settled. */
+export interface Charge {
+  readonly id: number
+  readonly team: TeamId
+  readonly tokens: number
+}
+
+export interface TeamLimiter {
+  /** Adopts a configuration that has come into force. */
+  configure (configuration: Configuration): void
+  /** Charges the greatest number of tokens that the request may use, or refuses. */
+  charge (team: TeamId, tokens: number): Result<Charge, Refusal>
+  /** Returns what a request was charged but did not use. */
+  settle (charge: Charge, usedTokens: number): void
+}
--- /dev/null
+++ b/packages/membership/src/listMembership.ts
@@ -0,0 +1,62 @@
+/**
+ * Membership from the VM list and the state of direct links: a listed VM
+ * counts as reachable from its first message until its link breaks.
+ */
+
+import type { IncarnationId, ListedVm, RegionId, VmId } from '@cuminvale/common'
+import type { Member, Membership } from './types.js'
+
+export class ListMembership implements Membership {
+  private listed = new Map<VmId, ListedVm>()
+  private readonly incarnations = new Map<VmId, IncarnationId>()
+  private readonly reachable = new Set<VmId>()
+  private cached: readonly Member[] | undefined
+  private listSeen = false
+
+  constructor (private readonly self: VmId) {}
+
+  get hasList (): boolean {
+    return this.listSeen
+  }
+
+  get members (): readonly Member[] {
+    this.cached ??= [...this.listed.values()].map((vm) => this.memberOf(vm))
+    return this.cached
+  }
+
+  adoptList (vms: readonly ListedVm[]): void {
+    this.listSeen = true
+    this.listed = new Map(vms.filter((vm) => vm.name !== this.self).map((vm) => [vm.name, vm]))
+    this.cached = undefined
+  }
+
+  heard (vm: VmId, incarnation: IncarnationId): void {
+    if (this.reachable.has(vm) && this.incarnations.get(vm) === incarnation) return
+    this.reachable.add(vm)
+    this.incarnations.set(vm, incarnation)
+    this.cached = undefined
+  }
+
+  lost (vm: VmId): void {
+    this.reachable.delete(vm)
+    this.cached = undefined
+  }
+
+  find (vm: VmId): Member | undefined {
+    const listed = this.listed.get(vm)
+    return listed === undefined ? undefined : this.memberOf(listed)
+  }
+
+  inRegion (region: RegionId): readonly Member[] {
+    return this.members.filter((member) => member.vm.region === region)
+  }
+
+  private memberOf (vm: ListedVm): Member {
+    const incarnation = this.incarnations.get(vm.name)
+    return {
+      vm,
+      reachable: this.reachable.has(vm.name),
+      ...(incarnation === undefined ? {} : { incarnation })
+    }
+  }
+}
--- /dev/null
+++ b/packages/messages/src/errors.ts
@@ -0,0 +1,10 @@
+/**
+ * Errors of the message layer.
+ */
+
+export class CodecError extends Error {
+  constructor (detail: string) {
+    super(`peer message: ${detail}`)
+    this.name = 'CodecError'
+  }
+}
--- /dev/null
+++ b/packages/messages/src/peerMessage.ts
@@ -0,0 +1,43 @@
+/**
+ * Every message that VMs exchange over their links, by owning mechanism. A
+ * message's `kind` starts with the mechanism's name.
+ */
+
+import type { ConfigurationMessage } from './configurationMessages.js'
+import type { LimitMessage } from './limitMessages.js'
+import type { MembershipMessage } from './membershipMessages.js'
+import type { MeteringMessage } from './meteringMessages.js'
+import type { OrderMessage } from './orderMessages.js'
+import type { RoutingMessage } from './routingMessages.js'
+
+export type PeerMessage =
+  | ConfigurationMessage
+  | LimitMessage
+  | MembershipMessage
+  | MeteringMessage
+  | OrderMessage
+  | RoutingMessage
+
+export const Mechanism = {
+  Configuration: 'configuration',
+  Limits: 'limits',
+  Membership: 'membership',
+  Metering: 'metering',
+  Orders: 'orders',
+  Routing: 'routing'
+} as const
+
+export type Mechanism = typeof Mechanism[keyof typeof Mechanism]
+
+const mechanisms: readonly string[] = Object.values(Mechanism)
+
+/** The mechanism that handles a message, by the prefix of its kind. */
+export const mechanismOf = (message: PeerMessage): Mechanism =>
+  message.kind.slice(0, message.kind.indexOf('.')) as Mechanism
+
+/** Whether a decoded value has the outer shape of a peer message. */
+export const isPeerMessage = (value: unknown): value is PeerMessage => {
+  if (typeof value !== 'object' || value === null) return false
+  const kind = (value as { kind?: unknown }).kind
+  return typeof kind === 'string' && mechanisms.includes(kind.slice(0, kind.indexOf('.')))
+}
--- /dev/null
+++ b/packages/metering/src/index.ts
@@ -0,0 +1,1 @@
+export * from './usageMeter.js'
--- /dev/null
+++ b/packages/metering/src/usageMeter.test.ts
@@ -0,0 +1,23 @@
+import { describe, expect, it } from 'vitest'
+import { toRequestId, toRouteName, toTeamId } from '@cuminvale/common'
+import { UsageMeter } from './usageMeter.js'
+
+const request = (id: string, weight: number) => ({
+  id: toRequestId(id), team: toTeamId('luzon-mowers'), route: toRouteName('dispatch'), weight, tokens: 5
+})
+
+describe('UsageMeter', () => {
+  it('counts completed requests once, weighted, and abandoned ones not at all', () => {
+    const meter = new UsageMeter()
+    meter.begin(toRequestId('i-1'))
+    meter.begin(toRequestId('i-2'))
+    meter.begin(toRequestId('i-3'))
+    meter.complete(request('i-1', 2))
+    meter.complete(request('i-2', 3))
+    meter.abandon(toRequestId('i-3'))
+    expect(() => meter.complete(request('i-1', 2))).toThrow('counted-once')
+    expect(meter.snapshot()).toEqual([
+      { team: 'luzon-mowers', route: 'dispatch', requests: 2, weighted: 5, tokens: 10 }
+    ])
+  })
+})
--- /dev/null
+++ b/packages/metering/src/usageMeter.ts
@@ -0,0 +1,50 @@
+/**
+ * Counts completed requests of this incarnation, each once, weighted by the
+ * route and credited to its team.
+ */
+
+import { assertInvariant } from '@cuminvale/common'
+import type { RequestId, RouteName, TeamId } from '@cuminvale/common'
+import type { UsageCount } from '@cuminvale/messages'
+
+export interface CompletedRequest {
+  readonly id: RequestId
+  readonly team: TeamId
+  readonly route: RouteName
+  readonly weight: number
+  readonly tokens: number
+}
+
+export class UsageMeter {
+  private readonly counts = new Map<string, UsageCount>()
+  private readonly open = new Set<RequestId>()
+
+  /** Notes a request that may complete later. */
+  begin (id: RequestId): void {
+    this.open.add(id)
+  }
+
+  /** Forgets a request that did not complete. */
+  abandon (id: RequestId): void {
+    this.open.delete(id)
+  }
+
+  complete (request: CompletedRequest): void {
+    const wasOpen = this.open.delete(request.id)
+    assertInvariant(wasOpen, 'counted-once', () => `request ${request.id} completed without being open`)
+    if (!wasOpen) return
+    const name = `${request.team} ${request.route}`
+    const before = this.counts.get(name)
+    this.counts.set(name, {
+      team: request.team,
+      route: request.route,
+      requests: (before?.requests ?? 0) + 1,
+      weighted: (before?.weighted ?? 0) + request.weight,
+      tokens: (before?.tokens ?? 0) + request.tokens
+    })
+  }
+
+  snapshot (): readonly UsageCount[] {
+    return [...this.counts.values()]
+  }
+}
--- /dev/null
+++ b/packages/orders/src/index.ts
@@ -0,0 +1,3 @@
+export * from './constants.js'
+export * from './ticket.js'
+export * from './orderLedger.js'
--- /dev/null
+++ b/packages/orders/src/ticket.ts
@@ -0,0 +1,83 @@
+/**
+ * Tickets for non-idempotent requests. A ticket names the team and the one
+ * incarnation that may send its order upstream. Minting stores nothing: the
+ * ticket is authenticated by a digest under a secret that lives only in the
+ * incarnation's memory.
+ */
+
+import { createHmac, randomBytes, timingSafeEqual } from 'node:crypto'
+import { Maybe } from 'true-myth'
+import { toIncarnationId, toTeamId, toVmId } from '@cuminvale/common'
+import type { Clock, IncarnationId, TeamId, VmId } from '@cuminvale/common'
+import { ticketLifetimeMilliseconds, ticketSecretBytes } from './constants.js'
+
+export interface Ticket {
+  readonly team: TeamId
+  readonly vm: VmId
+  readonly incarnation: IncarnationId
+  readonly counter: number
+  /** Milliseconds since the Unix epoch. */
+  readonly expiresAt: number
+}
+
+export interface ParsedTicket {
+  readonly ticket: Ticket
+  readonly payload: string
+  readonly signature: string
+}
+
+const separator = '~'
+const ticketPattern = /^[\x21-\x7e]{1,512}$/
+
+/** Reads a ticket's fields; any VM can do this, only the minting incarnation can verify. */
+export const parseTicket = (text: string): Maybe<ParsedTicket> => {
+  if (!ticketPattern.test(text)) return Maybe.nothing()
+  const [encoded, signature, ...rest] = text.split('.')
+  if (encoded === undefined || signature === undefined || rest.length > 0) return Maybe.nothing()
+  const fields = Buffer.from(encoded, 'base64url').toString().split(separator)
+  const [team, vm, incarnation, counter, expiresAt] = fields
+  if (team === undefined || vm === undefined || incarnation === undefined || fields.length !== 5) return Maybe.nothing()
+  const numbers = { counter: Number(counter), expiresAt: Number(expiresAt) }
+  if (!Number.isSafeInteger(numbers.counter) || !Number.isSafeInteger(numbers.expiresAt)) return Maybe.nothing()
+  return Maybe.just({
+    ticket: { team: toTeamId(team), vm: toVmId(vm), incarnation: toIncarnationId(incarnation), ...numbers },
+    payload: encoded,
+    signature
+  })
+}
+
+export interface TicketMintOptions {
+  readonly clock: Clock
+  readonly vm: VmId
+  readonly incarnation: IncarnationId
+}
+
+/** Mints and verifies the tickets of one incarnation. */
+export class TicketMint {
+  private readonly secret = randomBytes(ticketSecretBytes)
+  private counter = 0
+
+  constructor (private readonly options: TicketMintOptions) {}
+
+  mint (team: TeamId): string {
+    this.counter += 1
+    const { vm, incarnation, clock } = this.options
+    const expiresAt = Math.floor(clock.wall()) + ticketLifetimeMilliseconds
+    const payload = Buffer.from([team, vm, incarnation, this.counter, expiresAt].join(separator)).toString('base64url')
+    return `${payload}.${this.sign(payload).toString('base64url')}`
+  }
+
+  isOwn (ticket: Ticket): boolean {
+    return ticket.vm === this.options.vm && ticket.incarnation === this.options.incarnation
+  }
+
+  isGenuine (parsed: ParsedTicket): boolean {
+    const given = Buffer.from(parsed.signature, 'base64url')
+    const expected = this.sign(parsed.payload)
+    return given.length === expected.length && timingSafeEqual(given, expected)
+  }
+
+  private sign (payload: string): Buffer {
+    return createHmac('sha256', this.secret).update(payload).digest()
+  }
+}
--- /dev/null
+++ b/packages/platform/src/httpConfigurationService.ts
@@ -0,0 +1,67 @@
+/**
+ * Configuration service over HTTP. Each value carries the revision that wrote
+ * it; the set is consistent when the service's own revision did not move
+ * while the values were read. The set's revision is the highest of its values'.
+ */
+
+import { Result } from 'true-myth'
+import { z } from 'zod'
+import { toRevision } from '@cuminvale/common'
+import { documentNames } from '@cuminvale/documents'
+import type { Revision } from '@cuminvale/common'
+import type { DocumentName, DocumentTexts } from '@cuminvale/documents'
+import { PlatformError, PlatformErrorKind } from './errors.js'
+import { callJson } from './jsonCall.js'
+import type { ConfigurationService, PublishedDocuments } from './configurationService.js'
+
+const valueSchema = z.object({ storeRevision: z.number().int(), revision: z.number().int(), value: z.string() })
+const watchSchema = z.object({ storeRevision: z.number().int() })
+const readTimeoutMilliseconds = 2_000
+const watchGraceMilliseconds = 2_000
+const consistentReadAttempts = 3
+
+type Value = z.output<typeof valueSchema>
+
+export class HttpConfigurationService implements ConfigurationService {
+  constructor (private readonly base: string) {}
+
+  async read (): Promise<Result<PublishedDocuments, PlatformError>> {
+    for (let attempt = 0; attempt < consistentReadAttempts; attempt += 1) {
+      const values = await this.readAll()
+      if (values.isErr) return Result.err(values.error)
+      if (isConsistent(values.value)) return Result.ok(assemble(values.value))
+    }
+    return Result.err(new PlatformError(PlatformErrorKind.Refused, 'documents kept changing while they were read'))
+  }
+
+  async watch (after: Revision, timeoutMilliseconds: number): Promise<Result<Revision, PlatformError>> {
+    const answer = await callJson({
+      url: `${this.base}/v1/watch?after=${after}&timeoutMilliseconds=${timeoutMilliseconds}`,
+      schema: watchSchema,
+      timeoutMilliseconds: timeoutMilliseconds + watchGraceMilliseconds
+    })
+    return answer.map(({ storeRevision }) => toRevision(storeRevision))
+  }
+
+  private async readAll (): Promise<Result<ReadonlyMap<DocumentName, Value>, PlatformError>> {
+    const values = new Map<DocumentName, Value>()
+    for (const name of documentNames) {
+      const value = await callJson({
+        url: `${this.base}/v1/values/${name}`,
+        schema: valueSchema,
+        timeoutMilliseconds: readTimeoutMilliseconds
+      })
+      if (value.isErr) return Result.err(value.error)
+      values.set(name, value.value)
+    }
+    return Result.ok(values)
+  }
+}
+
+const isConsistent = (values: ReadonlyMap<DocumentName, Value>): boolean =>
+  new Set([...values.values()].map((value) => value.storeRevision)).size === 1
+
+const assemble = (values: ReadonlyMap<DocumentName, Value>): PublishedDocuments => ({
+  revision: toRevision(Math.max(...[...values.values()].map((value) => value.revision))),
+  texts: Object.fromEntries([...values].map(([name, value]) => [name, value.value])) as unknown as DocumentTexts
+})
--- /dev/null
+++ b/packages/platform/src/jsonCall.ts
@@ -0,0 +1,62 @@
+/**
+ * One JSON call to a platform service, with a timeout and a schema. Everything
+ * that can go wrong becomes a platform error.
+ */
+
+import { request } from 'undici'
+import { Result } from 'true-myth'
+import type { Dispatcher } from 'undici'
+import type { z } from 'zod'
+import { PlatformError, PlatformErrorKind } from './errors.js'
+
+export interface JsonCall<Schema extends z.ZodType> {
+  readonly url: string
+  readonly schema: Schema
+  readonly method?: Dispatcher.HttpMethod
+  readonly body?: unknown
+  readonly timeoutMilliseconds: number
+  readonly dispatcher?: Dispatcher
+}
+
+const successStatusEnd = 300
+
+const errorFor = (error: unknown): PlatformError => {
+  const detail = error instanceof Error ? error.message : String(error)
+  const isTimeout = error instanceof Error && (error.name === 'TimeoutError' || error.name.endsWith('TimeoutError'))
+  return new PlatformError(isTimeout ? PlatformErrorKind.Timeout : PlatformErrorKind.Unreachable, detail)
+}
+
+export const callJson = async <Schema extends z.ZodType>(
+  call: JsonCall<Schema>
+): Promise<Result<z.output<Schema>, PlatformError>> => {
+  try {
+    const response = await request(call.url, {
+      method: call.method ?? 'GET',
+      signal: AbortSignal.timeout(call.timeoutMilliseconds),
+      ...(call.body === undefined
+        ? {}
+        : { body: JSON.stringify(call.body), headers: { 'content-type': 'application/json' } }),
+      ...(call.dispatcher === undefined ? {} : { dispatcher: call.dispatcher })
+    })
+    const text = await response.body.text()
+    if (response.statusCode >= successStatusEnd) {
+      return Result.err(new PlatformError(PlatformErrorKind.Refused, `status ${response.statusCode}: ${text}`))
+    }
+    return parseJson(text, call.schema)
+  } catch (error) {
+    return Result.err(errorFor(error))
+  }
+}
+
+const parseJson = <Schema extends z.ZodType>(
+  text: string,
+  schema: Schema
+): Result<z.output<Schema>, PlatformError> => {
+  try {
+    const parsed = schema.safeParse(JSON.parse(text))
+    if (parsed.success) return Result.ok(parsed.data)
+    return Result.err(new PlatformError(PlatformErrorKind.Malformed, parsed.error.message))
+  } catch {
+    return Result.err(new PlatformError(PlatformErrorKind.Malformed, 'not JSON'))
+  }
+}
--- /dev/null
+++ b/packages/platform/src/vmList.ts
@@ -0,0 +1,11 @@
+/**
+ * The platform's list of live and leaving VMs. It lags behind the truth.
+ */
+
+import type { Result } from 'true-myth'
+import type { ListedVm } from '@cuminvale/common'
+import type { PlatformError } from './errors.js'
+
+export interface VmList {
+  list (): Promise<Result<readonly ListedVm[], PlatformError>>
+}
--- /dev/null
+++ b/packages/repository/src/packageLayers.ts
@@ -0,0 +1,17 @@
+/**
+ * The layers of packages. A package may import packages of lower layers only.
+ */
+
+export const packageLayers: ReadonlyArray<readonly string[]> = [
+  ['repository', 'common'],
+  ['documents'],
+  ['messages'],
+  ['keys', 'orders', 'configuration', 'limits', 'entries', 'admission', 'routing', 'membership', 'placement', 'metering'],
+  ['platform', 'simulation'],
+  ['fakes', 'caller'],
+  ['daemon', 'cli'],
+  ['demo']
+]
+
+export const layerOf = (packageName: string): number =>
+  packageLayers.findIndex((layer) => layer.includes(packageName))
--- /dev/null
+++ b/packages/routing/src/index.ts
@@ -0,0 +1,4 @@
+export * from './types.js'
+export * from './candidates.js'
+export * from './leastInFlightChooser.js'
+export * from './upstreamTable.js'
--- /dev/null
+++ b/packages/routing/src/leastInFlightChooser.ts
@@ -0,0 +1,48 @@
+/**
+ * Baseline choice: the local upstream with the fewest requests in flight, or
+ * any permitted remote region where no local upstream serves the route.
+ */
+
+import { pickOne } from '@cuminvale/common'
+import type { Random } from '@cuminvale/common'
+import { eligibleUpstreams, occupancy } from './candidates.js'
+import { RoutingChoiceKind } from './types.js'
+import type { RoutingChoice, RoutingRequest, RoutingSituation, UpstreamChooser, UpstreamView } from './types.js'
+
+export class LeastInFlightChooser implements UpstreamChooser {
+  constructor (private readonly random: Random) {}
+
+  choose (request: RoutingRequest, situation: RoutingSituation): RoutingChoice {
+    const eligible = eligibleUpstreams(request, situation.region, situation.upstreams)
+    if (eligible.length === 0) return this.chooseRemote(request, situation)
+    const [best, next] = this.ranked(eligible)
+    if (best === undefined || occupancy(best) >= best.upstream.slots) {
+      return { kind: RoutingChoiceKind.Wait, reason: 'every local upstream is full' }
+    }
+    return {
+      kind: RoutingChoiceKind.Run,
+      upstream: best.upstream.name,
+      ...(next === undefined ? {} : { runnerUp: next.upstream.name }),
+      reason: `least in flight: ${occupancy(best)}`
+    }
+  }
+
+  private ranked (views: readonly UpstreamView[]): UpstreamView[] {
+    return views
+      .map((view) => ({ view, rank: occupancy(view) / view.upstream.slots, tie: this.random.next() }))
+      .sort((first, second) => first.rank - second.rank || first.tie - second.tie)
+      .map(({ view }) => view)
+  }
+
+  private chooseRemote (request: RoutingRequest, situation: RoutingSituation): RoutingChoice {
+    if (!request.mayCrossBorder) return { kind: RoutingChoiceKind.None, reason: 'no local upstream serves the route' }
+    const remote = situation.remoteRegions.filter((view) =>
+      request.allowedRegions.includes(view.region) && view.vms.length > 0)
+    const region = pickOne(remote, this.random)
+    const vm = region === undefined ? undefined : pickOne(region.vms, this.random)
+    if (region === undefined || vm === undefined) {
+      return { kind: RoutingChoiceKind.None, reason: 'no upstream in a permitted region' }
+    }
+    return { kind: RoutingChoiceKind.Forward, region: region.region, vm, reason: 'no local upstream' }
+  }
+}
--- /dev/null
+++ b/packages/routing/src/types.ts
@@ -0,0 +1,62 @@
+/**
+ * Which upstream runs a request, or which region it is sent to.
+ */
+
+import type { ModelName, RegionId, RouteName, TeamId, UpstreamId, VmId } from '@cuminvale/common'
+import type { Upstream } from '@cuminvale/documents'
+
+export interface RoutingRequest {
+  readonly team: TeamId
+  readonly route: RouteName
+  readonly model?: ModelName
+  readonly allowedRegions: readonly RegionId[]
+  /** Whether the request may still cross a region border. */
+  readonly mayCrossBorder: boolean
+  /** Upstreams that already failed this request. */
+  readonly excluded: ReadonlySet<UpstreamId>
+  readonly promptTokens: number
+  readonly outputTokens: number
+  /** Text whose prefix may be cached by an engine. */
+  readonly prompt: string
+}
+
+/** What this VM knows of an upstream at the time of the choice. */
+export interface UpstreamView {
+  readonly upstream: Upstream
+  /** Requests of this VM that the upstream is running. */
+  readonly inFlight: number
+  /** Requests running and queued in the last load report, of all VMs. */
+  readonly reportedRunning: number
+  readonly reportedQueued: number
+  /** Age of the last load report in milliseconds; infinite where there is none. */
+  readonly reportAgeMilliseconds: number
+  readonly ejected: boolean
+}
+
+export interface RemoteRegionView {
+  readonly region: RegionId
+  /** VMs of the region that can take a forwarded request now. */
+  readonly vms: readonly VmId[]
+  /** Free slots that the region last reported for the request's route. */
+  readonly freeSlots: number
+  readonly latencyMilliseconds: number
+}
+
+export const RoutingChoiceKind = { Run: 'run', Forward: 'forward', Wait: 'wait', None: 'none' } as const
+
+/** A decision with its runner-up and reason, for the log line and `explain`. */
+export type RoutingChoice =
+  | { readonly kind: typeof RoutingChoiceKind.Run, readonly upstream: UpstreamId, readonly runnerUp?: UpstreamId, readonly reason: string }
+  | { readonly kind: typeof RoutingChoiceKind.Forward, readonly region: RegionId, readonly vm: VmId, readonly reason: string }
+  | { readonly kind: typeof RoutingChoiceKind.Wait, readonly reason: string }
+  | { readonly kind: typeof RoutingChoiceKind.None, readonly reason: string }
+
+export interface RoutingSituation {
+  readonly region: RegionId
+  readonly upstreams: readonly UpstreamView[]
+  readonly remoteRegions: readonly RemoteRegionView[]
+}
+
+export interface UpstreamChooser {
+  choose (request: RoutingRequest, situation: RoutingSituation): RoutingChoice
+}
