--- /dev/null
+++ b/packages/simulation/src/capacityProbes.ts
@@ -0,0 +1,7 @@
+/**
+ * Every capacity probe.
+ */
+
+import type { CapacityProbe } from './capacityProbe.js'
+
+export const capacityProbes: readonly CapacityProbe[] = []
--- /dev/null
+++ b/packages/simulation/src/checkCommands.ts
@@ -0,0 +1,39 @@
+/**
+ * Runs a fast-check property as one batch of a soak suite.
+ */
+
+import * as fastCheck from 'fast-check'
+import type { SoakViolation } from './soakSuite.js'
+
+export interface CommandCheck<Model extends object, Real> {
+  readonly seed: number
+  readonly runs: number
+  readonly commands: Parameters<typeof fastCheck.commands<Model, Real>>[0]
+  readonly maximumCommands: number
+  /** Makes a fresh model and system; `finish` runs after the commands and checks what must hold at the end. */
+  readonly setup: () => { model: Model, real: Real }
+  readonly finish?: (real: Real, model: Model) => void
+}
+
+export const checkCommands = async <Model extends object, Real>(
+  check: CommandCheck<Model, Real>
+): Promise<SoakViolation | undefined> => {
+  const property = fastCheck.asyncProperty(
+    fastCheck.commands(check.commands, { maxCommands: check.maximumCommands }),
+    async (commands) => {
+      let made: { model: Model, real: Real } | undefined
+      fastCheck.modelRun(() => {
+        made = check.setup()
+        return made
+      }, commands as never)
+      if (made !== undefined) check.finish?.(made.real, made.model)
+    }
+  )
+  const result = await fastCheck.check(property, { seed: check.seed, numRuns: check.runs })
+  if (!result.failed) return undefined
+  return {
+    seed: check.seed,
+    detail: result.errorInstance instanceof Error ? result.errorInstance.message : String(result.errorInstance),
+    trace: result.counterexample === null ? '' : String(result.counterexample[0])
+  }
+}
--- /dev/null
+++ b/packages/simulation/src/configurationSoak.ts
@@ -0,0 +1,170 @@
+/**
+ * Soak suite: an accepted configuration never reverts, and reaches every VM.
+ */
+
+import * as fastCheck from 'fast-check'
+import { ConfigurationHolder, ConfigurationSpread } from '@cuminvale/configuration'
+import { SeededRandom, toFailureDomainId, toIncarnationId, toRegionId, toRevision, toVmId } from '@cuminvale/common'
+import type { PeerIdentity, PeerProtocol } from '@cuminvale/messages'
+import type { DocumentTexts } from '@cuminvale/documents'
+import { FakeLink } from './fakeLink.js'
+import { FaultKind } from './soakSuite.js'
+import { VirtualClock } from './virtualClock.js'
+import { checkCommands } from './checkCommands.js'
+import type { FakeVm } from './fakeLink.js'
+import type { SoakSuite, SoakTally } from './soakSuite.js'
+
+const vmCount = 6
+const runsPerBatch = 20
+const maximumCommands = 40
+const settleMilliseconds = 13_000
+
+const emptyTexts: DocumentTexts = {
+  teams: '{"teams":[]}', plans: '{"plans":[]}', keys: '{"keys":[]}', routes: '{"routes":[]}', upstreams: '{"upstreams":[]}'
+}
+
+interface SpreadVm extends FakeVm {
+  readonly holder: ConfigurationHolder
+  highest: number
+}
+
+const identityOf = (index: number, incarnation: number): PeerIdentity => ({
+  vm: toVmId(`vm-${index}`),
+  incarnation: toIncarnationId(`i-${index}-${incarnation}`),
+  region: toRegionId(index % 2 === 0 ? 'veneto' : 'emilia'),
+  failureDomain: toFailureDomainId(`fd-${index % 3}`)
+})
+
+class SpreadFleet {
+  readonly clock = new VirtualClock()
+  readonly random: SeededRandom
+  readonly link: FakeLink
+  readonly vms: SpreadVm[] = []
+  published = 1
+  private incarnations = 0
+
+  constructor (seed: number, readonly tally: SoakTally) {
+    this.random = new SeededRandom(seed)
+    this.link = new FakeLink({
+      clock: this.clock, random: this.random, localDelayMilliseconds: 1, interRegionDelayMilliseconds: 55
+    })
+    for (let index = 0; index < vmCount; index += 1) this.start(index)
+  }
+
+  start (index: number): void {
+    this.incarnations += 1
+    const holder = new ConfigurationHolder()
+    const identity = identityOf(index, this.incarnations)
+    const spread = new ConfigurationSpread({
+      holder,
+      random: this.random,
+      peers: () => this.vms.map((vm) => vm.identity.vm).filter((name) => name !== identity.vm),
+      onAcceptance: () => {}
+    })
+    const vm: SpreadVm = {
+      identity, holder, highest: 0, protocols: new Map([['configuration' as const, spread as PeerProtocol<never>]])
+    }
+    this.vms[index] = vm
+    this.link.attach(vm)
+  }
+
+  /** A reader of the service sees the newest revision, or an older one. */
+  read (index: number, revision: number): void {
+    const vm = this.vms[index]
+    if (vm === undefined) return
+    this.tally.operation()
+    this.link.runOn(vm.identity.vm, () => vm.holder.offer({ revision: toRevision(revision), texts: emptyTexts }))
+  }
+
+  advance (milliseconds: number): void {
+    this.clock.advance(milliseconds)
+    for (const vm of this.vms) this.checkNeverReverts(vm)
+  }
+
+  finish (): void {
+    this.link.heal()
+    this.link.lossShare = 0
+    for (const vm of this.vms) this.link.resume(vm.identity.vm)
+    this.read(0, this.published)
+    this.advance(settleMilliseconds)
+    const behind = this.vms.filter((vm) => vm.holder.current?.revision !== this.published)
+    if (behind.length > 0) throw new Error(`${behind.map((vm) => vm.identity.vm).join()} not at revision ${this.published}`)
+  }
+
+  private checkNeverReverts (vm: SpreadVm): void {
+    const revision = vm.holder.current?.revision ?? 0
+    if (revision < vm.highest) throw new Error(`${vm.identity.vm} went from ${vm.highest} to ${revision}`)
+    vm.highest = revision
+  }
+}
+
+type Model = Record<string, never>
+
+class FleetCommand implements fastCheck.Command<Model, SpreadFleet> {
+  constructor (private readonly name: string, private readonly act: (fleet: SpreadFleet) => void) {}
+
+  check (): boolean {
+    return true
+  }
+
+  run (_: Model, fleet: SpreadFleet): void {
+    this.act(fleet)
+    fleet.advance(1)
+  }
+
+  toString (): string {
+    return this.name
+  }
+}
+
+const vmIndex = fastCheck.integer({ min: 0, max: vmCount - 1 })
+
+const onVm = (name: string, act: (fleet: SpreadFleet, index: number) => void) =>
+  vmIndex.map((index) => new FleetCommand(`${name}(${index})`, (fleet) => act(fleet, index)))
+
+const nameOf = (index: number) => toVmId(`vm-${index}`)
+
+const commands = [
+  onVm('publish', (fleet, index) => {
+    fleet.published += 1
+    fleet.read(index, fleet.published)
+  }),
+  onVm('read', (fleet, index) => fleet.read(index, fleet.published)),
+  fastCheck.tuple(vmIndex, fastCheck.integer({ min: 1, max: 5 })).map(([index, age]) =>
+    new FleetCommand(`staleRead(${index},${age})`, (fleet) => {
+      fleet.tally.fault(FaultKind.Stale)
+      fleet.read(index, Math.max(1, fleet.published - age))
+    })),
+  onVm('restart', (fleet, index) => {
+    fleet.tally.fault(FaultKind.Restart)
+    fleet.start(index)
+  }),
+  onVm('pause', (fleet, index) => {
+    fleet.tally.fault(FaultKind.Pause)
+    fleet.link.pause(nameOf(index))
+  }),
+  onVm('resume', (fleet, index) => fleet.link.resume(nameOf(index))),
+  onVm('isolate', (fleet, index) => {
+    fleet.tally.fault(FaultKind.Partition)
+    fleet.link.isolate([nameOf(index)])
+  }),
+  fastCheck.constant(new FleetCommand('heal', (fleet) => fleet.link.heal())),
+  fastCheck.integer({ min: 0, max: 50 }).map((percent) => new FleetCommand(`loss(${percent}%)`, (fleet) => {
+    fleet.tally.fault(FaultKind.Loss)
+    fleet.link.lossShare = percent / 100
+  })),
+  fastCheck.integer({ min: 10, max: 3_000 }).map((span) => new FleetCommand(`wait(${span})`, (fleet) => fleet.advance(span)))
+]
+
+export const configurationSoak: SoakSuite = {
+  name: 'configuration',
+  promise: 'An accepted configuration is in force everywhere within seconds and never reverts.',
+  run: async (seed, tally) => await checkCommands<Model, SpreadFleet>({
+    seed,
+    runs: runsPerBatch,
+    maximumCommands,
+    commands,
+    setup: () => ({ model: {}, real: new SpreadFleet(seed, tally) }),
+    finish: (fleet) => fleet.finish()
+  })
+}
--- a/packages/simulation/src/index.ts
+++ b/packages/simulation/src/index.ts
@@ -1,1 +1,3 @@
-export {}
+export { soakSuites } from './soakSuites.js'
+export { measureScenarios } from './measureScenarios.js'
+export { capacityProbes } from './capacityProbes.js'
--- /dev/null
+++ b/packages/simulation/src/soakSuites.ts
@@ -0,0 +1,10 @@
+/**
+ * Every soak suite, in the order in which they run.
+ */
+
+import { configurationSoak } from './configurationSoak.js'
+import type { SoakSuite } from './soakSuite.js'
+
+export const soakSuites: readonly SoakSuite[] = [
+  configurationSoak
+]
