--- a/packages/messages/src/peerMessage.ts
+++ b/packages/messages/src/peerMessage.ts
@@ -9,6 +9,7 @@
 import type { MeteringMessage } from './meteringMessages.js'
 import type { OrderMessage } from './orderMessages.js'
 import type { RoutingMessage } from './routingMessages.js'
+import type { SuspicionMessage } from './suspicionMessages.js'
 
 export type PeerMessage =
   | ConfigurationMessage
@@ -17,6 +18,7 @@
   | MeteringMessage
   | OrderMessage
   | RoutingMessage
+  | SuspicionMessage
 
 export const Mechanism = {
   Configuration: 'configuration',
@@ -24,7 +26,8 @@
   Membership: 'membership',
   Metering: 'metering',
   Orders: 'orders',
-  Routing: 'routing'
+  Routing: 'routing',
+  Suspicion: 'suspicion'
 } as const
 
 export type Mechanism = typeof Mechanism[keyof typeof Mechanism]
--- a/packages/messages/src/routingMessages.ts
+++ b/packages/messages/src/routingMessages.ts
@@ -1,8 +1,8 @@
 /**
- * Load of upstreams and requests suspected of crashing them.
+ * Load of upstreams.
  */
 
-import type { TeamId, UpstreamId } from '@cuminvale/common'
+import type { UpstreamId } from '@cuminvale/common'
 
 export interface UpstreamLoad {
   readonly upstream: UpstreamId
@@ -17,12 +17,4 @@
   readonly loads: readonly UpstreamLoad[]
 }
 
-export interface RoutingSuspect {
-  readonly kind: 'routing.suspect'
-  readonly digest: string
-  readonly team: TeamId
-  readonly deaths: number
-  readonly remainingMilliseconds: number
-}
-
-export type RoutingMessage = RoutingLoad | RoutingSuspect
+export type RoutingMessage = RoutingLoad
--- /dev/null
+++ b/packages/routing/src/crashSuspects.test.ts
@@ -0,0 +1,83 @@
+import { describe, expect, it } from 'vitest'
+import { toRouteName, toTeamId, toUpstreamId } from '@cuminvale/common'
+import { CrashSuspects, SuspicionKind } from './crashSuspects.js'
+import { digestRequest } from './requestDigest.js'
+
+const team = toTeamId('binders')
+const digestOf = (body: string, owner = team) =>
+  digestRequest({ team: owner, route: toRouteName('drafting'), body: Buffer.from(body) })
+const first = toUpstreamId('drafting-1')
+const second = toUpstreamId('drafting-2')
+const third = toUpstreamId('drafting-3')
+
+const setup = (capacity = 100) => {
+  const time = { now: 0 }
+  const clock = { monotonic: () => time.now, wall: () => time.now }
+  return { time, suspects: new CrashSuspects({ clock, capacity }) }
+}
+
+describe('CrashSuspects', () => {
+  it('convicts after two deaths, and the conviction ends', () => {
+    const { time, suspects } = setup()
+    const digest = digestOf('bad')
+    suspects.died(digest, team, first)
+    expect(suspects.suspicionOf(digest)).toEqual({ kind: SuspicionKind.Suspected, diedOn: [first] })
+    time.now = 5_000
+    suspects.died(digest, team, second)
+    expect(suspects.suspicionOf(digest).kind).toBe(SuspicionKind.Convicted)
+    time.now = 700_000
+    expect(suspects.suspicionOf(digest).kind).toBe(SuspicionKind.Clear)
+  })
+
+  it('counts one death that several VMs report once', () => {
+    const { time, suspects } = setup()
+    const digest = digestOf('bad')
+    suspects.died(digest, team, first)
+    time.now = 1_000
+    suspects.heard(digest, team, [{ upstream: first, at: 300 }])
+    expect(suspects.suspicionOf(digest).kind).toBe(SuspicionKind.Suspected)
+  })
+
+  it('clears those that ran beside the culprit', () => {
+    const { time, suspects } = setup()
+    const [culprit, bystander, other] = [digestOf('bad'), digestOf('good'), digestOf('fine')]
+    for (const digest of [culprit, bystander]) suspects.died(digest, team, first)
+    time.now = 10_000
+    suspects.died(culprit, team, second)
+    suspects.died(other, team, second)
+    expect(suspects.suspicionOf(bystander).kind).toBe(SuspicionKind.Clear)
+    expect(suspects.suspicionOf(other).kind).toBe(SuspicionKind.Clear)
+    expect(suspects.suspicionOf(culprit).kind).toBe(SuspicionKind.Convicted)
+  })
+
+  it('clears a suspect that an upstream ran to its end, but no convict', () => {
+    const { time, suspects } = setup()
+    const [suspect, convict] = [digestOf('good'), digestOf('bad')]
+    suspects.died(suspect, team, first)
+    suspects.survived(suspect)
+    expect(suspects.suspicionOf(suspect).kind).toBe(SuspicionKind.Clear)
+    suspects.died(convict, team, second)
+    time.now = 9_000
+    suspects.died(convict, team, third)
+    suspects.survived(convict)
+    expect(suspects.suspicionOf(convict).kind).toBe(SuspicionKind.Convicted)
+  })
+
+  it('never blames the same body of another team', () => {
+    const { time, suspects } = setup()
+    suspects.died(digestOf('bad'), team, first)
+    time.now = 9_000
+    suspects.died(digestOf('bad'), team, second)
+    expect(suspects.suspicionOf(digestOf('bad', toTeamId('mowers'))).kind).toBe(SuspicionKind.Clear)
+  })
+
+  it('keeps suspects apart and bounds their number', () => {
+    const { suspects } = setup(1)
+    const digest = digestOf('bad')
+    suspects.died(digest, team, first)
+    suspects.began(digest, second)
+    expect([...suspects.upstreamsWithSuspects()]).toEqual([second])
+    expect(suspects.isRunning(digest)).toBe(true)
+    expect(suspects.died(digestOf('another'), team, first)).toEqual([])
+  })
+})
--- /dev/null
+++ b/packages/routing/src/requestDigest.ts
@@ -0,0 +1,20 @@
+/**
+ * Names a request by what an upstream would run, so that its repeats are
+ * recognised whoever forwards them.
+ */
+
+import { createHash } from 'node:crypto'
+import type { Brand, RouteName, TeamId } from '@cuminvale/common'
+
+export type RequestDigest = Brand<string, 'RequestDigest'>
+
+export interface DigestedRequest {
+  readonly team: TeamId
+  readonly route: RouteName
+  readonly body: Uint8Array
+}
+
+const separator = '\n'
+
+export const digestRequest = ({ team, route, body }: DigestedRequest): RequestDigest =>
+  createHash('sha256').update(team + separator + route + separator).update(body).digest('base64url') as RequestDigest
--- a/packages/routing/src/upstreamTable.ts
+++ b/packages/routing/src/upstreamTable.ts
@@ -5,6 +5,7 @@
 
 import type { Clock, UpstreamId } from '@cuminvale/common'
 import type { Configuration, Upstream } from '@cuminvale/documents'
+import { OutlierEjection } from './outlierEjection.js'
 import type { UpstreamView } from './types.js'
 
 export interface LoadSample {
@@ -19,21 +20,20 @@
   inFlight: number
   sample: LoadSample | undefined
   sampledAt: number
-  failures: number
-  ejectedUntil: number
 }
 
-const failuresBeforeEjection = 3
-const ejectionMilliseconds = 5_000
-
 export class UpstreamTable {
   private readonly states = new Map<UpstreamId, UpstreamState>()
 
-  constructor (private readonly clock: Clock) {}
+  private readonly ejection: OutlierEjection
+
+  constructor (private readonly clock: Clock) {
+    this.ejection = new OutlierEjection({ clock, upstreamCount: () => this.states.size })
+  }
 
   configure (configuration: Configuration): void {
     for (const name of this.states.keys()) {
-      if (!configuration.upstreams.has(name)) this.states.delete(name)
+      if (!configuration.upstreams.has(name)) this.forget(name)
     }
     for (const upstream of configuration.upstreams.values()) {
       const state = this.states.get(upstream.name)
@@ -44,7 +44,7 @@
 
   views (): readonly UpstreamView[] {
     const now = this.clock.monotonic()
-    return [...this.states.values()].map((state) => viewOf(state, now))
+    return [...this.states.values()].map((state) => viewOf(state, now, this.ejection.isEjected(state.upstream.name)))
   }
 
   find (name: UpstreamId): Upstream | undefined {
@@ -60,10 +60,8 @@
     const state = this.states.get(name)
     if (state === undefined) return
     state.inFlight = Math.max(0, state.inFlight - 1)
-    state.failures = succeeded ? 0 : state.failures + 1
-    if (state.failures < failuresBeforeEjection) return
-    state.failures = 0
-    state.ejectedUntil = this.clock.monotonic() + ejectionMilliseconds
+    if (succeeded) this.ejection.succeeded(name)
+    else this.ejection.failed(name)
   }
 
   report (name: UpstreamId, sample: LoadSample): void {
@@ -72,17 +70,22 @@
     state.sample = sample
     state.sampledAt = this.clock.monotonic() - sample.ageMilliseconds
   }
+
+  private forget (name: UpstreamId): void {
+    this.states.delete(name)
+    this.ejection.forget(name)
+  }
 }
 
 const newState = (upstream: Upstream): UpstreamState => ({
-  upstream, inFlight: 0, sample: undefined, sampledAt: 0, failures: 0, ejectedUntil: 0
+  upstream, inFlight: 0, sample: undefined, sampledAt: 0
 })
 
-const viewOf = (state: UpstreamState, now: number): UpstreamView => ({
+const viewOf = (state: UpstreamState, now: number, ejected: boolean): UpstreamView => ({
   upstream: state.sample?.leaving === true ? { ...state.upstream, leaving: true } : state.upstream,
   inFlight: state.inFlight,
   reportedRunning: state.sample?.running ?? 0,
   reportedQueued: state.sample?.queued ?? 0,
   reportAgeMilliseconds: state.sample === undefined ? Infinity : now - state.sampledAt,
-  ejected: state.ejectedUntil > now
+  ejected
 })
