Widen the fake engine: resume, cancel, slots, cache events, fencing, cache transfer

Cause: the fake answered every control call the same way, so retries of broken streams, prefix knowledge and placement had nothing to be tried against. Change: the control interface is an in-memory ModelEngine with lagging load reports, late and lost cache events, fencing numbers checked or ignored, and export and import of prefixes; the HTTP fake serves it. Streams resume by request id with cuminvale-resume-from. One contract test runs against both.

--- a/packages/fakes/src/fakeEngine.ts
+++ b/packages/fakes/src/fakeEngine.ts
@@ -1,13 +1,19 @@
 /**
- * Stand-in for a model engine: OpenAI-style completions, one token an event,
- * with load reports, cache events and orders under fencing numbers.
+ * Stand-in for a model engine over HTTP: OpenAI-style completions, one token an
+ * event, and the control interface of `FakeModelEngine`. A broken stream is
+ * resumed by its request id and the number of events already received.
  */
 
+import { PriorityClass, headerNames, toRequestId } from '@cuminvale/common'
 import type { IncomingMessage, ServerResponse } from 'node:http'
-import type { CacheEvent, EngineOrder, EngineState } from '@cuminvale/platform'
-import { HttpFake, pathOf, readText, sendJson } from './httpFake.js'
+import type { Result } from 'true-myth'
+import type { RequestId } from '@cuminvale/common'
+import type { EngineOrder, EngineState, PlatformError } from '@cuminvale/platform'
+import { FakeModelEngine } from './fakeModelEngine.js'
+import { HttpFake, pathOf, readBytes, readText, sendJson } from './httpFake.js'
+import type { FakeModelEngineOptions } from './fakeModelEngine.js'
 
-export interface FakeEngineOptions {
+export interface FakeEngineOptions extends FakeModelEngineOptions {
   readonly firstTokenMilliseconds: number
   readonly tokenMilliseconds: number
   readonly checksFencing: boolean
@@ -22,51 +28,88 @@
   readonly messages?: ReadonlyArray<{ readonly content?: string }>
 }
 
+interface Generation {
+  readonly id: RequestId
+  readonly body: CompletionBody
+  readonly isChat: boolean
+  readonly resumeFrom: number
+  readonly priority: PriorityClass
+}
+
+export const resumeHeaderName = 'cuminvale-resume-from'
+export const priorityHeaderName = 'cuminvale-priority'
+
 const defaultOutputTokens = 16
+const charactersPerToken = 4
+const notFoundStatus = 404
 const conflictStatus = 409
 
 const delay = (milliseconds: number): Promise<void> => new Promise((resolve) => setTimeout(resolve, milliseconds))
 
+const headerOf = (request: IncomingMessage, name: string): string => String(request.headers[name] ?? '')
+
+const promptOf = (body: CompletionBody): string =>
+  body.prompt ?? body.messages?.map((message) => message.content ?? '').join('\n') ?? ''
+
 export class FakeEngine {
   readonly server = new HttpFake((request, response) => this.handle(request, response))
+  readonly engine: FakeModelEngine
   readonly headersSeen: IncomingMessage['headers'][] = []
-  readonly events: CacheEvent[] = []
   completed = 0
   cancelled = 0
-  leaving = false
-  /** Breaks each stream after this many tokens. */
+  resumed = 0
+  /** Breaks each stream that is not resumed after this many events. */
   breakAfterTokens: number | undefined
   /** Bodies holding this text break the connection, as a crash would. */
   crashText: string | undefined
-  private state: EngineState
-  private running = 0
+  private readonly started = new Set<RequestId>()
 
   constructor (private readonly options: FakeEngineOptions) {
-    this.state = options.state
+    this.engine = new FakeModelEngine(options)
+  }
+
+  get leaving (): boolean {
+    return this.engine.leaving
+  }
+
+  set leaving (leaving: boolean) {
+    this.engine.leaving = leaving
   }
 
   private async handle (request: IncomingMessage, response: ServerResponse): Promise<void> {
-    const { pathname, searchParams } = pathOf(request)
-    if (pathname === '/control/load') {
-      return sendJson(response, 200, { running: this.running, queued: 0, ageMilliseconds: 0, leaving: this.leaving })
-    }
-    if (pathname === '/control/state') return sendJson(response, 200, this.state)
-    if (pathname === '/control/cache-events') return this.sendEvents(response, Number(searchParams.get('after')))
-    if (pathname === '/control/orders') return this.takeOrder(response, JSON.parse(await readText(request)) as EngineOrder)
-    if (pathname.startsWith('/control/cancel/')) return sendJson(response, 200, { done: true })
+    const { pathname } = pathOf(request)
+    if (pathname.startsWith('/control/')) return await this.control(request, response)
     await this.complete(request, response)
   }
 
-  private sendEvents (response: ServerResponse, after: number): void {
-    sendJson(response, 200, { events: this.events.filter((event) => event.sequence > after) })
+  private async control (request: IncomingMessage, response: ServerResponse): Promise<void> {
+    const { pathname, searchParams } = pathOf(request)
+    if (pathname === '/control/load') return answerControl(response, await this.engine.load())
+    if (pathname === '/control/state') return answerControl(response, await this.engine.state())
+    if (pathname === '/control/cache-events') {
+      const events = await this.engine.cacheEvents(Number(searchParams.get('after')))
+      return answerControl(response, events.map((list) => ({ events: list })))
+    }
+    if (pathname === '/control/orders') {
+      return answerControl(response, await this.engine.order(JSON.parse(await readText(request)) as EngineOrder))
+    }
+    const [, , call, name] = pathname.split('/').map(decodeURIComponent)
+    if (call === 'cancel') {
+      const cancelled = await this.engine.cancel(toRequestId(name ?? ''))
+      return answerControl(response, cancelled.map((done) => ({ done })))
+    }
+    if (call === 'cache') return await this.transferCache(request, response, name ?? '')
+    sendJson(response, notFoundStatus, { error: 'no such path' })
   }
 
-  private takeOrder (response: ServerResponse, order: EngineOrder): void {
-    if (this.options.checksFencing && order.fence < this.state.fence) {
-      return sendJson(response, conflictStatus, { error: 'old fencing number' })
+  private async transferCache (request: IncomingMessage, response: ServerResponse, prefix: string): Promise<void> {
+    if (request.method === 'PUT') {
+      return answerControl(response, await this.engine.importCache(prefix, await readBytes(request)))
     }
-    this.state = { loaded: order.wanted, version: order.version, role: order.role, fence: Math.max(order.fence, this.state.fence) }
-    sendJson(response, 200, this.state)
+    const content = await this.engine.exportCache(prefix)
+    if (content.isErr) return answerControl(response, content)
+    response.writeHead(200, { 'content-type': 'application/octet-stream' })
+    response.end(content.value)
   }
 
   private async complete (request: IncomingMessage, response: ServerResponse): Promise<void> {
@@ -76,51 +119,87 @@
       response.destroy()
       return
     }
-    const body = JSON.parse(text) as CompletionBody
-    const isChat = pathOf(request).pathname.includes('/chat/')
-    this.running += 1
+    const generation: Generation = {
+      id: toRequestId(headerOf(request, headerNames.requestId)),
+      body: JSON.parse(text) as CompletionBody,
+      isChat: pathOf(request).pathname.includes('/chat/'),
+      resumeFrom: Number(headerOf(request, resumeHeaderName)) || 0,
+      priority: headerOf(request, priorityHeaderName) === PriorityClass.Batch ? PriorityClass.Batch : PriorityClass.Interactive
+    }
+    if (generation.resumeFrom > 0 && !this.started.has(generation.id)) {
+      return sendJson(response, conflictStatus, { error: 'no such stream to resume' })
+    }
+    await this.run(generation, response)
+  }
+
+  private async run (generation: Generation, response: ServerResponse): Promise<void> {
+    const { engine } = this
     response.on('close', () => { if (!response.writableFinished) this.cancelled += 1 })
-    await delay(this.options.firstTokenMilliseconds)
-    if (body.stream === true) await this.stream(response, body, isChat)
-    else await this.answer(response, body, isChat)
-    this.running -= 1
+    await engine.slots.acquire(generation.priority)
+    engine.begin(generation.id, () => response.destroy())
+    engine.recordLoad()
+    this.started.add(generation.id)
+    try {
+      if (this.options.firstTokenMilliseconds > 0) await delay(this.options.firstTokenMilliseconds)
+      if (generation.body.stream === true) await this.stream(generation, response)
+      else await this.answer(generation, response)
+      engine.remember(promptOf(generation.body))
+    } finally {
+      engine.end(generation.id)
+      engine.slots.release()
+      engine.recordLoad()
+    }
   }
 
-  private async answer (response: ServerResponse, body: CompletionBody, isChat: boolean): Promise<void> {
+  private async answer ({ body, isChat }: Generation, response: ServerResponse): Promise<void> {
     const tokens = body.max_tokens ?? defaultOutputTokens
     await delay(tokens * this.options.tokenMilliseconds)
+    if (response.destroyed) return
     const text = Array.from({ length: tokens }, (_, index) => `w${index} `).join('')
     this.completed += 1
     sendJson(response, 200, {
       object: isChat ? 'chat.completion' : 'text_completion',
       model: body.model,
       choices: [isChat ? { index: 0, message: { role: 'assistant', content: text }, finish_reason: 'stop' } : { index: 0, text, finish_reason: 'stop' }],
-      usage: this.usage(body, tokens)
+      usage: usageOf(body, tokens)
     })
   }
 
-  private async stream (response: ServerResponse, body: CompletionBody, isChat: boolean): Promise<void> {
-    const tokens = body.max_tokens ?? defaultOutputTokens
+  private async stream (generation: Generation, response: ServerResponse): Promise<void> {
+    const { resumeFrom } = generation
+    const events = streamEvents(generation)
+    const breakAt = resumeFrom > 0 ? undefined : this.breakAfterTokens
+    if (resumeFrom > 0) this.resumed += 1
     response.writeHead(200, { 'content-type': 'text/event-stream', 'cache-control': 'no-cache' })
-    for (let index = 0; index < tokens; index += 1) {
+    for (const [index, event] of events.entries()) {
+      if (index < resumeFrom) continue
+      if (index === breakAt) response.destroy()
       if (response.destroyed) return
-      if (index === this.breakAfterTokens) {
-        response.destroy()
-        return
-      }
-      const piece = `w${index} `
-      const choice = isChat ? { index: 0, delta: { content: piece } } : { index: 0, text: piece }
-      response.write(`data: ${JSON.stringify({ model: body.model, choices: [choice] })}\n\n`)
+      response.write(`data: ${event}\n\n`)
       if (this.options.tokenMilliseconds > 0) await delay(this.options.tokenMilliseconds)
     }
-    response.write(`data: ${JSON.stringify({ choices: [], usage: this.usage(body, tokens) })}\n\n`)
     response.end('data: [DONE]\n\n')
     this.completed += 1
   }
+}
 
-  private usage (body: CompletionBody, completionTokens: number) {
-    const prompt = body.prompt ?? body.messages?.map((message) => message.content ?? '').join(' ') ?? ''
-    const promptTokens = Math.ceil(prompt.length / 4)
-    return { prompt_tokens: promptTokens, completion_tokens: completionTokens, total_tokens: promptTokens + completionTokens }
-  }
+/** One event a token, then the usage; the end mark comes after them. */
+const streamEvents = ({ body, isChat }: Generation): readonly string[] => {
+  const tokens = body.max_tokens ?? defaultOutputTokens
+  const pieces = Array.from({ length: tokens }, (_, index) => {
+    const piece = `w${index} `
+    const choice = isChat ? { index: 0, delta: { content: piece } } : { index: 0, text: piece }
+    return JSON.stringify({ model: body.model, choices: [choice] })
+  })
+  return [...pieces, JSON.stringify({ choices: [], usage: usageOf(body, tokens) })]
+}
+
+const usageOf = (body: CompletionBody, completionTokens: number) => {
+  const promptTokens = Math.ceil(promptOf(body).length / charactersPerToken)
+  return { prompt_tokens: promptTokens, completion_tokens: completionTokens, total_tokens: promptTokens + completionTokens }
+}
+
+const answerControl = (response: ServerResponse, result: Result<unknown, PlatformError>): void => {
+  if (result.isOk) return sendJson(response, 200, result.value)
+  sendJson(response, conflictStatus, { error: result.error.message })
 }
--- /dev/null
+++ b/packages/fakes/src/fakeModelEngine.ts
@@ -0,0 +1,171 @@
+/**
+ * A model engine's control interface in memory: load reports with a lag, cache
+ * events late and with gaps, orders under fencing numbers, cancellation, and
+ * export and import of cached prefixes.
+ */
+
+import { createHash } from 'node:crypto'
+import { Result } from 'true-myth'
+import { runtimeClock } from '@cuminvale/common'
+import { CacheEventKind, PlatformError, PlatformErrorKind } from '@cuminvale/platform'
+import type { Clock, RequestId } from '@cuminvale/common'
+import type { CacheEvent, EngineOrder, EngineState, LoadReport, ModelEngine } from '@cuminvale/platform'
+import { EngineSlots } from './engineSlots.js'
+
+export interface FakeModelEngineOptions {
+  readonly state: EngineState
+  /** Whether an order with an old fencing number is refused; otherwise the number is ignored. */
+  readonly checksFencing: boolean
+  readonly slots?: number
+  readonly loadLagMilliseconds?: number
+  readonly cacheEventLagMilliseconds?: number
+  /** Every so many cache events, one is lost; none where absent. */
+  readonly cacheEventLossInterval?: number
+  /** Prefixes that the cache holds; the oldest gives way. */
+  readonly cacheCapacity?: number
+  readonly clock?: Clock
+}
+
+interface TimedEvent {
+  readonly visibleAt: number
+  readonly event: CacheEvent
+}
+
+interface LoadSample {
+  readonly at: number
+  readonly running: number
+  readonly queued: number
+}
+
+const defaultCacheCapacity = 1_024
+const charactersPerBlock = 256
+const charactersPerToken = 4
+
+/** Chained digests of a prompt's whole blocks: each stands for all text up to its end. */
+export const prefixDigests = (prompt: string): ReadonlyArray<{ readonly prefix: string, readonly tokens: number }> => {
+  const digests = []
+  let chained = ''
+  for (let end = charactersPerBlock; end <= prompt.length; end += charactersPerBlock) {
+    chained = createHash('sha256').update(chained).update(prompt.slice(end - charactersPerBlock, end)).digest('base64url')
+    digests.push({ prefix: chained, tokens: end / charactersPerToken })
+  }
+  return digests
+}
+
+export class FakeModelEngine implements ModelEngine {
+  readonly slots: EngineSlots
+  leaving = false
+  private current: EngineState
+  private readonly events: TimedEvent[] = []
+  private sequence = 0
+  private readonly cache = new Map<string, Uint8Array>()
+  private readonly running = new Map<RequestId, () => void>()
+  private readonly samples: LoadSample[] = []
+  private readonly clock: Clock
+
+  constructor (private readonly options: FakeModelEngineOptions) {
+    this.current = options.state
+    this.slots = new EngineSlots(options.slots ?? Infinity)
+    this.clock = options.clock ?? runtimeClock
+  }
+
+  load (): Promise<Result<LoadReport, PlatformError>> {
+    const lag = this.options.loadLagMilliseconds ?? 0
+    this.recordLoad()
+    const shownAt = this.clock.monotonic() - lag
+    while (this.samples.length > 1 && (this.samples[1]?.at ?? Infinity) <= shownAt) this.samples.shift()
+    const shown = this.samples[0]
+    return Promise.resolve(Result.ok({
+      running: shown?.running ?? 0, queued: shown?.queued ?? 0, ageMilliseconds: lag, leaving: this.leaving
+    }))
+  }
+
+  /** Notes the load as it is now, for reports that lag behind. */
+  recordLoad (): void {
+    this.samples.push({ at: this.clock.monotonic(), running: this.slots.running, queued: this.slots.queued })
+  }
+
+  cacheEvents (after: number): Promise<Result<readonly CacheEvent[], PlatformError>> {
+    const now = this.clock.monotonic()
+    return Promise.resolve(Result.ok(this.events
+      .filter(({ event, visibleAt }) => event.sequence > after && visibleAt <= now)
+      .map(({ event }) => event)))
+  }
+
+  state (): Promise<Result<EngineState, PlatformError>> {
+    return Promise.resolve(Result.ok(this.current))
+  }
+
+  order (order: EngineOrder): Promise<Result<EngineState, PlatformError>> {
+    if (this.options.checksFencing && order.fence < this.current.fence) {
+      return Promise.resolve(Result.err(new PlatformError(PlatformErrorKind.Refused, 'old fencing number')))
+    }
+    if (order.version !== this.current.version) this.clearCache()
+    this.current = {
+      loaded: order.wanted, version: order.version, role: order.role, fence: Math.max(order.fence, this.current.fence)
+    }
+    return Promise.resolve(Result.ok(this.current))
+  }
+
+  /** Registers a running request, so that it can be cancelled. */
+  begin (id: RequestId, cancel: () => void): void {
+    this.running.set(id, cancel)
+  }
+
+  end (id: RequestId): void {
+    this.running.delete(id)
+  }
+
+  cancel (id: RequestId): Promise<Result<boolean, PlatformError>> {
+    const cancel = this.running.get(id)
+    this.running.delete(id)
+    cancel?.()
+    return Promise.resolve(Result.ok(cancel !== undefined))
+  }
+
+  /** Caches every whole block of a prompt that has been run. */
+  remember (prompt: string): void {
+    for (const { prefix, tokens } of prefixDigests(prompt)) {
+      if (!this.cache.has(prefix)) this.store(prefix, Buffer.from(prefix), tokens)
+    }
+  }
+
+  /** Tokens of the prompt that are cached. */
+  cachedTokens (prompt: string): number {
+    return prefixDigests(prompt).findLast(({ prefix }) => this.cache.has(prefix))?.tokens ?? 0
+  }
+
+  exportCache (prefix: string): Promise<Result<Uint8Array, PlatformError>> {
+    const content = this.cache.get(prefix)
+    if (content !== undefined) return Promise.resolve(Result.ok(content))
+    return Promise.resolve(Result.err(new PlatformError(PlatformErrorKind.Refused, 'the prefix is not cached')))
+  }
+
+  importCache (prefix: string, content: Uint8Array): Promise<Result<boolean, PlatformError>> {
+    if (!this.cache.has(prefix)) this.store(prefix, content, 0)
+    return Promise.resolve(Result.ok(true))
+  }
+
+  private store (prefix: string, content: Uint8Array, tokens: number): void {
+    const oldest = this.cache.keys().next().value
+    if (oldest !== undefined && this.cache.size >= (this.options.cacheCapacity ?? defaultCacheCapacity)) {
+      this.cache.delete(oldest)
+      this.publish(CacheEventKind.Removed, oldest, 0)
+    }
+    this.cache.set(prefix, content)
+    this.publish(CacheEventKind.Stored, prefix, tokens)
+  }
+
+  private clearCache (): void {
+    this.cache.clear()
+    this.publish(CacheEventKind.Cleared, '', 0)
+  }
+
+  private publish (kind: CacheEvent['kind'], prefix: string, tokens: number): void {
+    this.sequence += 1
+    const interval = this.options.cacheEventLossInterval
+    if (interval !== undefined && this.sequence % interval === 0) return
+    const visibleAt = this.clock.monotonic() + (this.options.cacheEventLagMilliseconds ?? 0)
+    this.events.push({ visibleAt, event: { sequence: this.sequence, kind, prefix, tokens } })
+  }
+}
--- a/packages/fakes/src/httpFake.ts
+++ b/packages/fakes/src/httpFake.ts
@@ -38,12 +38,14 @@
   }
 }
 
-export const readText = async (request: IncomingMessage): Promise<string> => {
+export const readBytes = async (request: IncomingMessage): Promise<Buffer> => {
   const chunks: Buffer[] = []
   for await (const chunk of request) chunks.push(chunk as Buffer)
-  return Buffer.concat(chunks).toString()
+  return Buffer.concat(chunks)
 }
 
+export const readText = async (request: IncomingMessage): Promise<string> => (await readBytes(request)).toString()
+
 export const sendJson = (response: ServerResponse, status: number, value: unknown): void => {
   const body = JSON.stringify(value)
   response.writeHead(status, { 'content-type': 'application/json', 'content-length': Buffer.byteLength(body) })
--- /dev/null
+++ b/packages/fakes/src/modelEngineContract.test.ts
@@ -0,0 +1,134 @@
+import { afterEach, describe, expect, it } from 'vitest'
+import { toModelName, toRequestId } from '@cuminvale/common'
+import { CacheEventKind, HttpModelEngine } from '@cuminvale/platform'
+import type { Clock } from '@cuminvale/common'
+import type { EngineOrder, ModelEngine } from '@cuminvale/platform'
+import { FakeEngine } from './fakeEngine.js'
+import { FakeModelEngine } from './fakeModelEngine.js'
+import type { FakeModelEngineOptions } from './fakeModelEngine.js'
+
+class SteppedClock implements Clock {
+  now = 0
+  monotonic = (): number => this.now
+  wall = (): number => this.now
+}
+
+interface Subject {
+  readonly engine: ModelEngine
+  /** The in-memory fake behind the interface, to cause what the test asks about. */
+  readonly fake: FakeModelEngine
+}
+
+type Build = (options: FakeModelEngineOptions) => Promise<Subject>
+
+const started: FakeEngine[] = []
+
+afterEach(async () => {
+  await Promise.all(started.splice(0).map(async (fake) => await fake.server.stop()))
+})
+
+const inMemory: Build = (options) => {
+  const fake = new FakeModelEngine(options)
+  return Promise.resolve({ engine: fake, fake })
+}
+
+const overHttp: Build = async (options) => {
+  const server = new FakeEngine({ ...options, firstTokenMilliseconds: 0, tokenMilliseconds: 0 })
+  await server.server.start()
+  started.push(server)
+  return { engine: new HttpModelEngine(server.server.address), fake: server.engine }
+}
+
+const state = { loaded: [toModelName('writer')], version: '1', role: 'both', fence: 5 }
+const order = (fence: number, version = '1'): EngineOrder => ({ wanted: [toModelName('planner')], version, role: 'prefill', fence })
+const threeBlocks = 'x'.repeat(768)
+
+const value = async <Value>(pending: Promise<{ isOk: boolean, value?: Value }>): Promise<Value> => {
+  const result = await pending
+  expect(result.isOk).toBe(true)
+  return result.value as Value
+}
+
+describe.each<[string, Build]>([['in memory', inMemory], ['over HTTP', overHttp]])('a model engine %s', (_, build) => {
+  it('reports the load of some time ago', async () => {
+    const clock = new SteppedClock()
+    const { engine, fake } = await build({ state, checksFencing: true, slots: 1, loadLagMilliseconds: 100, clock })
+    fake.recordLoad()
+    clock.now = 50
+    await fake.slots.acquire('interactive')
+    fake.slots.acquire('batch').catch(() => {})
+    fake.recordLoad()
+    clock.now = 120
+    expect(await value(engine.load())).toEqual({ running: 0, queued: 0, ageMilliseconds: 100, leaving: false })
+    clock.now = 160
+    fake.leaving = true
+    expect(await value(engine.load())).toEqual({ running: 1, queued: 1, ageMilliseconds: 100, leaving: true })
+  })
+
+  it('publishes cache events late, in order, and after the one asked for', async () => {
+    const clock = new SteppedClock()
+    const { engine, fake } = await build({ state, checksFencing: true, cacheEventLagMilliseconds: 30, clock })
+    fake.remember(threeBlocks)
+    expect(await value(engine.cacheEvents(0))).toEqual([])
+    clock.now = 30
+    const events = await value(engine.cacheEvents(1))
+    expect(events.map(({ sequence, kind, tokens }) => [sequence, kind, tokens]))
+      .toEqual([[2, CacheEventKind.Stored, 128], [3, CacheEventKind.Stored, 192]])
+  })
+
+  it('shows a lost cache event as a jump in the sequence', async () => {
+    const { engine, fake } = await build({ state, checksFencing: true, cacheEventLossInterval: 2 })
+    fake.remember(threeBlocks)
+    expect((await value(engine.cacheEvents(0))).map(({ sequence }) => sequence)).toEqual([1, 3])
+  })
+
+  it('says which prefix gave way when the cache is full', async () => {
+    const { engine, fake } = await build({ state, checksFencing: true, cacheCapacity: 2 })
+    fake.remember(threeBlocks)
+    const events = await value(engine.cacheEvents(0))
+    expect(events.map(({ kind }) => kind)).toEqual([CacheEventKind.Stored, CacheEventKind.Stored, CacheEventKind.Removed, CacheEventKind.Stored])
+    expect(events[2]?.prefix).toBe(events[0]?.prefix)
+  })
+
+  it('clears its cache when an order changes the version', async () => {
+    const { engine, fake } = await build({ state, checksFencing: true })
+    fake.remember(threeBlocks)
+    await value(engine.order(order(6, '2')))
+    expect((await value(engine.cacheEvents(3))).map(({ kind }) => kind)).toEqual([CacheEventKind.Cleared])
+    expect(fake.cachedTokens(threeBlocks)).toBe(0)
+  })
+
+  it.each<[string, boolean, number, boolean, number]>([
+    ['takes a higher fencing number', true, 6, true, 6],
+    ['takes an equal fencing number again', true, 5, true, 5],
+    ['refuses an old fencing number where it checks', true, 4, false, 5],
+    ['ignores an old fencing number where it does not', false, 4, true, 5]
+  ])('%s', async (_name, checksFencing, fence, isTaken, fenceAfter) => {
+    const { engine } = await build({ state, checksFencing })
+    const taken = await engine.order(order(fence))
+    expect(taken.isOk).toBe(isTaken)
+    const after = await value(engine.state())
+    expect(after.fence).toBe(fenceAfter)
+    expect(after.loaded).toEqual(isTaken ? ['planner'] : ['writer'])
+  })
+
+  it('cancels a running request once', async () => {
+    const { engine, fake } = await build({ state, checksFencing: true })
+    let cancelled = 0
+    fake.begin(toRequestId('incarnation-1'), () => { cancelled += 1 })
+    expect(await value(engine.cancel(toRequestId('incarnation-1')))).toBe(true)
+    expect(await value(engine.cancel(toRequestId('incarnation-1')))).toBe(false)
+    expect(cancelled).toBe(1)
+  })
+
+  it('exports what is cached and imports it elsewhere', async () => {
+    const source = await build({ state, checksFencing: true })
+    const target = await build({ state, checksFencing: true })
+    source.fake.remember(threeBlocks)
+    for (const { prefix } of await value(source.engine.cacheEvents(0))) {
+      await value(target.engine.importCache(prefix, await value(source.engine.exportCache(prefix))))
+    }
+    expect(target.fake.cachedTokens(threeBlocks)).toBe(192)
+    expect((await source.engine.exportCache('unknown')).isErr).toBe(true)
+  })
+})
