Put retry budgets, crash suspicion, silence limits and stream resume on the request path

Cause: a silent connection held a request until its deadline, a broken whole answer was not retried, a broken stream could not go on, any failure was retried at once up to three times, and shutdown cut idle-looking connections. Change: attempts have limits of their own; idle connections to an origin are retired after a silent one; whole answers are collected inside the attempt; streams are cut at event borders and resumed on the upstream that ran them; retries ask the budget; deaths are confirmed by a refused connection before a request is blamed; shutdown closes connections once idle.

--- a/packages/daemon/src/callerServer.ts
+++ b/packages/daemon/src/callerServer.ts
@@ -33,6 +33,7 @@
   const id = context.requestIds.next()
   response.setHeader(headerNames.vm, context.identity.vm)
   response.setHeader(headerNames.requestId, id)
+  if (context.lifecycle.isDraining) response.setHeader('connection', 'close')
   const path = incoming.url ?? '/'
   if (path.startsWith('/v1/entries')) return await answerEntries(context, incoming, response)
   if (path === '/v1/models') return answerModels(context, incoming, response)
--- a/packages/daemon/src/createContext.ts
+++ b/packages/daemon/src/createContext.ts
@@ -11,14 +11,16 @@
 import { UsageMeter } from '@cuminvale/metering'
 import { OrderLedger, TicketMint, ledgerCapacity } from '@cuminvale/orders'
 import { HttpClientDirectory, HttpConfigurationService, HttpVmList, HttpWeightStore } from '@cuminvale/platform'
-import { LeastInFlightChooser, UpstreamTable } from '@cuminvale/routing'
+import { CrashSuspects, LeastInFlightChooser, RetryBudget, SuspicionSpread, UpstreamTable } from '@cuminvale/routing'
 import type { RegionId } from '@cuminvale/common'
 import type { Membership } from '@cuminvale/membership'
 import type { RemoteRegionView, RoutingRequest } from '@cuminvale/routing'
+import { crashSuspectCapacity } from './constants.js'
 import { createLog } from './log.js'
 import { Metrics } from './metrics.js'
 import { Scheduler } from './scheduler.js'
 import { SecretFile } from './secrets.js'
+import { reachablePeers } from './reachablePeers.js'
 import { UpstreamClient } from './upstreamClient.js'
 import { Lifecycle } from './vmContext.js'
 import type { Waiting } from './scheduler.js'
@@ -81,6 +83,7 @@
     table,
     remoteRegions: createRemoteRegions(configuration, membership, identity.region)
   })
+  const suspects = new CrashSuspects({ clock, capacity: crashSuspectCapacity })
   return {
     settings,
     clock,
@@ -98,11 +101,15 @@
     entries: new UniformEntryChooser(random),
     table,
     scheduler,
+    retries: new RetryBudget({ clock, random }),
+    suspects,
+    suspicionSpread: new SuspicionSpread({ clock, suspects, peers: reachablePeers(membership) }),
     mint: new TicketMint({ clock, vm: identity.vm, incarnation }),
     ledger: new OrderLedger({ clock, capacity: ledgerCapacity }),
     meter: new UsageMeter(),
     upstreamClient: new UpstreamClient(),
     lifecycle: new Lifecycle(),
-    ports: { caller: 0, peer: 0, administration: 0 }
+    ports: { caller: 0, peer: 0, administration: 0 },
+    sendToPeers: () => {}
   }
 }
--- a/packages/daemon/src/createDaemon.ts
+++ b/packages/daemon/src/createDaemon.ts
@@ -2,8 +2,8 @@
  * Assembles one VM: decision objects, supervisor tree, links and edges.
  */
 
-import { dispatch, spawnStateless, start, stop } from 'nact'
-import { onInvariantViolation, runtimeRandom, VmState } from '@cuminvale/common'
+import { dispatch, spawnStateless, start } from 'nact'
+import { onInvariantViolation, runtimeRandom } from '@cuminvale/common'
 import { ConfigurationSpread } from '@cuminvale/configuration'
 import { mechanismOf } from '@cuminvale/messages'
 import type { Server } from 'node:http'
@@ -12,13 +12,15 @@
 import type { Mechanism, Outbound } from '@cuminvale/messages'
 import { createAdministrationServer } from './administrationServer.js'
 import { createCallerServer } from './callerServer.js'
-import { configurationRetryMilliseconds, drainNoticeMilliseconds, vmListPollMilliseconds } from './constants.js'
+import { configurationRetryMilliseconds, vmListPollMilliseconds } from './constants.js'
 import { createContext } from './createContext.js'
 import { PeerLinks } from './peerLinks.js'
 import { createPeerServer } from './peerServer.js'
 import { createConfigurationPoll, createLoadPoll, createVmListPoll, logAcceptance } from './platformPolls.js'
+import { reachablePeers } from './reachablePeers.js'
 import { spawnPollingActor } from './pollingActor.js'
 import { spawnProtocolActor } from './protocolActor.js'
+import { shutdown } from './shutdown.js'
 import type { ProtocolActor } from './protocolActor.js'
 import type { Settings } from './settings.js'
 import type { VmContext } from './vmContext.js'
@@ -37,18 +39,6 @@
   return (server.address() as AddressInfo).port
 }
 
-const close = async (server: Server): Promise<void> => {
-  server.closeIdleConnections()
-  await new Promise<void>((resolve) => {
-    server.close(() => resolve())
-    server.closeAllConnections()
-  })
-}
-
-const reachablePeers = (context: VmContext) => () => context.membership.members
-  .filter(({ vm, reachable }) => reachable && vm.state === VmState.Live)
-  .map(({ vm }) => vm.name)
-
 /** One supervisor for the mechanisms and one for the platform; a crash in one leaves the others. */
 const spawnSupervisors = (system: Ref<never>) => ({
   mechanisms: spawnStateless(system, () => {}, 'mechanisms') as Ref<never>,
@@ -63,12 +53,15 @@
   const spread = new ConfigurationSpread({
     holder: context.configuration,
     random: runtimeRandom,
-    peers: reachablePeers(context),
+    peers: reachablePeers(context.membership),
     onAcceptance: (acceptance) => logAcceptance(context, acceptance)
   })
   context.configuration.onChange(() => send(spread.announce()))
   return new Map([
-    ['configuration', spawnProtocolActor(parent, { name: 'configuration', protocol: spread, send, log: context.log })]
+    ['configuration', spawnProtocolActor(parent, { name: 'configuration', protocol: spread, send, log: context.log })],
+    ['suspicion', spawnProtocolActor(parent, {
+      name: 'suspicion', protocol: context.suspicionSpread, send, log: context.log
+    })]
   ])
 }
 
@@ -118,6 +111,7 @@
   let actors: ReadonlyMap<Mechanism, ProtocolActor> = new Map()
   const links = createLinks(context, () => actors)
   const send = (outbound: readonly Outbound[]): void => outbound.forEach(({ to, message }) => links.send(to, message))
+  context.sendToPeers = send
   const servers = [createCallerServer(context), createPeerServer(context), createAdministrationServer(context)] as const
   const { host } = settings.listen
   context.ports.peer = await listen(servers[1], host, settings.listen['peer-port'])
@@ -127,25 +121,5 @@
   context.ports.caller = await listen(servers[0], host, settings.listen['caller-port'])
   context.ports.administration = await listen(servers[2], host, settings.listen['administration-port'])
   context.log.info('started', { region: context.identity.region, incarnation: context.incarnation })
-  return { context, shutdown: () => shutdown({ context, links, servers, system: system as Ref<never> }) }
-}
-
-interface Running {
-  readonly context: VmContext
-  readonly links: PeerLinks
-  readonly servers: readonly Server[]
-  readonly system: Ref<never>
-}
-
-const shutdown = async ({ context, links, servers, system }: Running): Promise<void> => {
-  context.lifecycle.drain()
-  context.log.info('draining', { activeRequests: context.lifecycle.activeRequests })
-  await new Promise((resolve) => setTimeout(resolve, drainNoticeMilliseconds))
-  await context.lifecycle.idle()
-  links.stop()
-  context.scheduler.stop()
-  stop(system)
-  await Promise.all(servers.map(close))
-  await context.upstreamClient.close()
-  context.log.info('stopped')
+  return { context, shutdown: async () => await shutdown({ context, links, servers, system: system as Ref<never> }) }
 }
--- /dev/null
+++ b/packages/daemon/src/deathProbe.ts
@@ -0,0 +1,24 @@
+/**
+ * Tells a dead upstream from a broken connection: a dead one refuses new
+ * connections, while one behind a cut network does not answer at all.
+ */
+
+import { connect } from 'node:net'
+import { deathProbeMilliseconds } from './constants.js'
+
+const refusedCode = 'ECONNREFUSED'
+
+export const isUpstreamDead = async (origin: string): Promise<boolean> => {
+  const { hostname, port, protocol } = new URL(origin)
+  const defaultPort = protocol === 'https:' ? 443 : 80
+  return await new Promise((resolve) => {
+    const socket = connect({ host: hostname, port: port === '' ? defaultPort : Number(port) })
+    const finish = (dead: boolean): void => {
+      socket.destroy()
+      resolve(dead)
+    }
+    socket.setTimeout(deathProbeMilliseconds, () => finish(false))
+    socket.once('connect', () => finish(false))
+    socket.once('error', (error: NodeJS.ErrnoException) => finish(error.code === refusedCode))
+  })
+}
--- a/packages/daemon/src/errors.ts
+++ b/packages/daemon/src/errors.ts
@@ -16,8 +16,10 @@
 export const UpstreamErrorKind = {
   /** No byte of the request left this VM. */
   NotSent: 'not-sent',
-  /** The connection broke or went silent after the request was sent. */
+  /** The connection broke after the request was sent. */
   Broken: 'broken',
+  /** Nothing came for longer than the limit, on a connection that may be dead. */
+  Silent: 'silent',
   /** The upstream's answer is longer than allowed. */
   TooLong: 'too-long',
   /** The caller went away. */
--- a/packages/daemon/src/execution.ts
+++ b/packages/daemon/src/execution.ts
@@ -1,30 +1,23 @@
 /**
  * Runs one classified request: waits for an upstream, confirms the key, sends
- * the request or forwards it, and retries where the route allows it.
+ * the request or forwards it, and retries where route and budget allow it.
  */
 
 import { Result } from 'true-myth'
-import { Outcome, RefusalReason, assertInvariant, headerNames, refuse } from '@cuminvale/common'
+import { Outcome, RefusalReason, refuse } from '@cuminvale/common'
 import { isKeyInForce } from '@cuminvale/keys'
-import { RoutingChoiceKind } from '@cuminvale/routing'
+import { RetryDecisionKind, RoutingChoiceKind, SuspicionKind } from '@cuminvale/routing'
 import type { Refusal, UpstreamId } from '@cuminvale/common'
-import { maximumAttempts } from './constants.js'
+import { collectAnswer, isEventStream } from './answer.js'
 import { UpstreamErrorKind } from './errors.js'
 import { forwardRequest } from './forwardRequest.js'
+import { attemptOnUpstream, requestDigestOf } from './upstreamAttempt.js'
 import type { UpstreamError } from './errors.js'
 import type { GatewayRequest } from './gatewayRequest.js'
 import type { Assignment } from './scheduler.js'
-import type { Exchange } from './upstreamClient.js'
+import type { RunningExchange } from './upstreamAttempt.js'
 import type { VmContext } from './vmContext.js'
 
-/** An answer whose head has arrived; `finish` must be called when its body has ended. */
-export interface RunningExchange {
-  readonly exchange: Exchange
-  readonly servedBy: string
-  readonly forwarded: boolean
-  readonly finish: (succeeded: boolean) => void
-}
-
 /** Called in the turn in which the request is handed to a connection, and when that is taken back. */
 export interface SendObserver {
   readonly onSend: () => void
@@ -32,15 +25,7 @@
 }
 
 const ignoreSends: SendObserver = { onSend: () => {}, onNotSent: () => {} }
-
-export const remainingMilliseconds = (context: VmContext, request: GatewayRequest): number =>
-  Math.max(1, Math.ceil(request.deadlineAt - context.clock.monotonic()))
-
-const upstreamHeaders = (request: GatewayRequest): Record<string, string> => ({
-  'content-type': request.contentType,
-  [headerNames.requestId]: request.id,
-  ...(request.authorization === undefined ? {} : { authorization: request.authorization })
-})
+const suspectRetryMilliseconds = 1_000
 
 const confirmKey = (context: VmContext, request: GatewayRequest): Result<undefined, Refusal> => {
   const configuration = context.configuration.current
@@ -49,6 +34,26 @@
   return Result.err(refuse(RefusalReason.KeyUnknown, 'the key was withdrawn while the request waited'))
 }
 
+/** Upstreams that a suspect may not run on, or why it may not run at all. */
+const checkSuspicion = (context: VmContext, request: GatewayRequest): Result<ReadonlySet<UpstreamId>, Refusal> => {
+  const { suspects } = context
+  if (suspects.isEmpty) return Result.ok(new Set())
+  const digest = requestDigestOf(request)
+  const suspicion = suspects.suspicionOf(digest)
+  if (suspicion.kind === SuspicionKind.Clear) return Result.ok(new Set())
+  if (suspicion.kind === SuspicionKind.Convicted) {
+    return Result.err(refuse(RefusalReason.CrashSuspect, 'upstreams died while they ran this request', {
+      retryAfterMilliseconds: suspicion.remainingMilliseconds
+    }))
+  }
+  if (suspects.isRunning(digest)) {
+    return Result.err(refuse(RefusalReason.CrashSuspect, 'an upstream died running this request; a copy is on trial', {
+      retryAfterMilliseconds: suspectRetryMilliseconds
+    }))
+  }
+  return Result.ok(new Set([...suspicion.diedOn, ...suspects.upstreamsWithSuspects()]))
+}
+
 const logChoice = (context: VmContext, request: GatewayRequest, assignment: Assignment): void => {
   context.log.info('routing-decision', {
     request: request.id,
@@ -61,80 +66,105 @@
 }
 
 const refusalOf = (request: GatewayRequest, error: UpstreamError): Refusal => {
-  if (error.kind === UpstreamErrorKind.NotSent) return refuse(RefusalReason.UpstreamFailed, error.message)
+  const detail = `${request.route.name}: ${error.message}`
+  if (error.kind === UpstreamErrorKind.NotSent) return refuse(RefusalReason.UpstreamFailed, detail)
   const reason = error.kind === UpstreamErrorKind.Aborted ? RefusalReason.CallerGone : RefusalReason.UpstreamFailed
-  const outcome = Outcome.Unknown
-  return refuse(reason, `${request.route.name}: ${error.message}`, { outcome })
+  return refuse(reason, detail, { outcome: Outcome.Unknown })
 }
 
-const runOnUpstream = async (
+const send = async (
   context: VmContext,
   request: GatewayRequest,
-  assignment: Extract<Assignment, { kind: 'run' }>
+  assignment: Assignment
 ): Promise<Result<RunningExchange, UpstreamError>> => {
-  const upstream = context.table.find(assignment.upstream)
-  assertInvariant(upstream !== undefined && request.allowedRegions.includes(upstream.region), 'residency',
-    () => `request ${request.id} sent to ${assignment.upstream} outside ${request.allowedRegions.join()}`)
-  const finish = (succeeded: boolean): void => context.scheduler.release(assignment.upstream, succeeded)
-  const result = await context.upstreamClient.exchange({
-    origin: upstream?.address ?? '',
-    path: request.path,
-    method: request.method,
-    headers: upstreamHeaders(request),
-    body: request.body,
-    signal: request.signal,
-    timeoutMilliseconds: remainingMilliseconds(context, request),
-    freshConnection: !request.route.idempotent
-  })
-  if (result.isErr) finish(result.error.kind === UpstreamErrorKind.Aborted)
-  return result.map((exchange) => ({ exchange, servedBy: assignment.upstream, forwarded: false, finish }))
+  if (assignment.kind === RoutingChoiceKind.Run) return await attemptOnUpstream(context, request, assignment.upstream)
+  context.metrics.sentAway.inc({ region: assignment.region })
+  return await forwardRequest(context, request, assignment.vm)
 }
 
-const attempt = (
+/** Reads an answer that may be asked for again whole, so that a break in it can be retried unseen. */
+const attempt = async (
   context: VmContext,
   request: GatewayRequest,
   assignment: Assignment
 ): Promise<Result<RunningExchange, UpstreamError>> => {
-  if (assignment.kind === RoutingChoiceKind.Run) return runOnUpstream(context, request, assignment)
-  context.metrics.sentAway.inc({ region: assignment.region })
-  return forwardRequest(context, request, assignment.vm)
+  const sent = await send(context, request, assignment)
+  if (sent.isErr || !request.route.idempotent || isEventStream(sent.value.exchange)) return sent
+  const collected = await collectAnswer(sent.value.exchange)
+  await sent.value.finish(collected.isErr ? collected.error : undefined)
+  return collected.map((answer) => ({ ...sent.value, collected: answer }))
 }
 
-const mayRetry = (request: GatewayRequest, error: UpstreamError): boolean => {
+const isRepeatable = (request: GatewayRequest, error: UpstreamError): boolean => {
   if (error.kind === UpstreamErrorKind.NotSent) return true
-  return error.kind === UpstreamErrorKind.Broken && request.route.idempotent
+  const mayHaveRun = error.kind === UpstreamErrorKind.Broken || error.kind === UpstreamErrorKind.Silent
+  return mayHaveRun && request.route.idempotent
 }
 
 const releaseUnused = (context: VmContext, assignment: Assignment): void => {
   if (assignment.kind === RoutingChoiceKind.Run) context.scheduler.release(assignment.upstream, true)
 }
 
-/** Runs a request until the head of an answer arrives or the attempts are used up. */
+const pause = async (milliseconds: number): Promise<void> =>
+  await new Promise((resolve) => setTimeout(resolve, milliseconds))
+
+/** Waits for the retry's turn; false where none is allowed. */
+const awaitRetry = async (context: VmContext, request: GatewayRequest, attempts: number): Promise<boolean> => {
+  const decision = context.retries.decide({
+    team: request.team, attempts, remainingMilliseconds: request.deadlineAt - context.clock.monotonic()
+  })
+  if (decision.kind === RetryDecisionKind.GiveUp) {
+    context.log.info('retry-refused', { request: request.id, team: request.team, reason: decision.reason })
+    return false
+  }
+  context.metrics.retries.inc()
+  await pause(decision.delayMilliseconds)
+  return true
+}
+
+/** Checks that must hold in the turn in which the request is sent. */
+const confirmSend = (context: VmContext, request: GatewayRequest): Result<undefined, Refusal> => {
+  if (request.signal.aborted) return Result.err(refuse(RefusalReason.CallerGone, 'the caller went away'))
+  return confirmKey(context, request)
+}
+
+/**
+ * Runs a request until the head of an answer arrives or no further attempt is
+ * allowed. After a first attempt that may have run, the last failure is the
+ * answer, since a later refusal to run it again would not be true of the first.
+ */
 export const execute = async (
   context: VmContext,
   request: GatewayRequest,
   observer: SendObserver = ignoreSends
 ): Promise<Result<RunningExchange, Refusal>> => {
-  const excluded = new Set<UpstreamId>()
+  const failed = new Set<UpstreamId>()
   let last: Refusal | undefined
-  for (let attempts = 0; attempts < maximumAttempts; attempts += 1) {
-    if (attempts > 0) context.metrics.retries.inc()
-    const acquired = await context.scheduler.acquire(request, excluded)
-    if (acquired.isErr) return Result.err(last ?? acquired.error)
+  context.retries.started(request.team)
+  for (let attempts = 1; ; attempts += 1) {
+    const spared = checkSuspicion(context, request)
+    if (spared.isErr) return Result.err(worse(last, spared.error))
+    const acquired = await context.scheduler.acquire(request, new Set([...failed, ...spared.value]))
+    if (acquired.isErr) return Result.err(worse(last, acquired.error))
     const assignment = acquired.value
-    const confirmed = confirmKey(context, request)
-    if (confirmed.isErr || request.signal.aborted) {
+    const confirmed = confirmSend(context, request)
+    if (confirmed.isErr) {
       releaseUnused(context, assignment)
-      return Result.err(confirmed.isErr ? confirmed.error : refuse(RefusalReason.CallerGone, 'the caller went away'))
+      return Result.err(worse(last, confirmed.error))
     }
     logChoice(context, request, assignment)
     observer.onSend()
     const result = await attempt(context, request, assignment)
     if (result.isOk) return Result.ok(result.value)
     if (result.error.kind === UpstreamErrorKind.NotSent) observer.onNotSent()
-    last = refusalOf(request, result.error)
-    if (!mayRetry(request, result.error)) return Result.err(last)
-    if (assignment.kind === RoutingChoiceKind.Run) excluded.add(assignment.upstream)
+    last = worse(last, refusalOf(request, result.error))
+    if (!isRepeatable(request, result.error) || !await awaitRetry(context, request, attempts)) return Result.err(last)
+    if (assignment.kind === RoutingChoiceKind.Run) failed.add(assignment.upstream)
   }
-  return Result.err(last ?? refuse(RefusalReason.NoUpstream, 'no attempt was possible'))
+}
+
+/** Of two refusals the one that claims less: `unknown` stays once an attempt may have run. */
+const worse = (before: Refusal | undefined, now: Refusal): Refusal => {
+  const mayHaveRun = before?.outcome === Outcome.Unknown && now.outcome === Outcome.NotRun
+  return mayHaveRun ? { ...now, outcome: Outcome.Unknown } : now
 }
--- a/packages/daemon/src/forwardRequest.ts
+++ b/packages/daemon/src/forwardRequest.ts
@@ -9,10 +9,11 @@
 import type { VmId } from '@cuminvale/common'
 import type { ForwardClaims } from '@cuminvale/keys'
 import type { Member } from '@cuminvale/membership'
+import { attemptLimits } from './attemptLimits.js'
 import { maximumBorderCrossings, maximumHops } from './constants.js'
 import { UpstreamError, UpstreamErrorKind } from './errors.js'
 import { requestTokens } from './gatewayRequest.js'
-import type { RunningExchange } from './execution.js'
+import type { RunningExchange } from './upstreamAttempt.js'
 import type { GatewayRequest } from './gatewayRequest.js'
 import type { VmContext } from './vmContext.js'
 
@@ -67,8 +68,8 @@
     },
     body: request.body,
     signal: request.signal,
-    timeoutMilliseconds: Math.max(1, Math.ceil(request.deadlineAt - context.clock.monotonic())),
+    ...attemptLimits(request, context.clock.monotonic()),
     freshConnection: !request.route.idempotent
   })
-  return result.map((exchange) => ({ exchange, servedBy: vm, forwarded: true, finish: () => {} }))
+  return result.map((exchange) => ({ exchange, servedBy: vm, forwarded: true, finish: async () => {} }))
 }
--- a/packages/daemon/src/gateway.ts
+++ b/packages/daemon/src/gateway.ts
@@ -7,15 +7,17 @@
 import type { ServerResponse } from 'node:http'
 import type { Refusal } from '@cuminvale/common'
 import type { Charge } from '@cuminvale/limits'
-import { collectAnswer, contentTypeOf, isEventStream, relayEvents } from './answer.js'
+import { contentTypeOf } from './answer.js'
 import { execute } from './execution.js'
 import { requestTokens } from './gatewayRequest.js'
 import { problemOf, sendRefusal } from './problemDocument.js'
 import { chargeRequest, copyOutcome, countCompleted, logRefusal, settleCharge } from './requestAccounting.js'
 import { serveOrder } from './serveOrder.js'
+import { streamAnswer } from './streamAnswer.js'
 import { usedTokens } from './usedTokens.js'
+import type { CollectedAnswer } from './answer.js'
 import type { UpstreamError } from './errors.js'
-import type { RunningExchange } from './execution.js'
+import type { RunningExchange } from './upstreamAttempt.js'
 import type { GatewayRequest } from './gatewayRequest.js'
 import type { VmContext } from './vmContext.js'
 
@@ -52,10 +54,10 @@
     const waitedSeconds = (context.clock.monotonic() - request.arrivedAt) / millisecondsPerSecond
     context.metrics.firstByte.observe({ route: request.route.name }, waitedSeconds)
     if (!running.forwarded) context.meter.begin(request.id)
-    const tokens = isEventStream(running.exchange)
+    const tokens = running.collected === undefined
       ? await this.stream(request, response, running)
-      : await this.sendWhole(request, response, running)
-    running.finish(tokens.isOk)
+      : this.sendWhole(request, response, running, running.collected)
+    await running.finish(tokens.isErr ? tokens.error : undefined)
     settleCharge(context, charge, tokens.unwrapOr(requestTokens(request)))
     if (tokens.isErr) {
       context.meter.abandon(request.id)
@@ -66,24 +68,18 @@
     context.metrics.requests.inc({ route: request.route.name, team: request.team, outcome: Outcome.Done })
   }
 
-  private async sendWhole (
+  private sendWhole (
     request: GatewayRequest,
     response: ServerResponse,
-    running: RunningExchange
-  ): Promise<Result<number, UpstreamError>> {
-    const collected = await collectAnswer(running.exchange)
-    if (collected.isErr) {
-      this.refuse(request, response, refuse(RefusalReason.UpstreamFailed, collected.error.message, {
-        outcome: Outcome.Unknown
-      }))
-      return Result.err(collected.error)
-    }
+    running: RunningExchange,
+    answer: CollectedAnswer
+  ): Result<number, UpstreamError> {
     copyOutcome(response, running)
-    response.writeHead(collected.value.status, {
-      'content-type': collected.value.contentType, 'content-length': collected.value.body.length
+    response.writeHead(answer.status, {
+      'content-type': answer.contentType, 'content-length': answer.body.length
     })
-    response.end(collected.value.body)
-    return Result.ok(usedTokens(request, collected.value))
+    response.end(answer.body)
+    return Result.ok(usedTokens(request, answer))
   }
 
   private async stream (
@@ -95,13 +91,13 @@
     response.writeHead(running.exchange.status, {
       'content-type': contentTypeOf(running.exchange), 'cache-control': 'no-cache'
     })
-    const relayed = await relayEvents(running.exchange, response)
+    const relayed = await streamAnswer(running, response)
     if (relayed.isErr) {
       this.breakStream(request, response, relayed.error)
       return Result.err(relayed.error)
     }
     response.end()
-    return Result.ok(request.promptTokens + relayed.value.events)
+    return Result.ok(relayed.value.usedTokens ?? request.promptTokens + relayed.value.events)
   }
 
   /** Ends a broken stream with an error event and a broken connection, never a clean end. */
--- a/packages/daemon/src/requestAccounting.ts
+++ b/packages/daemon/src/requestAccounting.ts
@@ -10,7 +10,7 @@
 import type { Charge } from '@cuminvale/limits'
 import { requestTokens } from './gatewayRequest.js'
 import type { CollectedAnswer } from './answer.js'
-import type { RunningExchange } from './execution.js'
+import type { RunningExchange } from './upstreamAttempt.js'
 import type { GatewayRequest } from './gatewayRequest.js'
 import type { VmContext } from './vmContext.js'
 
--- a/packages/daemon/src/serveOrder.ts
+++ b/packages/daemon/src/serveOrder.ts
@@ -17,7 +17,7 @@
 import { requestTokens } from './gatewayRequest.js'
 import { sendRefusal } from './problemDocument.js'
 import type { CollectedAnswer } from './answer.js'
-import type { RunningExchange } from './execution.js'
+import type { RunningExchange } from './upstreamAttempt.js'
 import type { GatewayRequest } from './gatewayRequest.js'
 import type { VmContext } from './vmContext.js'
 
@@ -58,7 +58,7 @@
 ): Promise<OrderResult> => {
   if (!running.forwarded) context.meter.begin(request.id)
   const collected = await collectAnswer(running.exchange)
-  running.finish(collected.isOk)
+  await running.finish(collected.isErr ? collected.error : undefined)
   if (collected.isErr) {
     context.meter.abandon(request.id)
     return Result.err(refuse(RefusalReason.OutcomeUnknown, collected.error.message, { outcome: Outcome.Unknown }))
@@ -155,7 +155,7 @@
   if (running.isErr) return Result.err(running.error)
   context.meter.begin(request.id)
   const collected = await collectAnswer(running.value.exchange)
-  running.value.finish(collected.isOk)
+  await running.value.finish(collected.isErr ? collected.error : undefined)
   if (collected.isErr) {
     context.meter.abandon(request.id)
     return Result.err(refuse(RefusalReason.OutcomeUnknown, collected.error.message, { outcome: Outcome.Unknown }))
--- /dev/null
+++ b/packages/daemon/src/shutdown.ts
@@ -0,0 +1,46 @@
+/**
+ * Graceful shutdown: the VM leaves the entries answer, waits until callers had
+ * time to hear of it, finishes every request that it has or still gets on open
+ * connections, and only then closes its links.
+ */
+
+import { stop } from 'nact'
+import type { Server } from 'node:http'
+import type { Ref } from 'nact'
+import { drainNoticeMilliseconds, idleCloseMilliseconds } from './constants.js'
+import type { PeerLinks } from './peerLinks.js'
+import type { VmContext } from './vmContext.js'
+
+export interface RunningDaemon {
+  readonly context: VmContext
+  readonly links: PeerLinks
+  readonly servers: readonly Server[]
+  readonly system: Ref<never>
+}
+
+/** Stops listening, and closes each connection once it is idle. */
+const closeWhenIdle = async (server: Server): Promise<void> => {
+  const timer = setInterval(() => server.closeIdleConnections(), idleCloseMilliseconds)
+  await new Promise<void>((resolve) => {
+    server.close(() => resolve())
+    server.closeIdleConnections()
+  })
+  clearInterval(timer)
+}
+
+export const shutdown = async ({ context, links, servers, system }: RunningDaemon): Promise<void> => {
+  context.lifecycle.drain()
+  context.log.info('draining', { activeRequests: context.lifecycle.activeRequests })
+  await new Promise((resolve) => setTimeout(resolve, drainNoticeMilliseconds))
+  const [callers, peers, administration] = servers
+  if (callers !== undefined) await closeWhenIdle(callers)
+  await context.lifecycle.idle()
+  links.stop()
+  for (const server of [peers, administration]) {
+    if (server !== undefined) await closeWhenIdle(server)
+  }
+  context.scheduler.stop()
+  stop(system)
+  await context.upstreamClient.close()
+  context.log.info('stopped')
+}
--- /dev/null
+++ b/packages/daemon/src/streamAnswer.ts
@@ -0,0 +1,86 @@
+/**
+ * Relays a streamed answer to its caller, and resumes it on the same upstream
+ * after a break, without a repeated or a missing event.
+ */
+
+import { once } from 'node:events'
+import { Result } from 'true-myth'
+import type { ServerResponse } from 'node:http'
+import { isEventStream } from './answer.js'
+import { maximumResumes, resumeDelayMilliseconds } from './constants.js'
+import { UpstreamError, UpstreamErrorKind } from './errors.js'
+import { EventRelay } from './eventRelay.js'
+import { toUpstreamError } from './upstreamClient.js'
+import type { RunningExchange } from './upstreamAttempt.js'
+import type { Exchange } from './upstreamClient.js'
+
+export interface StreamEnd {
+  readonly events: number
+  /** From the engine's usage report, where it sent one. */
+  readonly usedTokens?: number
+  readonly resumes: number
+}
+
+const successStatus = 200
+
+const callerGone = (): UpstreamError => new UpstreamError(UpstreamErrorKind.Aborted, 'the caller went away')
+
+const writeWithBackpressure = async (response: ServerResponse, part: Buffer): Promise<void> => {
+  if (response.write(part)) return
+  await Promise.race([once(response, 'drain'), once(response, 'close')])
+}
+
+/** Relays one connection's part of the stream; undefined where the end mark came. */
+const relayPart = async (
+  exchange: Exchange,
+  relay: EventRelay,
+  response: ServerResponse
+): Promise<UpstreamError | undefined> => {
+  try {
+    for await (const chunk of exchange.body) {
+      const part = relay.push(chunk as Buffer)
+      if (response.destroyed) return callerGone()
+      if (part !== undefined) await writeWithBackpressure(response, part)
+      if (relay.isOverlong) return new UpstreamError(UpstreamErrorKind.TooLong, 'an event is over a megabyte')
+    }
+  } catch (error) {
+    return relay.ended ? undefined : toUpstreamError(error)
+  }
+  if (relay.ended) return undefined
+  return response.destroyed
+    ? callerGone()
+    : new UpstreamError(UpstreamErrorKind.Broken, 'the stream ended without its end mark')
+}
+
+const isResumable = (error: UpstreamError): boolean =>
+  error.kind === UpstreamErrorKind.Broken || error.kind === UpstreamErrorKind.Silent
+
+const resumeStream = async (running: RunningExchange, relay: EventRelay): Promise<Exchange | undefined> => {
+  await new Promise((resolve) => setTimeout(resolve, resumeDelayMilliseconds))
+  const resumed = await running.resume?.(relay.eventCount)
+  if (resumed === undefined || resumed.isErr) return undefined
+  if (resumed.value.status === successStatus && isEventStream(resumed.value)) return resumed.value
+  resumed.value.body.destroy()
+  return undefined
+}
+
+/** Relays to the end mark; an error means that it never came. */
+export const streamAnswer = async (
+  running: RunningExchange,
+  response: ServerResponse
+): Promise<Result<StreamEnd, UpstreamError>> => {
+  const relay = new EventRelay()
+  let exchange = running.exchange
+  for (let resumes = 0; ; resumes += 1) {
+    const error = await relayPart(exchange, relay, response)
+    if (error === undefined) {
+      const { eventCount, usedTokens } = relay
+      return Result.ok({ events: eventCount, resumes, ...(usedTokens === undefined ? {} : { usedTokens }) })
+    }
+    if (!isResumable(error) || resumes === maximumResumes) return Result.err(error)
+    relay.dropPartial()
+    const resumed = await resumeStream(running, relay)
+    if (resumed === undefined) return Result.err(error)
+    exchange = resumed
+  }
+}
--- a/packages/daemon/src/upstreamClient.ts
+++ b/packages/daemon/src/upstreamClient.ts
@@ -7,7 +7,7 @@
 import { Client, Pool, errors } from 'undici'
 import { Result } from 'true-myth'
 import type { Dispatcher } from 'undici'
-import { upstreamConnectMilliseconds, upstreamIdleMilliseconds } from './constants.js'
+import { idleConnectionMilliseconds, upstreamConnectMilliseconds } from './constants.js'
 import { UpstreamError, UpstreamErrorKind } from './errors.js'
 
 export interface ExchangeRequest {
@@ -17,7 +17,10 @@
   readonly headers: Readonly<Record<string, string>>
   readonly body: Buffer
   readonly signal: AbortSignal
-  readonly timeoutMilliseconds: number
+  /** Longest wait for the head of the answer. */
+  readonly headMilliseconds: number
+  /** Longest wait between two pieces of the body. */
+  readonly idleMilliseconds: number
   /** Use a connection of its own, so that a silent pooled one cannot swallow the request. */
   readonly freshConnection: boolean
 }
@@ -29,6 +32,7 @@
 }
 
 const connectionErrorCodes: readonly string[] = ['ECONNREFUSED', 'EHOSTUNREACH', 'ENETUNREACH', 'UND_ERR_CONNECT_TIMEOUT']
+const silenceErrorCodes: readonly string[] = ['UND_ERR_HEADERS_TIMEOUT', 'UND_ERR_BODY_TIMEOUT']
 const connectionsPerOrigin = 256
 
 /** Converts a transport error of undici or the socket below it. */
@@ -37,8 +41,12 @@
   if (name === 'AbortError' || error instanceof errors.RequestAbortedError) {
     return new UpstreamError(UpstreamErrorKind.Aborted, 'the caller went away')
   }
-  const kind = connectionErrorCodes.includes(code ?? '') ? UpstreamErrorKind.NotSent : UpstreamErrorKind.Broken
-  return new UpstreamError(kind, message ?? String(error))
+  return new UpstreamError(kindOfCode(code ?? ''), message ?? String(error))
+}
+
+const kindOfCode = (code: string): UpstreamErrorKind => {
+  if (connectionErrorCodes.includes(code)) return UpstreamErrorKind.NotSent
+  return silenceErrorCodes.includes(code) ? UpstreamErrorKind.Silent : UpstreamErrorKind.Broken
 }
 
 export class UpstreamClient {
@@ -53,8 +61,8 @@
         headers: request.headers,
         body: request.body.length > 0 ? request.body : null,
         signal: request.signal,
-        headersTimeout: request.timeoutMilliseconds,
-        bodyTimeout: Math.min(request.timeoutMilliseconds, upstreamIdleMilliseconds)
+        headersTimeout: request.headMilliseconds,
+        bodyTimeout: request.idleMilliseconds
       })
       if (request.freshConnection) response.body.once('close', () => { dispatcher.destroy().catch(() => {}) })
       return Result.ok({ status: response.statusCode, headers: response.headers, body: response.body })
@@ -64,6 +72,17 @@
     }
   }
 
+  /**
+   * Retires the idle connections to an origin after one of them went silent;
+   * whatever cut that one may have cut them too. Busy ones finish.
+   */
+  retire (origin: string): void {
+    const pool = this.pools.get(origin)
+    if (pool === undefined) return
+    this.pools.delete(origin)
+    pool.close().catch(() => {})
+  }
+
   async close (): Promise<void> {
     await Promise.all([...this.pools.values()].map((pool) => pool.destroy()))
     this.pools.clear()
@@ -77,7 +96,10 @@
     const existing = this.pools.get(origin)
     if (existing !== undefined) return existing
     const pool = new Pool(origin, {
-      connections: connectionsPerOrigin, pipelining: 1, connect: { timeout: upstreamConnectMilliseconds }
+      connections: connectionsPerOrigin,
+      pipelining: 1,
+      connect: { timeout: upstreamConnectMilliseconds },
+      keepAliveTimeout: idleConnectionMilliseconds
     })
     this.pools.set(origin, pool)
     return pool
--- a/packages/daemon/src/vmContext.ts
+++ b/packages/daemon/src/vmContext.ts
@@ -9,10 +9,10 @@
 import type { EntryChooser } from '@cuminvale/entries'
 import type { TeamLimiter } from '@cuminvale/limits'
 import type { Membership } from '@cuminvale/membership'
-import type { PeerIdentity } from '@cuminvale/messages'
+import type { Outbound, PeerIdentity } from '@cuminvale/messages'
 import type { OrderLedger, TicketMint } from '@cuminvale/orders'
 import type { ClientDirectory, ConfigurationService, VmList, WeightStore } from '@cuminvale/platform'
-import type { UpstreamTable } from '@cuminvale/routing'
+import type { CrashSuspects, RetryPolicy, SuspicionSpread, UpstreamTable } from '@cuminvale/routing'
 import type { UsageMeter } from '@cuminvale/metering'
 import type { Log } from './log.js'
 import type { Metrics } from './metrics.js'
@@ -45,12 +45,17 @@
   readonly entries: EntryChooser
   readonly table: UpstreamTable
   readonly scheduler: Scheduler
+  readonly retries: RetryPolicy
+  readonly suspects: CrashSuspects
+  readonly suspicionSpread: SuspicionSpread
   readonly mint: TicketMint
   readonly ledger: OrderLedger
   readonly meter: UsageMeter
   readonly upstreamClient: UpstreamClient
   readonly lifecycle: Lifecycle
   readonly ports: ListeningPorts
+  /** Sends messages over the links; those to VMs without a link are dropped. */
+  sendToPeers: (outbound: readonly Outbound[]) => void
 }
 
 /** Ports that the edges listen on, known once they do; settings may ask for port 0. */
--- a/packages/routing/src/crashSuspects.ts
+++ b/packages/routing/src/crashSuspects.ts
@@ -57,6 +57,11 @@
 
   constructor (private readonly options: CrashSuspectsOptions) {}
 
+  /** Whether nothing is suspected, so that digests need not be computed. */
+  get isEmpty (): boolean {
+    return this.suspects.size === 0
+  }
+
   suspicionOf (digest: RequestDigest): Suspicion {
     const suspect = this.suspects.get(digest)
     if (suspect === undefined || this.isOver(suspect)) return { kind: SuspicionKind.Clear }
