Prove breaks, silence, crashes, leaving upstreams and shutdown on the whole path

Change: scripted upstreams and nine fault tests over real sockets. They found an unhandled error event, which would have ended the daemon, when the answer to a refused resume was dropped; answers are now dropped by one function that listens. A stream broken at event 4 of 10 arrives whole after one resume.

--- a/packages/daemon/src/answer.ts
+++ b/packages/daemon/src/answer.ts
@@ -24,6 +24,12 @@
 
 export const isEventStream = (exchange: Exchange): boolean => contentTypeOf(exchange).startsWith(eventStreamType)
 
+/** Drops the rest of an answer and its connection. */
+export const discardAnswer = (exchange: Exchange): void => {
+  exchange.body.on('error', () => {})
+  exchange.body.destroy()
+}
+
 /** Reads the whole answer; a broken or overlong one is an error. */
 export const collectAnswer = async (exchange: Exchange): Promise<Result<CollectedAnswer, UpstreamError>> => {
   const chunks: Buffer[] = []
@@ -33,7 +39,7 @@
       chunks.push(chunk as Buffer)
       length += (chunk as Buffer).length
       if (length > responseLimitBytes) {
-        exchange.body.destroy()
+        discardAnswer(exchange)
         return Result.err(new UpstreamError(UpstreamErrorKind.TooLong, `answer is over ${responseLimitBytes} bytes`))
       }
     }
--- /dev/null
+++ b/packages/daemon/src/eventRelay.test.ts
@@ -0,0 +1,38 @@
+import * as fastCheck from 'fast-check'
+import { describe, expect, it } from 'vitest'
+import { EventRelay } from './eventRelay.js'
+
+const stream = 'data: {"a":1}\n\n: comment\n\ndata: {"b":2}\r\n\r\ndata: {"usage":{"total_tokens": 42}}\n\ndata: [DONE]\n\n'
+
+const relayInPieces = (cuts: readonly number[]) => {
+  const relay = new EventRelay()
+  const bytes = Buffer.from(stream)
+  const borders = [0, ...cuts.map((cut) => cut % bytes.length).sort((first, second) => first - second), bytes.length]
+  let passed = ''
+  for (let index = 1; index < borders.length; index += 1) {
+    const part = relay.push(bytes.subarray(borders[index - 1], borders[index]))
+    passed += part?.toString() ?? ''
+  }
+  return { relay, passed }
+}
+
+describe('EventRelay', () => {
+  it('passes the same bytes and counts the same, however the stream is cut', () => {
+    fastCheck.assert(fastCheck.property(fastCheck.array(fastCheck.nat(200), { maxLength: 12 }), (cuts) => {
+      const { relay, passed } = relayInPieces(cuts)
+      expect(passed).toBe(stream)
+      expect(relay.eventCount).toBe(3)
+      expect(relay.ended).toBe(true)
+      expect(relay.usedTokens).toBe(42)
+    }), { seed: 1 })
+  })
+
+  it('holds a partial event back, and forgets it when the stream goes on elsewhere', () => {
+    const relay = new EventRelay()
+    expect(relay.push(Buffer.from('data: 1\n\ndata: 2'))?.toString()).toBe('data: 1\n\n')
+    relay.dropPartial()
+    expect(relay.push(Buffer.from('data: 2\n\n'))?.toString()).toBe('data: 2\n\n')
+    expect(relay.eventCount).toBe(2)
+    expect(relay.ended).toBe(false)
+  })
+})
--- a/packages/daemon/src/streamAnswer.ts
+++ b/packages/daemon/src/streamAnswer.ts
@@ -6,7 +6,7 @@
 import { once } from 'node:events'
 import { Result } from 'true-myth'
 import type { ServerResponse } from 'node:http'
-import { isEventStream } from './answer.js'
+import { discardAnswer, isEventStream } from './answer.js'
 import { maximumResumes, resumeDelayMilliseconds } from './constants.js'
 import { UpstreamError, UpstreamErrorKind } from './errors.js'
 import { EventRelay } from './eventRelay.js'
@@ -60,7 +60,7 @@
   const resumed = await running.resume?.(relay.eventCount)
   if (resumed === undefined || resumed.isErr) return undefined
   if (resumed.value.status === successStatus && isEventStream(resumed.value)) return resumed.value
-  resumed.value.body.destroy()
+  discardAnswer(resumed.value)
   return undefined
 }
 
--- /dev/null
+++ b/packages/demo/src/scriptedUpstream.ts
@@ -0,0 +1,68 @@
+/**
+ * An upstream for fault tests: each request is handled by the script in force,
+ * and the whole upstream can die and come back on its port.
+ */
+
+import { HttpFake, pathOf, readText, sendJson } from '@cuminvale/fakes'
+import type { IncomingMessage, ServerResponse } from 'node:http'
+
+export interface ScriptedRequest {
+  readonly upstream: ScriptedUpstream
+  readonly request: IncomingMessage
+  readonly response: ServerResponse
+  readonly body: string
+}
+
+export type Script = (scripted: ScriptedRequest) => void | Promise<void>
+
+export class ScriptedUpstream {
+  readonly server = new HttpFake((request, response) => this.handle(request, response))
+  readonly bodies: string[] = []
+  deaths = 0
+  leaving = false
+  private port = 0
+
+  constructor (public script: Script) {}
+
+  async start (): Promise<void> {
+    await this.server.start(this.port)
+    this.port = Number(new URL(this.server.address).port)
+  }
+
+  /** Breaks every connection and refuses new ones. */
+  async die (): Promise<void> {
+    this.deaths += 1
+    await this.server.stop()
+  }
+
+  private async handle (request: IncomingMessage, response: ServerResponse): Promise<void> {
+    if (pathOf(request).pathname === '/control/load') {
+      return sendJson(response, 200, { running: 0, queued: 0, ageMilliseconds: 0, leaving: this.leaving })
+    }
+    const body = await readText(request)
+    this.bodies.push(body)
+    await this.script({ upstream: this, request, response, body })
+  }
+}
+
+export const answerWhole: Script = ({ response, body }) => sendJson(response, 200, { echo: body })
+
+export const neverAnswer: Script = () => {}
+
+/** Sends the head and half of the promised body, then breaks. */
+export const breakHalfway: Script = ({ response }) => {
+  response.writeHead(200, { 'content-type': 'application/json', 'content-length': 100 })
+  response.write('{"half":', () => response.destroy())
+}
+
+const event = (index: number): string => `data: {"choices":[{"index":0,"text":"w${index} "}]}\n\n`
+
+/** Streams events from the position asked for, and breaks before the given one; ends whole without it. */
+export const streamEvents = (total: number, breakBefore?: number): Script => ({ request, response }) => {
+  const from = Number(request.headers['cuminvale-resume-from'] ?? 0)
+  const stop = from === 0 ? breakBefore ?? total : total
+  response.writeHead(200, { 'content-type': 'text/event-stream' })
+  for (let index = from; index < stop; index += 1) response.write(event(index))
+  if (stop === total) response.end('data: [DONE]\n\n')
+  else response.write('data: {"choices":[{"ind', () => response.destroy())
+}
--- /dev/null
+++ b/packages/demo/src/upstreamFaults.test.ts
@@ -0,0 +1,181 @@
+import { request } from 'undici'
+import { afterEach, describe, expect, it } from 'vitest'
+import { cooperativa } from './deployments.js'
+import { ScriptedUpstream, answerWhole, breakHalfway, neverAnswer, streamEvents } from './scriptedUpstream.js'
+import { TestFleet } from './testFleet.js'
+import { waitFor } from './waitFor.js'
+import type { Script } from './scriptedUpstream.js'
+
+let fleet: TestFleet
+let upstreams: readonly ScriptedUpstream[] = []
+
+const region = 'lombardia'
+
+const publishUpstreams = async (scripts: readonly Script[]): Promise<void> => {
+  upstreams = scripts.map((script) => new ScriptedUpstream(script))
+  await Promise.all(upstreams.map(async (upstream) => await upstream.start()))
+  const revision = fleet.platform.configuration.publish({
+    upstreams: JSON.stringify({
+      upstreams: upstreams.map((upstream, index) => ({
+        name: `scripted-${index}`,
+        region,
+        failureDomain: `${region}-a`,
+        address: upstream.server.address,
+        routes: ['drafting', 'counter', 'orders', 'order-status'],
+        models: ['catalogue-writer'],
+        slots: 16
+      }))
+    })
+  })
+  await waitFor('the upstreams to be in force', () => Promise.resolve(
+    fleet.vms.every(({ daemon }) => daemon.context.configuration.current?.revision === revision)), 10_000)
+}
+
+const startWith = async (scripts: readonly Script[], vmCount = 1): Promise<void> => {
+  fleet = await TestFleet.start(cooperativa, vmCount)
+  await publishUpstreams(scripts)
+}
+
+afterEach(async () => {
+  await fleet.stop()
+  await Promise.all(upstreams.map(async (upstream) => await upstream.server.stop()))
+})
+
+const send = async (path: string, body?: string, vm = 0) => {
+  const response = await request(fleet.address(vm) + path, {
+    method: body === undefined ? 'GET' : 'POST',
+    headers: { authorization: `Bearer ${fleet.key(0)}`, 'cuminvale-route': 'counter' },
+    ...(body === undefined ? {} : { body })
+  })
+  return { status: response.statusCode, headers: response.headers, text: await response.body.text() }
+}
+
+const completion = (prompt: string, stream = false): string =>
+  JSON.stringify({ model: 'catalogue-writer', prompt, stream, max_tokens: 4 })
+
+const deaths = (): number => upstreams.reduce((sum, upstream) => sum + upstream.deaths, 0)
+
+describe('whole answers', () => {
+  it('retries an answer that breaks halfway, unseen by the caller', async () => {
+    await startWith([breakHalfway, answerWhole])
+    const answers = await Promise.all(Array.from({ length: 6 }, async (_, index) => await send('/v1/completions', completion(`p${index}`))))
+    expect(answers.map(({ status }) => status)).toEqual([200, 200, 200, 200, 200, 200])
+    answers.forEach(({ text }, index) => expect(text).toContain(`p${index}`))
+  })
+
+  it('gives every caller the answer to its own request while others break and cross', async () => {
+    let turn = 0
+    const crossed: Script = async (scripted) => {
+      turn += 1
+      if (turn % 4 === 0) return await breakHalfway(scripted)
+      await new Promise((resolve) => setTimeout(resolve, (turn * 7) % 30))
+      return await answerWhole(scripted)
+    }
+    await startWith([crossed, crossed])
+    const answers = await Promise.all(Array.from({ length: 40 }, async (_, index) => {
+      const { status, text } = await send('/v1/completions', completion(`mine-${index}.`))
+      return status === 200 ? text.includes(`mine-${index}.`) : 'refused'
+    }))
+    expect(answers).not.toContain(false)
+  })
+})
+
+describe('streams', () => {
+  it('resumes a broken stream with no event repeated or missing', async () => {
+    await startWith([streamEvents(10, 4)])
+    const { text } = await send('/v1/completions', completion('x', true))
+    expect([...text.matchAll(/w(\d+) /g)].map((match) => Number(match[1]))).toEqual([0, 1, 2, 3, 4, 5, 6, 7, 8, 9])
+    expect(text.trimEnd().endsWith('data: [DONE]')).toBe(true)
+  })
+
+  it('ends with an error, never as if whole, where it cannot be resumed', async () => {
+    const refuseResume: Script = (scripted) => {
+      if (scripted.request.headers['cuminvale-resume-from'] === undefined) return streamEvents(10, 4)(scripted)
+      scripted.response.writeHead(404).end()
+    }
+    await startWith([refuseResume])
+    const response = await request(fleet.address(0) + '/v1/completions', {
+      method: 'POST',
+      headers: { authorization: `Bearer ${fleet.key(0)}`, 'cuminvale-route': 'counter' },
+      body: completion('x', true)
+    })
+    let text = ''
+    const read = async () => { for await (const chunk of response.body) text += String(chunk) }
+    await expect(read()).rejects.toThrow()
+    expect(text).not.toContain('[DONE]')
+  })
+})
+
+describe('silent connections', () => {
+  it('moves a request on from an upstream that never answers, within its own limit', async () => {
+    await startWith([neverAnswer, answerWhole])
+    const answers = await Promise.all(Array.from({ length: 4 }, async () => await send('/v1/services/order-status/1')))
+    expect(answers.map(({ status }) => status)).toEqual([200, 200, 200, 200])
+  })
+})
+
+describe('requests that crash upstreams', () => {
+  const crashOn: Script = async (scripted) => {
+    if (!scripted.body.includes('crash')) return await answerWhole(scripted)
+    await scripted.upstream.die()
+  }
+
+  it('are refused after two deaths, through every VM, while others are served', async () => {
+    await startWith([crashOn, crashOn, crashOn, crashOn, crashOn], 3)
+    const statuses: number[] = []
+    for (let index = 0; index < 12; index += 1) {
+      const answer = await send('/v1/completions', completion('crash'), index % 3)
+      statuses.push(answer.status)
+    }
+    expect(deaths()).toBe(2)
+    expect(statuses.slice(-6)).toEqual([422, 422, 422, 422, 422, 422])
+    const innocent = await send('/v1/completions', completion('harmless'), 2)
+    expect(innocent.status).toBe(200)
+  })
+
+  it('leave the requests that ran beside them unblamed', async () => {
+    const slow: Script = async (scripted) => {
+      if (scripted.body.includes('crash')) return await scripted.upstream.die()
+      await new Promise((resolve) => setTimeout(resolve, 150))
+      if (!scripted.response.destroyed) await answerWhole(scripted)
+    }
+    await startWith([slow, slow, slow, slow])
+    const innocents = Promise.all(Array.from({ length: 8 }, async (_, index) => await send('/v1/completions', completion(`fine-${index}`))))
+    const culprit = await send('/v1/completions', completion('crash'))
+    expect(culprit.status).not.toBe(200)
+    expect((await innocents).map(({ status }) => status)).not.toContain(422)
+    const again = await Promise.all(Array.from({ length: 8 }, async (_, index) => await send('/v1/completions', completion(`fine-${index}`))))
+    expect(again.map(({ status }) => status)).toEqual(Array.from({ length: 8 }, () => 200))
+    expect(deaths()).toBe(2)
+  })
+})
+
+describe('leaving upstreams', () => {
+  it('get no new work once their load report says so', async () => {
+    await startWith([answerWhole, answerWhole])
+    const [first] = upstreams
+    if (first !== undefined) first.leaving = true
+    await waitFor('the report to arrive', () => Promise.resolve(
+      fleet.vms.every(({ daemon }) => daemon.context.table.views().some((view) => view.upstream.leaving))), 5_000)
+    const before = first?.bodies.length
+    for (let index = 0; index < 10; index += 1) await send('/v1/services/order-status/1')
+    expect(first?.bodies.length).toBe(before)
+  })
+})
+
+describe('graceful shutdown', () => {
+  it('cuts no request that is running or arrives on an open connection', async () => {
+    const slow: Script = async (scripted) => {
+      await new Promise((resolve) => setTimeout(resolve, 400))
+      await answerWhole(scripted)
+    }
+    await startWith([slow])
+    const running = Promise.all(Array.from({ length: 10 }, async (_, index) => await send('/v1/completions', completion(`r${index}`))))
+    await new Promise((resolve) => setTimeout(resolve, 100))
+    const stopping = fleet.vms[0]?.daemon.shutdown()
+    const late = await send('/v1/completions', completion('late'))
+    expect((await running).map(({ status }) => status)).toEqual(Array.from({ length: 10 }, () => 200))
+    expect(late.status).toBe(200)
+    await stopping
+  })
+})
