--- a/packages/daemon/src/callerServer.ts
+++ b/packages/daemon/src/callerServer.ts
@@ -8,6 +8,7 @@
 import { answerEntries } from './entriesEndpoint.js'
 import { Gateway } from './gateway.js'
 import { answerModels } from './modelsEndpoint.js'
+import { refusalForCaller } from './orderRefusal.js'
 import { sendRefusal } from './problemDocument.js'
 import { logRefusal } from './requestAccounting.js'
 import { receiveRequest } from './receiveRequest.js'
@@ -42,7 +43,7 @@
   if (received.isErr) {
     context.metrics.refusals.inc({ reason: received.error.reason })
     context.log.info('refusal', { request: id, reason: received.error.reason, detail: received.error.detail })
-    sendRefusal(response, received.error)
+    sendRefusal(response, refusalForCaller(context, incoming, received.error))
     if (!incoming.complete) incoming.destroy()
     return
   }
--- a/packages/daemon/src/createContext.ts
+++ b/packages/daemon/src/createContext.ts
@@ -9,7 +9,8 @@
 import { StaticSplitLimiter } from '@cuminvale/limits'
 import { ListMembership } from '@cuminvale/membership'
 import { UsageMeter } from '@cuminvale/metering'
-import { OrderLedger, TicketMint, ledgerCapacity } from '@cuminvale/orders'
+import { SeenProofs, seenProofCapacity } from '@cuminvale/keys'
+import { OrderGate, OrderLedger, TicketMint, ledgerCapacity, ledgerCapacityBytes } from '@cuminvale/orders'
 import { HttpClientDirectory, HttpConfigurationService, HttpVmList, HttpWeightStore } from '@cuminvale/platform'
 import { CrashSuspects, LeastInFlightChooser, RetryBudget, SuspicionSpread, UpstreamTable } from '@cuminvale/routing'
 import type { RegionId } from '@cuminvale/common'
@@ -18,6 +19,7 @@
 import { crashSuspectCapacity } from './constants.js'
 import { createLog } from './log.js'
 import { Metrics } from './metrics.js'
+import { OrderPeers } from './orderPeers.js'
 import { Scheduler } from './scheduler.js'
 import { SecretFile } from './secrets.js'
 import { reachablePeers } from './reachablePeers.js'
@@ -84,6 +86,8 @@
     remoteRegions: createRemoteRegions(configuration, membership, identity.region)
   })
   const suspects = new CrashSuspects({ clock, capacity: crashSuspectCapacity })
+  const mint = new TicketMint({ clock, vm: identity.vm, incarnation })
+  const ledger = new OrderLedger({ clock, capacity: ledgerCapacity, capacityBytes: ledgerCapacityBytes })
   return {
     settings,
     clock,
@@ -104,8 +108,11 @@
     retries: new RetryBudget({ clock, random }),
     suspects,
     suspicionSpread: new SuspicionSpread({ clock, suspects, peers: reachablePeers(membership) }),
-    mint: new TicketMint({ clock, vm: identity.vm, incarnation }),
-    ledger: new OrderLedger({ clock, capacity: ledgerCapacity }),
+    mint,
+    ledger,
+    orderGate: new OrderGate({ mint, ledger, peer: (vm) => membership.find(vm) }),
+    orderPeers: new OrderPeers({ clock, identity, membership }),
+    seenProofs: new SeenProofs(seenProofCapacity),
     meter: new UsageMeter(),
     upstreamClient: new UpstreamClient(),
     lifecycle: new Lifecycle(),
--- a/packages/daemon/src/createDaemon.ts
+++ b/packages/daemon/src/createDaemon.ts
@@ -57,7 +57,9 @@
     onAcceptance: (acceptance) => logAcceptance(context, acceptance)
   })
   context.configuration.onChange(() => send(spread.announce()))
+  context.orderPeers.connect(send)
   return new Map([
+    ['orders', spawnProtocolActor(parent, { name: 'orders', protocol: context.orderPeers.copies, send, log: context.log })],
     ['configuration', spawnProtocolActor(parent, { name: 'configuration', protocol: spread, send, log: context.log })],
     ['suspicion', spawnProtocolActor(parent, {
       name: 'suspicion', protocol: context.suspicionSpread, send, log: context.log
--- a/packages/daemon/src/forwardRequest.ts
+++ b/packages/daemon/src/forwardRequest.ts
@@ -3,10 +3,11 @@
  * check in place of the key.
  */
 
+import { randomUUID } from 'node:crypto'
 import { Result } from 'true-myth'
 import { assertInvariant, headerNames } from '@cuminvale/common'
 import { digestBody, forwardProofLifetimeMilliseconds, signForward } from '@cuminvale/keys'
-import type { VmId } from '@cuminvale/common'
+import type { IncarnationId, VmId } from '@cuminvale/common'
 import type { ForwardClaims } from '@cuminvale/keys'
 import type { Member } from '@cuminvale/membership'
 import { attemptLimits } from './attemptLimits.js'
@@ -19,15 +20,27 @@
 
 export const forwardPath = '/forward'
 
-const claimsFor = (context: VmContext, request: GatewayRequest, to: Member): ForwardClaims => {
+/** A VM that forwards an order under its own ticket hands it over to be run. */
+const runsOrder = (context: VmContext, request: GatewayRequest): boolean =>
+  request.ticket !== undefined && context.mint.isOwn(request.ticket.ticket)
+
+const claimsFor = (
+  context: VmContext,
+  request: GatewayRequest,
+  to: Member,
+  toIncarnation: IncarnationId
+): ForwardClaims => {
   const { identity } = context
   const crosses = to.vm.region !== identity.region
   const now = context.clock.wall()
   return {
+    nonce: randomUUID(),
     requestId: request.id,
     from: identity.vm,
+    fromIncarnation: identity.incarnation,
     fromRegion: identity.region,
     to: to.vm.name,
+    toIncarnation,
     team: request.team,
     ...(request.identity === undefined ? {} : { keyDigest: request.identity.digest }),
     revision: context.configuration.current?.revision ?? (0 as never),
@@ -36,6 +49,7 @@
     path: request.path,
     method: request.method,
     ...(request.ticketText === undefined ? {} : { ticket: request.ticketText }),
+    runsOrder: runsOrder(context, request),
     hops: request.hops + 1,
     borderCrossings: request.borderCrossings + (crosses ? 1 : 0),
     chargedTokens: requestTokens(request),
@@ -54,7 +68,8 @@
 ): Promise<Result<RunningExchange, UpstreamError>> => {
   const member = context.membership.find(vm)
   if (member === undefined) return Result.err(new UpstreamError(UpstreamErrorKind.NotSent, `${vm} is not listed`))
-  const claims = claimsFor(context, request, member)
+  if (member.incarnation === undefined) return Result.err(new UpstreamError(UpstreamErrorKind.NotSent, `${vm} was never heard from`))
+  const claims = claimsFor(context, request, member, member.incarnation)
   assertInvariant(claims.hops <= maximumHops && claims.borderCrossings <= maximumBorderCrossings, 'no-loops',
     () => `request ${request.id} at hop ${claims.hops}, crossing ${claims.borderCrossings}`)
   const result = await context.upstreamClient.exchange({
--- a/packages/daemon/src/gatewayRequest.ts
+++ b/packages/daemon/src/gatewayRequest.ts
@@ -3,7 +3,7 @@
  * ask about it.
  */
 
-import type { ParsedTicket } from '@cuminvale/orders'
+import type { OrderSender, ParsedTicket } from '@cuminvale/orders'
 import type { KeyIdentity } from '@cuminvale/keys'
 import type { ModelName, RegionId, RequestId, TeamId } from '@cuminvale/common'
 import type { Plan, Route } from '@cuminvale/documents'
@@ -37,6 +37,8 @@
   readonly charged: boolean
   readonly ticketText?: string
   readonly ticket?: ParsedTicket
+  /** The VM that minted the ticket, where it hands the order over to be run here. */
+  readonly runOrderFor?: OrderSender
   /** Aborted when the caller goes away. */
   readonly signal: AbortSignal
 }
--- /dev/null
+++ b/packages/daemon/src/orderPeers.ts
@@ -0,0 +1,55 @@
+/**
+ * Connects the copies of order outcomes with the links to other VMs: the
+ * request path asks through it, and its actor feeds it messages and ticks.
+ */
+
+import { copyCount, OrderCopies } from '@cuminvale/orders'
+import type { Clock } from '@cuminvale/common'
+import type { Membership } from '@cuminvale/membership'
+import type { Outbound, PeerIdentity, RecordedAnswer, UsedTickets } from '@cuminvale/messages'
+import type { CopyPeer, FoundOutcome, ParsedTicket } from '@cuminvale/orders'
+
+export interface OrderPeersOptions {
+  readonly clock: Clock
+  readonly identity: PeerIdentity
+  readonly membership: Membership
+}
+
+const handOverTimeoutMilliseconds = 2_000
+
+const copyPeers = (membership: Membership): readonly CopyPeer[] =>
+  membership.members.map(({ vm, reachable }) => ({
+    vm: vm.name, region: vm.region, failureDomain: vm.failureDomain, reachable
+  }))
+
+export class OrderPeers {
+  readonly copies: OrderCopies
+  private send: (outbound: readonly Outbound[]) => void = () => {}
+
+  constructor ({ clock, identity, membership }: OrderPeersOptions) {
+    this.copies = new OrderCopies({ clock, self: identity, peers: () => copyPeers(membership), copyCount })
+  }
+
+  /** Sets how messages reach peers, once links exist. */
+  connect (send: (outbound: readonly Outbound[]) => void): void {
+    this.send = send
+  }
+
+  copy (ticket: ParsedTicket, answer: RecordedAnswer): void {
+    this.send(this.copies.copy(ticket, answer))
+  }
+
+  async recall (ticket: ParsedTicket): Promise<FoundOutcome> {
+    const { outbound, found } = this.copies.recall(ticket)
+    this.send(outbound)
+    return await found
+  }
+
+  /** Hands the record of used tickets over; waits a bounded time until it is held elsewhere. */
+  async handOver (used: UsedTickets): Promise<void> {
+    const { outbound, held } = this.copies.close(used)
+    this.send(outbound)
+    const timeout = new Promise<void>((resolve) => setTimeout(resolve, handOverTimeoutMilliseconds).unref())
+    await Promise.race([held, timeout])
+  }
+}
--- a/packages/daemon/src/receiveForward.ts
+++ b/packages/daemon/src/receiveForward.ts
@@ -4,9 +4,9 @@
  */
 
 import { Result } from 'true-myth'
-import { RefusalReason, headerNames, refuse } from '@cuminvale/common'
+import { Outcome, RefusalReason, headerNames, refuse } from '@cuminvale/common'
 import { RouteKind, allowedRegions, planOfTeam } from '@cuminvale/documents'
-import { isKeyInForce, verifyForward } from '@cuminvale/keys'
+import { isKeyInForce, unverifiedOrder, verifyForward } from '@cuminvale/keys'
 import { parseTicket } from '@cuminvale/orders'
 import type { IncomingMessage } from 'node:http'
 import type { Refusal, RegionId } from '@cuminvale/common'
@@ -60,6 +60,8 @@
   return Result.ok({ claims, route, identity, plan, allowedRegions: allowedRegions(team, plan, route) })
 }
 
+const forwardHeader = (incoming: IncomingMessage): string => String(incoming.headers[headerNames.forwarded] ?? '')
+
 const readVerifiedClaims = async (
   incoming: IncomingMessage,
   context: VmContext
@@ -69,15 +71,20 @@
     timeoutMilliseconds: context.settings.requests['body-timeout-milliseconds']
   })
   if (body.isErr) return Result.err(body.error)
-  const verified = verifyForward(String(incoming.headers[headerNames.forwarded] ?? ''), {
+  const header = forwardHeader(incoming)
+  const verified = verifyForward(header, {
     secrets: context.fleetSecret.accepted,
     self: context.identity.vm,
+    incarnation: context.identity.incarnation,
+    seen: context.seenProofs,
     body: body.value,
     now: context.clock.wall()
   })
   return verified
     .map((claims) => ({ claims, body: body.value }))
-    .mapErr((error) => refuse(RefusalReason.KeyUnknown, error.message))
+    .mapErr((error) => refuse(RefusalReason.KeyUnknown, error.message, {
+      outcome: error.isReplay ? Outcome.Unknown : Outcome.NotRun
+    }))
 }
 
 /** Builds the classified request that a peer forwarded, or says why it is refused. */
@@ -87,12 +94,16 @@
   signal: AbortSignal
 ): Promise<Result<GatewayRequest, Refusal>> => {
   const verified = await readVerifiedClaims(incoming, context)
-  if (verified.isErr) return Result.err(verified.error)
+  if (verified.isErr) {
+    return Result.err(context.orderGate.refusalOfForward(unverifiedOrder(forwardHeader(incoming)), verified.error))
+  }
   const { claims, body } = verified.value
   const checked = checkHops(claims)
     .andThen(() => requireConfiguration(context))
     .andThen((configuration) => checkClaims(claims, configuration, context.identity.region))
-  return checked.map((accepted) => buildRequest({ accepted, body, context, signal, incoming }))
+  return checked
+    .map((accepted) => buildRequest({ accepted, body, context, signal, incoming }))
+    .mapErr((refusal) => context.orderGate.refusalOfForward(claims, refusal))
 }
 
 /** After its one border crossing a request runs here or not at all. */
@@ -140,6 +151,7 @@
     charged: true,
     ...(claims.ticket === undefined ? {} : { ticketText: claims.ticket }),
     ...(ticket?.isJust === true ? { ticket: ticket.value } : {}),
+    ...(claims.runsOrder ? { runOrderFor: { vm: claims.from, incarnation: claims.fromIncarnation } } : {}),
     signal
   }
 }
--- a/packages/daemon/src/serveOrder.ts
+++ b/packages/daemon/src/serveOrder.ts
@@ -1,15 +1,18 @@
 /**
- * Serves a non-idempotent request under its ticket. Only the incarnation that
- * minted the ticket runs it; any other VM forwards to that one, and says
- * `unknown` where it cannot be reached.
+ * Serves a non-idempotent request under its ticket, as the order gate decides:
+ * runs it, repeats its recorded answer, passes it to the VM that minted the
+ * ticket, or looks for a copy of its outcome.
  */
 
 import { Result } from 'true-myth'
-import { Outcome, RefusalReason, headerNames, refuse } from '@cuminvale/common'
+import { Outcome, RefusalReason, headerNames, millisecondsPerSecond, refuse } from '@cuminvale/common'
+import { digestBody } from '@cuminvale/keys'
+import { OrderFinding } from '@cuminvale/messages'
 import { OrderStep } from '@cuminvale/orders'
 import type { ServerResponse } from 'node:http'
-import type { Refusal } from '@cuminvale/common'
+import type { Refusal, VmId } from '@cuminvale/common'
 import type { OrderResult, ParsedTicket } from '@cuminvale/orders'
+import type { RecordedAnswer } from '@cuminvale/messages'
 import { collectAnswer } from './answer.js'
 import { execute } from './execution.js'
 import { forwardRequest } from './forwardRequest.js'
@@ -17,58 +20,92 @@
 import { requestTokens } from './gatewayRequest.js'
 import { sendRefusal } from './problemDocument.js'
 import type { CollectedAnswer } from './answer.js'
-import type { RunningExchange } from './upstreamAttempt.js'
 import type { GatewayRequest } from './gatewayRequest.js'
+import type { RunningExchange } from './upstreamAttempt.js'
 import type { VmContext } from './vmContext.js'
 
-const refuseOrder = (
-  context: VmContext,
-  request: GatewayRequest,
-  response: ServerResponse,
-  refusal: Refusal
-): void => {
+const unknownRetryMilliseconds = 2_000
+
+/** One attempt to have an order run, with what all of its steps need. */
+interface OrderCall {
+  readonly context: VmContext
+  readonly request: GatewayRequest
+  readonly ticket: ParsedTicket
+  readonly response: ServerResponse
+}
+
+type OrderResponse = Pick<OrderCall, 'context' | 'request' | 'response'>
+
+const offerTicket = ({ context, request, response }: OrderResponse): void => {
+  if (request.hops === 0) response.setHeader(headerNames.ticket, context.mint.mint(request.team))
+}
+
+const refuseOrder = (call: OrderResponse, refusal: Refusal): void => {
+  const { context, request, response } = call
   logRefusal(context, request, refusal)
-  const offersTicket = refusal.outcome === Outcome.NotRun && request.hops === 0
-  if (offersTicket) response.setHeader(headerNames.ticket, context.mint.mint(request.team))
+  if (refusal.outcome === Outcome.NotRun) offerTicket(call)
+  if (refusal.retryAfterMilliseconds !== undefined) {
+    response.setHeader('retry-after', Math.ceil(refusal.retryAfterMilliseconds / millisecondsPerSecond))
+  }
   sendRefusal(response, refusal)
 }
 
-/** The refusal in a forwarded answer, where it is one. */
-const statedOutcome = (running: RunningExchange): string => {
-  const stated = running.exchange.headers[headerNames.outcome]
-  return typeof stated === 'string' ? stated : Outcome.Done
+const sendAnswer = ({ context, response }: OrderCall, answer: RecordedAnswer): void => {
+  writeAnswerHead(response, { ...answer, body: Buffer.from(answer.body) }, context.identity.vm)
+  response.end(answer.body)
 }
 
-const orderResultOf = (context: VmContext, ticket: ParsedTicket, running: RunningExchange, answer: CollectedAnswer): OrderResult => {
-  if (!running.forwarded || statedOutcome(running) === Outcome.Done) return Result.ok(answer)
-  const isNotRun = statedOutcome(running) === Outcome.NotRun
-  if (isNotRun) context.ledger.retractSend(ticket.ticket)
-  return Result.err(refuse(
-    isNotRun ? RefusalReason.NoUpstream : RefusalReason.OutcomeUnknown,
-    `${running.servedBy} answered ${answer.status}`,
-    { outcome: isNotRun ? Outcome.NotRun : Outcome.Unknown }
-  ))
+const sendResult = (call: OrderCall, result: OrderResult): void => {
+  if (result.isErr) refuseOrder(call, result.error)
+  else sendAnswer(call, result.value)
 }
 
-const finishOrder = async (
+const unknownOutcome = (detail: string): Refusal =>
+  refuse(RefusalReason.OutcomeUnknown, detail, { outcome: Outcome.Unknown })
+
+/** The outcome that a forwarded answer states. */
+const statedOutcome = (running: RunningExchange): string => {
+  const stated = running.exchange.headers[headerNames.outcome]
+  return typeof stated === 'string' ? stated : Outcome.Unknown
+}
+
+/** Reads the answer of an order that ran in this VM's region. */
+const finishLocal = async (
   context: VmContext,
   request: GatewayRequest,
-  ticket: ParsedTicket,
   running: RunningExchange
 ): Promise<OrderResult> => {
-  if (!running.forwarded) context.meter.begin(request.id)
+  context.meter.begin(request.id)
   const collected = await collectAnswer(running.exchange)
   await running.finish(collected.isErr ? collected.error : undefined)
   if (collected.isErr) {
     context.meter.abandon(request.id)
-    return Result.err(refuse(RefusalReason.OutcomeUnknown, collected.error.message, { outcome: Outcome.Unknown }))
+    return Result.err(unknownOutcome(collected.error.message))
   }
-  if (!running.forwarded) countCompleted(context, request, requestTokens(request))
-  return orderResultOf(context, ticket, running, collected.value)
+  countCompleted(context, request, requestTokens(request))
+  return Result.ok(collected.value)
+}
+
+/** Reads what the VM that ran the order says of it. */
+const finishForwarded = async ({ context, ticket }: OrderCall, running: RunningExchange): Promise<OrderResult> => {
+  const collected = await collectAnswer(running.exchange)
+  await running.finish(collected.isErr ? collected.error : undefined)
+  if (collected.isErr) return Result.err(unknownOutcome(collected.error.message))
+  const outcome = statedOutcome(running)
+  const detail = `${running.servedBy} answered ${collected.value.status}`
+  if (outcome === Outcome.Done) return Result.ok(collected.value)
+  if (outcome !== Outcome.NotRun) return Result.err(unknownOutcome(detail))
+  context.ledger.retractSend(ticket.ticket)
+  return Result.err(refuse(RefusalReason.NoUpstream, detail))
 }
 
-/** Runs the order once and returns its final result. */
-const runOrder = async (context: VmContext, request: GatewayRequest, ticket: ParsedTicket): Promise<OrderResult> => {
+/** An order goes on when its caller leaves: the caller will ask again under its ticket. */
+const detached = (request: GatewayRequest): GatewayRequest =>
+  ({ ...request, signal: new AbortController().signal })
+
+const runOnce = async (call: OrderCall): Promise<OrderResult> => {
+  const { context, ticket } = call
+  const request = detached(call.request)
   const charge = chargeRequest(context, request)
   if (charge.isErr) return Result.err(charge.error)
   const running = await execute(context, request, {
@@ -80,49 +117,78 @@
     settleCharge(context, charge.value, neverRan ? 0 : requestTokens(request))
     return Result.err(running.error)
   }
-  return await finishOrder(context, request, ticket, running.value)
+  const isForwarded = running.value.forwarded
+  return isForwarded ? await finishForwarded(call, running.value) : await finishLocal(context, request, running.value)
 }
 
-/** An order goes on when its caller leaves: the caller will ask again under its ticket. */
-const detached = (request: GatewayRequest): GatewayRequest =>
-  ({ ...request, signal: new AbortController().signal })
-
-const serveOwn = async (context: VmContext, request: GatewayRequest, ticket: ParsedTicket): Promise<OrderResult> => {
-  if (!context.mint.isGenuine(ticket) || ticket.ticket.team !== request.team) {
-    return Result.err(refuse(RefusalReason.TicketInvalid, 'the ticket was not minted for this team'))
-  }
-  const decision = context.ledger.begin(ticket.ticket)
-  if (decision.step === OrderStep.Refuse) return Result.err(decision.refusal)
-  if (decision.step === OrderStep.Repeat) return await decision.result
-  const result = await runOrder(context, detached(request), ticket)
+/** Runs the order and records its final result; a failure of the gateway leaves the outcome unknown. */
+const runAndRecord = async (call: OrderCall): Promise<OrderResult> => {
+  const { context, ticket } = call
+  const result = await runOnce(call).catch((error: unknown): OrderResult => {
+    context.log.error('order-failed', { detail: error instanceof Error ? error.stack : String(error) })
+    return Result.err(unknownOutcome('the gateway failed while it ran the order'))
+  })
   context.ledger.end(ticket.ticket, result)
+  if (result.isOk) context.orderPeers.copy(ticket, result.value)
   return result
 }
 
-const unreachable = (ticket: ParsedTicket): Refusal =>
-  refuse(RefusalReason.OutcomeUnknown, `${ticket.ticket.vm}, which minted the ticket, cannot be reached`, {
-    outcome: Outcome.Unknown
-  })
+/** Runs an order for the VM that minted its ticket, which sends each order to one VM once. */
+const runForMinter = async ({ context, request }: OrderCall): Promise<OrderResult> => {
+  const running = await execute(context, detached(request))
+  if (running.isErr) return Result.err(running.error)
+  return await finishLocal(context, request, running.value)
+}
 
-const forwardOrder = async (
-  context: VmContext,
-  request: GatewayRequest,
-  ticket: ParsedTicket,
-  response: ServerResponse
-): Promise<void> => {
-  const member = context.membership.find(ticket.ticket.vm)
-  const isSameIncarnation = member?.reachable === true && member.incarnation === ticket.ticket.incarnation
-  if (!isSameIncarnation || request.hops > 0) return refuseOrder(context, request, response, unreachable(ticket))
-  const running = await forwardRequest(context, request, ticket.ticket.vm)
-  const collected = running.isErr ? undefined : await collectAnswer(running.value.exchange)
-  if (running.isErr || collected === undefined || collected.isErr) {
-    return refuseOrder(context, request, response, unreachable(ticket))
+const recall = async (call: OrderCall): Promise<void> => {
+  const { context, ticket } = call
+  const found = await context.orderPeers.recall(ticket)
+  if (found.finding === OrderFinding.Done && found.answer !== undefined) return sendAnswer(call, found.answer)
+  if (found.finding === OrderFinding.NotRun) {
+    return refuseOrder(call, refuse(RefusalReason.TicketSealed, `${ticket.ticket.vm} left without having run the order`))
   }
-  copyOutcome(response, running.value)
-  response.writeHead(collected.value.status, {
-    'content-type': collected.value.contentType, 'content-length': collected.value.body.length
+  refuseOrder(call, refuse(RefusalReason.OutcomeUnknown, `${ticket.ticket.vm}, which minted the ticket, cannot be reached`, {
+    outcome: Outcome.Unknown, retryAfterMilliseconds: unknownRetryMilliseconds
+  }))
+}
+
+const relayAnswer = (call: OrderCall, running: RunningExchange, answer: CollectedAnswer): void => {
+  const { response } = call
+  copyOutcome(response, running)
+  if (statedOutcome(running) === Outcome.NotRun) offerTicket(call)
+  response.writeHead(answer.status, { 'content-type': answer.contentType, 'content-length': answer.body.length })
+  response.end(answer.body)
+}
+
+const forwardToMinter = async (call: OrderCall, minter: VmId): Promise<void> => {
+  const running = await forwardRequest(call.context, call.request, minter)
+  if (running.isErr) return await recall(call)
+  const collected = await collectAnswer(running.value.exchange)
+  if (collected.isErr) return await recall(call)
+  relayAnswer(call, running.value, collected.value)
+}
+
+/** What is to run, so that one ticket stands for one request. */
+const digestOf = ({ route, method, path, body }: GatewayRequest): string =>
+  [route.name, method, path, digestBody(body)].join(' ')
+
+const serveTicket = async (call: OrderCall): Promise<void> => {
+  const { context, request, ticket } = call
+  const decision = context.orderGate.decide({
+    ticket,
+    team: request.team,
+    requestDigest: digestOf(request),
+    hops: request.hops,
+    ...(request.runOrderFor === undefined ? {} : { runFor: request.runOrderFor })
   })
-  response.end(collected.value.body)
+  switch (decision.step) {
+    case OrderStep.Run: return sendResult(call, await runAndRecord(call))
+    case OrderStep.Repeat: return sendResult(call, await decision.result)
+    case OrderStep.RunForMinter: return sendResult(call, await runForMinter(call))
+    case OrderStep.Forward: return await forwardToMinter(call, decision.to)
+    case OrderStep.Recall: return await recall(call)
+    case OrderStep.Refuse: return refuseOrder(call, decision.refusal)
+  }
 }
 
 export const serveOrder = async (
@@ -130,36 +196,12 @@
   request: GatewayRequest,
   response: ServerResponse
 ): Promise<void> => {
+  const call = { context, request, response }
   if (request.ticketText === undefined) {
-    return refuseOrder(context, request, response, refuse(RefusalReason.TicketRequired,
+    return refuseOrder(call, refuse(RefusalReason.TicketRequired,
       `send the order again with the header ${headerNames.ticket} that comes with this answer`))
   }
   const { ticket } = request
-  if (ticket === undefined) {
-    return refuseOrder(context, request, response, refuse(RefusalReason.TicketInvalid, 'the ticket is malformed'))
-  }
-  const mustRunHere = context.mint.isOwn(ticket.ticket)
-  const wasSentHereToRun = request.hops > 0 && !mustRunHere
-  if (!mustRunHere && !wasSentHereToRun) return await forwardOrder(context, request, ticket, response)
-  const result = mustRunHere
-    ? await serveOwn(context, request, ticket)
-    : await runForeign(context, request)
-  if (result.isErr) return refuseOrder(context, request, response, result.error)
-  writeAnswerHead(response, result.value as CollectedAnswer, context.identity.vm)
-  response.end(result.value.body)
-}
-
-/** Runs an order for the VM that minted its ticket, which sends each order to one VM once. */
-const runForeign = async (context: VmContext, request: GatewayRequest): Promise<OrderResult> => {
-  const running = await execute(context, detached(request))
-  if (running.isErr) return Result.err(running.error)
-  context.meter.begin(request.id)
-  const collected = await collectAnswer(running.value.exchange)
-  await running.value.finish(collected.isErr ? collected.error : undefined)
-  if (collected.isErr) {
-    context.meter.abandon(request.id)
-    return Result.err(refuse(RefusalReason.OutcomeUnknown, collected.error.message, { outcome: Outcome.Unknown }))
-  }
-  countCompleted(context, request, requestTokens(request))
-  return Result.ok(collected.value)
+  if (ticket === undefined) return refuseOrder(call, refuse(RefusalReason.TicketInvalid, 'the ticket is malformed'))
+  await serveTicket({ ...call, ticket })
 }
--- a/packages/daemon/src/shutdown.ts
+++ b/packages/daemon/src/shutdown.ts
@@ -1,7 +1,8 @@
 /**
  * Graceful shutdown: the VM leaves the entries answer, waits until callers had
  * time to hear of it, finishes every request that it has or still gets on open
- * connections, and only then closes its links.
+ * connections, hands over which order tickets were used, and only then closes
+ * its links.
  */
 
 import { stop } from 'nact'
@@ -35,6 +36,7 @@
   const [callers, peers, administration] = servers
   if (callers !== undefined) await closeWhenIdle(callers)
   await context.lifecycle.idle()
+  await context.orderPeers.handOver(context.ledger.close())
   links.stop()
   for (const server of [peers, administration]) {
     if (server !== undefined) await closeWhenIdle(server)
--- /dev/null
+++ b/packages/daemon/src/upstreamClient.test.ts
@@ -0,0 +1,70 @@
+import { once } from 'node:events'
+import { createServer } from 'node:http'
+import { afterEach, beforeEach, describe, expect, it } from 'vitest'
+import type { Server } from 'node:http'
+import type { AddressInfo, Socket } from 'node:net'
+import { UpstreamErrorKind } from './errors.js'
+import { UpstreamClient } from './upstreamClient.js'
+import type { ExchangeRequest } from './upstreamClient.js'
+
+let server: Server
+let client: UpstreamClient
+const silenced = new Set<Socket>()
+const served: string[] = []
+
+beforeEach(async () => {
+  served.length = 0
+  server = createServer((incoming, response) => {
+    if (silenced.has(incoming.socket)) return
+    served.push(incoming.url ?? '')
+    response.end('done')
+  }).listen(0, '127.0.0.1')
+  await once(server, 'listening')
+  client = new UpstreamClient()
+})
+
+afterEach(async () => {
+  await client.close()
+  server.closeAllConnections()
+  server.close()
+})
+
+const requestTo = (path: string, freshConnection: boolean): ExchangeRequest => ({
+  origin: `http://127.0.0.1:${(server.address() as AddressInfo).port}`,
+  path,
+  method: 'POST',
+  headers: {},
+  body: Buffer.from('{}'),
+  signal: new AbortController().signal,
+  headMilliseconds: 1_000,
+  idleMilliseconds: 1_000,
+  freshConnection
+})
+
+const exchange = async (path: string, freshConnection: boolean): Promise<string> => {
+  const result = await client.exchange(requestTo(path, freshConnection))
+  return result.isOk ? await result.value.body.text() : result.error.kind
+}
+
+describe('UpstreamClient', () => {
+  it('sends an order on a connection of its own, so that a silent pooled one cannot swallow it', async () => {
+    const sockets: Socket[] = []
+    server.on('connection', (socket) => sockets.push(socket))
+    expect(await exchange('/warm', false)).toBe('done')
+    for (const socket of sockets) silenced.add(socket)
+    expect(await exchange('/order', true)).toBe('done')
+    expect(await exchange('/pooled', false)).toBe(UpstreamErrorKind.Silent)
+    expect(served.filter((path) => path === '/order')).toHaveLength(1)
+  })
+
+  it('says that nothing was sent only where no connection was made', async () => {
+    server.removeAllListeners('request')
+    server.on('request', (incoming) => incoming.socket.destroy())
+    expect(await exchange('/order', true)).toBe(UpstreamErrorKind.Broken)
+    server.closeAllConnections()
+    const refused = requestTo('/order', true)
+    await new Promise((resolve) => server.close(resolve))
+    const result = await client.exchange(refused)
+    expect(result.isErr && result.error.kind).toBe(UpstreamErrorKind.NotSent)
+  })
+})
--- a/packages/daemon/src/upstreamClient.ts
+++ b/packages/daemon/src/upstreamClient.ts
@@ -49,11 +49,19 @@
   return silenceErrorCodes.includes(code) ? UpstreamErrorKind.Silent : UpstreamErrorKind.Broken
 }
 
+/** An open connection can fail with the codes of a failed connect, after the request has left. */
+const onceConnected = (error: UpstreamError, connected: boolean): UpstreamError => {
+  const hidesSend = connected && error.kind === UpstreamErrorKind.NotSent
+  return hidesSend ? new UpstreamError(UpstreamErrorKind.Broken, error.message) : error
+}
+
 export class UpstreamClient {
   private readonly pools = new Map<string, Pool>()
 
   async exchange (request: ExchangeRequest): Promise<Result<Exchange, UpstreamError>> {
     const dispatcher = request.freshConnection ? this.freshClient(request.origin) : this.pool(request.origin)
+    let connected = false
+    if (request.freshConnection) dispatcher.once('connect', () => { connected = true })
     try {
       const response = await dispatcher.request({
         path: request.path,
@@ -68,7 +76,7 @@
       return Result.ok({ status: response.statusCode, headers: response.headers, body: response.body })
     } catch (error) {
       if (request.freshConnection) dispatcher.destroy().catch(() => {})
-      return Result.err(toUpstreamError(error))
+      return Result.err(onceConnected(toUpstreamError(error), connected))
     }
   }
 
--- a/packages/daemon/src/vmContext.ts
+++ b/packages/daemon/src/vmContext.ts
@@ -10,12 +10,14 @@
 import type { TeamLimiter } from '@cuminvale/limits'
 import type { Membership } from '@cuminvale/membership'
 import type { Outbound, PeerIdentity } from '@cuminvale/messages'
-import type { OrderLedger, TicketMint } from '@cuminvale/orders'
+import type { OrderGate, OrderLedger, TicketMint } from '@cuminvale/orders'
+import type { SeenProofs } from '@cuminvale/keys'
 import type { ClientDirectory, ConfigurationService, VmList, WeightStore } from '@cuminvale/platform'
 import type { CrashSuspects, RetryPolicy, SuspicionSpread, UpstreamTable } from '@cuminvale/routing'
 import type { UsageMeter } from '@cuminvale/metering'
 import type { Log } from './log.js'
 import type { Metrics } from './metrics.js'
+import type { OrderPeers } from './orderPeers.js'
 import type { Scheduler } from './scheduler.js'
 import type { SecretFile } from './secrets.js'
 import type { Settings } from './settings.js'
@@ -50,6 +52,9 @@
   readonly suspicionSpread: SuspicionSpread
   readonly mint: TicketMint
   readonly ledger: OrderLedger
+  readonly orderGate: OrderGate
+  readonly orderPeers: OrderPeers
+  readonly seenProofs: SeenProofs
   readonly meter: UsageMeter
   readonly upstreamClient: UpstreamClient
   readonly lifecycle: Lifecycle
--- a/packages/keys/src/constants.ts
+++ b/packages/keys/src/constants.ts
@@ -4,3 +4,4 @@
 export const keyRandomBytes = 32
 export const forwardProofLifetimeMilliseconds = 5_000
 export const clockSkewAllowanceMilliseconds = 2_000
+export const seenProofCapacity = 50_000
--- a/packages/keys/src/errors.ts
+++ b/packages/keys/src/errors.ts
@@ -3,7 +3,8 @@
  */
 
 export class ForwardProofError extends Error {
-  constructor (detail: string) {
+  /** `isReplay` means that the same forward was accepted before. */
+  constructor (detail: string, readonly isReplay = false) {
     super(`forward proof: ${detail}`)
     this.name = 'ForwardProofError'
   }
--- a/packages/keys/src/forwardProof.test.ts
+++ b/packages/keys/src/forwardProof.test.ts
@@ -1,20 +1,25 @@
 import { describe, expect, it } from 'vitest'
-import { toRegionId, toRequestId, toRevision, toRouteName, toTeamId, toVmId } from '@cuminvale/common'
+import { toIncarnationId, toRegionId, toRequestId, toRevision, toRouteName, toTeamId, toVmId } from '@cuminvale/common'
 import { digestBody, signForward, verifyForward } from './forwardProof.js'
+import { ProofAdmission, SeenProofs } from './seenProofs.js'
 import type { ForwardClaims, ForwardExpectation } from './forwardProof.js'
 
 const secret = Buffer.from('fleet-secret')
 const body = Buffer.from('{"sheet":1}')
 const claims: ForwardClaims = {
+  nonce: 'n-1',
   requestId: toRequestId('i-1'),
   from: toVmId('vm-1'),
+  fromIncarnation: toIncarnationId('i'),
   fromRegion: toRegionId('lombardia'),
   to: toVmId('vm-2'),
+  toIncarnation: toIncarnationId('j'),
   team: toTeamId('binders'),
   revision: toRevision(3),
   route: toRouteName('drafting'),
   path: '/v1/completions',
   method: 'POST',
+  runsOrder: false,
   hops: 1,
   borderCrossings: 1,
   chargedTokens: 10,
@@ -23,12 +28,14 @@
   expiresAt: 6_000,
   bodyDigest: digestBody(body)
 }
-const expectation: ForwardExpectation = { secrets: [secret], self: toVmId('vm-2'), body, now: 1_000 }
+const freshExpectation = (): ForwardExpectation => ({
+  secrets: [secret], self: toVmId('vm-2'), incarnation: toIncarnationId('j'), seen: new SeenProofs(10), body, now: 1_000
+})
 const header = signForward(claims, secret)
 
 describe('verifyForward', () => {
   it('returns the claims of a valid proof, also while secrets rotate', () => {
-    const verified = verifyForward(header, { ...expectation, secrets: [Buffer.from('next'), secret] })
+    const verified = verifyForward(header, { ...freshExpectation(), secrets: [Buffer.from('next'), secret] })
     expect(verified.isOk && verified.value).toEqual(claims)
   })
 
@@ -36,10 +43,31 @@
     ['a changed payload', 'x' + header, {}],
     ['another secret', header, { secrets: [Buffer.from('other')] }],
     ['another receiver', header, { self: toVmId('vm-3') }],
+    ['another incarnation of the receiver', header, { incarnation: toIncarnationId('k') }],
     ['another body', header, { body: Buffer.from('{"sheet":2}') }],
     ['an expired proof', header, { now: 8_001 }],
     ['no signature', header.split('.')[0] ?? '', {}]
   ])('refuses %s', (_, given, change) => {
-    expect(verifyForward(given, { ...expectation, ...change }).isErr).toBe(true)
+    expect(verifyForward(given, { ...freshExpectation(), ...change }).isErr).toBe(true)
+  })
+
+  it('accepts a proof once', () => {
+    const expectation = freshExpectation()
+    expect(verifyForward(header, expectation).isOk).toBe(true)
+    expect(verifyForward(header, expectation).isErr).toBe(true)
+  })
+})
+
+describe('SeenProofs', () => {
+  it('refuses a forgotten proof also when the wall clock is set back', () => {
+    const seen = new SeenProofs(1)
+    expect(seen.admit('first', 6_000, 1_000)).toBe(ProofAdmission.Accepted)
+    expect(seen.admit('second', 6_500, 2_000)).toBe(ProofAdmission.Full)
+    expect(seen.admit('third', 14_000, 9_000)).toBe(ProofAdmission.Accepted)
+    expect(seen.admit('first', 6_000, 1_000)).toBe(ProofAdmission.Expired)
+  })
+
+  it('refuses a proof that lives longer than any VM gives it', () => {
+    expect(new SeenProofs(1).admit('n', 9_000, 1_000)).toBe(ProofAdmission.Expired)
   })
 })
--- a/packages/keys/src/forwardProof.ts
+++ b/packages/keys/src/forwardProof.ts
@@ -1,22 +1,28 @@
 /**
  * Proof that a VM has checked a caller's key, sent with a forwarded request in
  * place of the key. The proof is bound to the body, the receiver and a short
- * lifetime, and signed with the fleet's secret.
+ * lifetime, signed with the fleet's secret, and accepted once.
  */
 
 import { createHash, createHmac, timingSafeEqual } from 'node:crypto'
 import { Result } from 'true-myth'
 import type {
-  KeyDigest, ModelName, RegionId, RequestId, Revision, RouteName, TeamId, VmId
+  IncarnationId, KeyDigest, ModelName, RegionId, RequestId, Revision, RouteName, TeamId, VmId
 } from '@cuminvale/common'
-import { clockSkewAllowanceMilliseconds } from './constants.js'
 import { ForwardProofError } from './errors.js'
+import { ProofAdmission } from './seenProofs.js'
+import type { SeenProofs } from './seenProofs.js'
 
 export interface ForwardClaims {
+  /** Different for each forward; a receiver accepts it once. */
+  readonly nonce: string
   readonly requestId: RequestId
   readonly from: VmId
+  readonly fromIncarnation: IncarnationId
   readonly fromRegion: RegionId
   readonly to: VmId
+  /** The receiver's incarnation, whose memory of accepted proofs counts. */
+  readonly toIncarnation: IncarnationId
   readonly team: TeamId
   /** Absent on open routes. */
   readonly keyDigest?: KeyDigest
@@ -26,6 +32,8 @@
   readonly path: string
   readonly method: string
   readonly ticket?: string
+  /** The sender minted the ticket and hands the order over to be run. */
+  readonly runsOrder: boolean
   /** VMs that the request has passed through so far. */
   readonly hops: number
   /** Region borders that the request has crossed, including this forward. */
@@ -50,6 +58,8 @@
 export interface ForwardExpectation {
   readonly secrets: readonly Uint8Array[]
   readonly self: VmId
+  readonly incarnation: IncarnationId
+  readonly seen: SeenProofs
   readonly body: Uint8Array
   /** Milliseconds since the Unix epoch. */
   readonly now: number
@@ -75,9 +85,22 @@
   if (!isSigned(payload, signature, expectation.secrets)) return Result.err(new ForwardProofError('bad signature'))
   const claims = JSON.parse(Buffer.from(payload, 'base64url').toString()) as ForwardClaims
   if (claims.to !== expectation.self) return Result.err(new ForwardProofError('meant for another VM'))
-  if (claims.expiresAt + clockSkewAllowanceMilliseconds < expectation.now) {
-    return Result.err(new ForwardProofError('expired'))
+  if (claims.toIncarnation !== expectation.incarnation) {
+    return Result.err(new ForwardProofError('meant for another incarnation'))
   }
   if (claims.bodyDigest !== digestBody(expectation.body)) return Result.err(new ForwardProofError('body differs'))
-  return Result.ok(claims)
+  const admission = expectation.seen.admit(claims.nonce, claims.expiresAt, expectation.now)
+  return admission === ProofAdmission.Accepted ? Result.ok(claims) : Result.err(new ForwardProofError(admission, admission === ProofAdmission.Replayed))
+}
+
+/** What a proof says of an order, read without verifying the proof. */
+export type StatedOrder = Partial<Pick<ForwardClaims, 'ticket' | 'runsOrder'>>
+
+export const unverifiedOrder = (header: string): StatedOrder => {
+  try {
+    const claims = JSON.parse(Buffer.from(header.split('.')[0] ?? '', 'base64url').toString()) as StatedOrder
+    return typeof claims.ticket === 'string' ? { ticket: claims.ticket, runsOrder: claims.runsOrder === true } : {}
+  } catch {
+    return {}
+  }
 }
--- /dev/null
+++ b/packages/orders/src/orderCopies.ts
@@ -0,0 +1,213 @@
+/**
+ * Keeps copies of recorded order outcomes on peers in other failure domains,
+ * and finds them when the incarnation that minted a ticket is out of reach.
+ */
+
+import type { Clock, VmId } from '@cuminvale/common'
+import { OrderFinding } from '@cuminvale/messages'
+import type {
+  OrderAsk, OrderCopy, OrderMessage, Outbound, PeerIdentity, PeerProtocol, RecordedAnswer, UsedTickets
+} from '@cuminvale/messages'
+import {
+  copyCapacityBytes, copyRetryMilliseconds, recallTickMilliseconds, recallTimeoutMilliseconds, unconfirmedCopyCapacity
+} from './constants.js'
+import { CopyStore } from './copyStore.js'
+import { holdersToAsk, rankHolders } from './copyHolders.js'
+import { digestTicket } from './ticket.js'
+import type { CopyPeer } from './copyHolders.js'
+import type { FoundOutcome } from './copyStore.js'
+import type { ParsedTicket } from './ticket.js'
+
+export interface OrderCopiesOptions {
+  readonly clock: Clock
+  readonly self: PeerIdentity
+  /** Every other listed VM. */
+  readonly peers: () => readonly CopyPeer[]
+  readonly copyCount: number
+}
+
+interface PendingRecall {
+  readonly awaited: Set<VmId>
+  readonly deadlineAt: number
+  readonly found: Promise<FoundOutcome>
+  readonly settle: (found: FoundOutcome) => void
+}
+
+export interface Recall {
+  readonly outbound: readonly Outbound[]
+  readonly found: Promise<FoundOutcome>
+}
+
+interface UnconfirmedCopy {
+  readonly message: OrderCopy
+  sentAt: number
+}
+
+interface Closing {
+  readonly used: UsedTickets
+  readonly settle: () => void
+  isHeld: boolean
+  sentAt: number
+}
+
+/** What a leaving VM sends, and when all of it is held elsewhere. */
+export interface HandOver {
+  readonly outbound: readonly Outbound[]
+  readonly held: Promise<void>
+}
+
+const nothingFound: FoundOutcome = { finding: OrderFinding.None }
+
+export class OrderCopies implements PeerProtocol<OrderMessage> {
+  readonly tickMilliseconds = recallTickMilliseconds
+  private readonly store: CopyStore
+  private readonly recalls = new Map<string, PendingRecall>()
+  private readonly unconfirmed = new Map<string, UnconfirmedCopy>()
+  private closing: Closing | undefined
+
+  constructor (private readonly options: OrderCopiesOptions) {
+    this.store = new CopyStore(options.clock, copyCapacityBytes)
+  }
+
+  get stateBytes (): number {
+    return this.store.stateBytes
+  }
+
+  /** Sends a recorded answer of this incarnation to its holders, again until one confirms it. */
+  copy (parsed: ParsedTicket, answer: RecordedAnswer): readonly Outbound[] {
+    const now = this.options.clock.monotonic()
+    const message: OrderCopy = {
+      kind: 'orders.copy',
+      ticketDigest: digestTicket(parsed),
+      remainingMilliseconds: Math.max(0, parsed.ticket.expiresAt - now),
+      answer
+    }
+    this.unconfirmed.set(message.ticketDigest, { message, sentAt: now })
+    this.dropOldestUnconfirmed()
+    return this.toHolders(message)
+  }
+
+  /** Looks for the outcome of a ticket that another incarnation minted. */
+  recall (parsed: ParsedTicket): Recall {
+    const { vm, incarnation, counter } = parsed.ticket
+    const wanted = { ticketDigest: digestTicket(parsed), incarnation, counter }
+    const local = this.store.find(wanted)
+    if (local.finding !== OrderFinding.None) return { outbound: [], found: Promise.resolve(local) }
+    const pending = this.recalls.get(wanted.ticketDigest)
+    if (pending !== undefined) return { outbound: [], found: pending.found }
+    const asked = this.peersHolding(vm)
+    if (asked.length === 0) return { outbound: [], found: Promise.resolve(nothingFound) }
+    const message: OrderAsk = { kind: 'orders.ask', ...wanted }
+    const found = this.awaitFindings(wanted.ticketDigest, asked)
+    return { outbound: asked.map(({ vm: to }) => ({ to, message })), found }
+  }
+
+  /** Tells holders which tickets were used, so that the others are known not to have run. */
+  close (used: UsedTickets): HandOver {
+    let settle = (): void => {}
+    const held = new Promise<void>((resolve) => { settle = resolve })
+    const outbound = this.toHolders({ kind: 'orders.close', used })
+    this.closing = { used, settle, isHeld: false, sentAt: this.options.clock.monotonic() }
+    if (outbound.length === 0) settle()
+    return { outbound, held }
+  }
+
+  receive (from: PeerIdentity, message: OrderMessage): readonly Outbound[] {
+    switch (message.kind) {
+      case 'orders.copy':
+        this.store.put(message)
+        return [{ to: from.vm, message: { kind: 'orders.copied', ticketDigest: message.ticketDigest } }]
+      case 'orders.copied':
+        this.unconfirmed.delete(message.ticketDigest)
+        this.settleClosing()
+        return []
+      case 'orders.close':
+        this.store.close(from.incarnation, message.used)
+        return [{ to: from.vm, message: { kind: 'orders.closed' } }]
+      case 'orders.closed':
+        if (this.closing !== undefined) this.closing.isHeld = true
+        this.settleClosing()
+        return []
+      case 'orders.ask':
+        return [{ to: from.vm, message: this.tell(message) }]
+      case 'orders.tell':
+        this.onTell(from.vm, message.ticketDigest, message)
+        return []
+    }
+  }
+
+  tick (): readonly Outbound[] {
+    const now = this.options.clock.monotonic()
+    this.store.forgetExpired()
+    for (const [ticketDigest, recall] of this.recalls) {
+      if (recall.deadlineAt <= now) this.settle(ticketDigest, nothingFound)
+    }
+    return [...this.resendCopies(now), ...this.resendClose(now)]
+  }
+
+  private resendCopies (now: number): readonly Outbound[] {
+    const due = [...this.unconfirmed.values()].filter(({ sentAt }) => now - sentAt >= copyRetryMilliseconds)
+    return due.flatMap((copy) => {
+      copy.sentAt = now
+      return this.toHolders(copy.message)
+    })
+  }
+
+  private resendClose (now: number): readonly Outbound[] {
+    const { closing } = this
+    if (closing === undefined || closing.isHeld || now - closing.sentAt < copyRetryMilliseconds) return []
+    closing.sentAt = now
+    return this.toHolders({ kind: 'orders.close', used: closing.used })
+  }
+
+  private settleClosing (): void {
+    if (this.closing?.isHeld === true && this.unconfirmed.size === 0) this.closing.settle()
+  }
+
+  /** An unconfirmed copy that is dropped can only make an outcome unknown. */
+  private dropOldestUnconfirmed (): void {
+    const oldest = this.unconfirmed.keys().next()
+    if (this.unconfirmed.size > unconfirmedCopyCapacity && oldest.done !== true) this.unconfirmed.delete(oldest.value)
+  }
+
+  private holders (): readonly CopyPeer[] {
+    const { self, peers, copyCount } = this.options
+    return rankHolders(self, peers()).filter(({ reachable }) => reachable).slice(0, copyCount)
+  }
+
+  private toHolders (message: OrderMessage): readonly Outbound[] {
+    return this.holders().map(({ vm }) => ({ to: vm, message }))
+  }
+
+  /** A minting VM that has left the list is placed where this VM is. */
+  private peersHolding (owner: VmId): readonly CopyPeer[] {
+    const { self, peers } = this.options
+    const all = peers()
+    return holdersToAsk(all.find(({ vm }) => vm === owner) ?? { ...self, vm: owner }, all)
+  }
+
+  private tell (ask: OrderAsk): OrderMessage {
+    return { kind: 'orders.tell', ticketDigest: ask.ticketDigest, ...this.store.find(ask) }
+  }
+
+  private awaitFindings (ticketDigest: string, asked: readonly CopyPeer[]): Promise<FoundOutcome> {
+    let settle = (_: FoundOutcome): void => {}
+    const found = new Promise<FoundOutcome>((resolve) => { settle = resolve })
+    const awaited = new Set(asked.map(({ vm }) => vm))
+    const deadlineAt = this.options.clock.monotonic() + recallTimeoutMilliseconds
+    this.recalls.set(ticketDigest, { awaited, deadlineAt, found, settle })
+    return found
+  }
+
+  private onTell (from: VmId, ticketDigest: string, told: FoundOutcome): void {
+    const recall = this.recalls.get(ticketDigest)
+    if (recall?.awaited.delete(from) !== true) return
+    if (told.finding !== OrderFinding.None) return this.settle(ticketDigest, told)
+    if (recall.awaited.size === 0) this.settle(ticketDigest, nothingFound)
+  }
+
+  private settle (ticketDigest: string, found: FoundOutcome): void {
+    this.recalls.get(ticketDigest)?.settle(found)
+    this.recalls.delete(ticketDigest)
+  }
+}
--- /dev/null
+++ b/packages/orders/src/orderGate.ts
@@ -0,0 +1,101 @@
+/**
+ * Decides what a VM does with an attempt to run an order, and what a refusal
+ * of one may truthfully claim. Only the incarnation that minted a ticket
+ * decides whether its order runs; every other VM passes the attempt on, runs
+ * it for the minting one, or looks for a copy of the outcome.
+ */
+
+import { Outcome, RefusalReason, refuse } from '@cuminvale/common'
+import type { IncarnationId, Refusal, TeamId, VmId } from '@cuminvale/common'
+import { parseTicket } from './ticket.js'
+import { OrderStep } from './types.js'
+import type { OrderLedger } from './orderLedger.js'
+import type { ParsedTicket, TicketMint } from './ticket.js'
+import type { OrderDecision } from './types.js'
+
+/** The VM that asks this one to run an order, by its proof. */
+export interface OrderSender {
+  readonly vm: VmId
+  readonly incarnation: IncarnationId
+}
+
+export interface OrderAttempt {
+  readonly ticket: ParsedTicket
+  readonly team: TeamId
+  /** Digest of what is to run; one ticket stands for one request. */
+  readonly requestDigest: string
+  /** VMs that the attempt has passed through. */
+  readonly hops: number
+  /** Set where another VM states that it minted the ticket and hands the order over to be run. */
+  readonly runFor?: OrderSender
+}
+
+/** What a forward says of an order. */
+export interface ForwardedOrder {
+  readonly ticket?: string
+  readonly runsOrder?: boolean
+  /** Set once the proof is verified. */
+  readonly team?: TeamId
+}
+
+export interface KnownPeer {
+  readonly reachable: boolean
+  readonly incarnation?: IncarnationId
+}
+
+export interface OrderGateOptions {
+  readonly mint: TicketMint
+  readonly ledger: OrderLedger
+  readonly peer: (vm: VmId) => KnownPeer | undefined
+}
+
+export class OrderGate {
+  constructor (private readonly options: OrderGateOptions) {}
+
+  decide (attempt: OrderAttempt): OrderDecision {
+    const { ticket } = attempt.ticket
+    if (this.options.mint.isOwn(ticket)) return this.decideOwn(attempt)
+    if (attempt.runFor !== undefined) return this.decideForMinter(attempt, attempt.runFor)
+    const peer = this.options.peer(ticket.vm)
+    const isMinter = peer?.reachable === true && peer.incarnation === ticket.incarnation
+    if (isMinter && attempt.hops === 0) return { step: OrderStep.Forward, to: ticket.vm }
+    return { step: OrderStep.Recall }
+  }
+
+  /** What may be said to a caller whose attempt is refused before it is decided on. */
+  refusalBefore (ticketText: string | undefined, team: TeamId | undefined, refusal: Refusal): Refusal {
+    if (ticketText === undefined || refusal.outcome !== Outcome.NotRun) return refusal
+    const parsed = parseTicket(ticketText)
+    if (parsed.isNothing) return refusal
+    const { ticket } = parsed.value
+    const isOwner = this.options.mint.isOwn(ticket) && ticket.team === team
+    if (isOwner && this.options.mint.isGenuine(parsed.value)) return this.options.ledger.seal(ticket, refusal)
+    return { ...refusal, outcome: Outcome.Unknown }
+  }
+
+  /**
+   * What may be said to a VM whose forward is refused. The minting VM reads a
+   * refusal of an order that it handed over as speaking of that forward only;
+   * to all others it would speak for the ticket.
+   */
+  refusalOfForward ({ ticket, runsOrder, team }: ForwardedOrder, refusal: Refusal): Refusal {
+    return runsOrder === true ? refusal : this.refusalBefore(ticket, team, refusal)
+  }
+
+  private decideOwn ({ ticket, team, requestDigest }: OrderAttempt): OrderDecision {
+    const { mint, ledger } = this.options
+    if (!mint.isGenuine(ticket)) return refused('the ticket is forged', Outcome.NotRun)
+    if (ticket.ticket.team !== team) return refused('the ticket was minted for another team', Outcome.Unknown)
+    return ledger.begin(ticket.ticket, requestDigest)
+  }
+
+  /** Runs for the minting incarnation only: a VM that merely has its name must not start the order again. */
+  private decideForMinter ({ ticket }: OrderAttempt, { vm, incarnation }: OrderSender): OrderDecision {
+    const isMinter = vm === ticket.ticket.vm && incarnation === ticket.ticket.incarnation
+    if (isMinter) return { step: OrderStep.RunForMinter }
+    return refused('the order was not handed over by the VM that minted its ticket', Outcome.Unknown)
+  }
+}
+
+const refused = (detail: string, outcome: Outcome): OrderDecision =>
+  ({ step: OrderStep.Refuse, refusal: refuse(RefusalReason.TicketInvalid, detail, { outcome }) })
--- a/packages/orders/src/orderLedger.test.ts
+++ b/packages/orders/src/orderLedger.test.ts
@@ -1,9 +1,10 @@
 import { Result } from 'true-myth'
 import { beforeEach, describe, expect, it, vi } from 'vitest'
 import { Outcome, RefusalReason, newIncarnationId, refuse, runtimeClock, toTeamId, toVmId } from '@cuminvale/common'
-import { OrderLedger, OrderStep } from './orderLedger.js'
+import { OrderLedger } from './orderLedger.js'
+import { OrderStep } from './types.js'
 import { TicketMint, parseTicket } from './ticket.js'
-import type { OrderResult } from './orderLedger.js'
+import type { OrderResult } from './types.js'
 import type { ParsedTicket } from './ticket.js'
 
 const mint = new TicketMint({ clock: runtimeClock, vm: toVmId('vm-1'), incarnation: newIncarnationId() })
@@ -14,6 +15,8 @@
   return parsed.value
 }
 
+const requestDigest = 'digest'
+
 const done: OrderResult = Result.ok({ status: 201, contentType: 'application/json', body: Buffer.from('{}') })
 
 describe('OrderLedger', () => {
@@ -25,20 +28,20 @@
   it('runs a ticket once and repeats the recorded answer', async () => {
     const ledger = new OrderLedger({ clock: runtimeClock, capacity: 10 })
     const { ticket } = freshTicket()
-    expect(ledger.begin(ticket).step).toBe(OrderStep.Run)
-    const second = ledger.begin(ticket)
+    expect(ledger.begin(ticket, requestDigest).step).toBe(OrderStep.Run)
+    const second = ledger.begin(ticket, requestDigest)
     ledger.markSent(ticket)
     ledger.end(ticket, done)
     expect(second.step === OrderStep.Repeat && await second.result).toBe(done)
-    expect(ledger.begin(ticket).step).toBe(OrderStep.Repeat)
+    expect(ledger.begin(ticket, requestDigest).step).toBe(OrderStep.Repeat)
   })
 
   it('keeps a sealed ticket sealed', async () => {
     const ledger = new OrderLedger({ clock: runtimeClock, capacity: 10 })
     const { ticket } = freshTicket()
-    ledger.begin(ticket)
+    ledger.begin(ticket, requestDigest)
     ledger.end(ticket, Result.err(refuse(RefusalReason.QueueFull, 'full')))
-    const late = ledger.begin(ticket)
+    const late = ledger.begin(ticket, requestDigest)
     const result = late.step === OrderStep.Repeat ? await late.result : undefined
     expect(result?.isErr && result.error.outcome).toBe(Outcome.NotRun)
   })
@@ -46,7 +49,7 @@
   it('asserts that a sent order is never answered not-run, nor sent twice', () => {
     const ledger = new OrderLedger({ clock: runtimeClock, capacity: 10 })
     const { ticket } = freshTicket()
-    ledger.begin(ticket)
+    ledger.begin(ticket, requestDigest)
     ledger.markSent(ticket)
     expect(() => ledger.markSent(ticket)).toThrow('order-at-most-once')
     expect(() => ledger.end(ticket, Result.err(refuse(RefusalReason.QueueFull, 'full')))).toThrow('not-run-is-true')
@@ -55,12 +58,12 @@
   it('refuses new orders when full and forgets only expired ones', () => {
     const ledger = new OrderLedger({ clock: runtimeClock, capacity: 1 })
     const { ticket } = freshTicket()
-    ledger.begin(ticket)
+    ledger.begin(ticket, requestDigest)
     ledger.end(ticket, done)
-    expect(ledger.begin(freshTicket().ticket).step).toBe(OrderStep.Refuse)
+    expect(ledger.begin(freshTicket().ticket, requestDigest).step).toBe(OrderStep.Refuse)
     vi.advanceTimersByTime(600_001)
-    expect(ledger.begin(freshTicket().ticket).step).toBe(OrderStep.Run)
-    const expired = ledger.begin(ticket)
+    expect(ledger.begin(freshTicket().ticket, requestDigest).step).toBe(OrderStep.Run)
+    const expired = ledger.begin(ticket, requestDigest)
     expect(expired.step === OrderStep.Refuse && expired.refusal.outcome).toBe(Outcome.Unknown)
   })
 })
--- a/packages/orders/src/orderLedger.ts
+++ b/packages/orders/src/orderLedger.ts
@@ -1,72 +1,86 @@
 /**
- * Records what became of each used ticket, so that an order is sent upstream
- * at most once. Full means that new orders are refused; a record is never
- * forgotten before its ticket has expired.
+ * Records what became of each used ticket of this incarnation, so that an
+ * order is sent upstream at most once. A ticket that is refused is sealed: it
+ * never runs later. Full means that new orders are refused; a record is never
+ * forgotten before its ticket has expired. Time is the monotonic clock, since
+ * a wall clock that is set back would revive tickets whose records are gone.
  */
 
-import type { Result } from 'true-myth'
+import { Result } from 'true-myth'
 import { Outcome, RefusalReason, assertInvariant, refuse } from '@cuminvale/common'
 import type { Clock, Refusal } from '@cuminvale/common'
-import type { RecordedAnswer } from '@cuminvale/messages'
+import type { UsedTickets } from '@cuminvale/messages'
+import { ledgerSweepMilliseconds } from './constants.js'
+import { SealedTickets } from './sealedTickets.js'
+import { OrderState, OrderStep } from './types.js'
+import type { LedgerDecision, OrderResult } from './types.js'
 import type { Ticket } from './ticket.js'
 
-export type OrderResult = Result<RecordedAnswer, Refusal>
-
-export const OrderState = {
-  /** Accepted, nothing sent yet. */
-  Pending: 'pending',
-  /** Sent upstream; the outcome is open. */
-  Sent: 'sent',
-  /** Ended; the result is final. */
-  Ended: 'ended'
-} as const
-
-export type OrderState = typeof OrderState[keyof typeof OrderState]
-
 interface OrderRecord {
   state: OrderState
+  readonly requestDigest: string
   readonly expiresAt: number
   readonly waiters: Array<(result: OrderResult) => void>
   result?: OrderResult
 }
 
-export const OrderStep = { Run: 'run', Repeat: 'repeat', Refuse: 'refuse' } as const
-
-/** What to do with an attempt: run it, answer as the first attempt is answered, or refuse. */
-export type OrderDecision =
-  | { readonly step: typeof OrderStep.Run }
-  | { readonly step: typeof OrderStep.Repeat, readonly result: Promise<OrderResult> }
-  | { readonly step: typeof OrderStep.Refuse, readonly refusal: Refusal }
-
 export interface OrderLedgerOptions {
   readonly clock: Clock
   readonly capacity: number
+  /** Bytes of recorded answers beyond which new orders are refused. */
+  readonly capacityBytes?: number
 }
 
+const fullRetryMilliseconds = 1_000
+
 export class OrderLedger {
   private readonly records = new Map<number, OrderRecord>()
-
-  constructor (private readonly options: OrderLedgerOptions) {}
+  private readonly sealed: SealedTickets
+  private answerBytes = 0
+  private closed = false
+  private sweptAt = 0
+  private forgottenThrough = 0
+
+  constructor (private readonly options: OrderLedgerOptions) {
+    this.sealed = new SealedTickets(options.clock)
+  }
 
   get size (): number {
     return this.records.size
   }
 
+  get stateBytes (): number {
+    return this.answerBytes + this.sealed.stateBytes
+  }
+
   /** Decides on an attempt under a genuine ticket of this incarnation. */
-  begin (ticket: Ticket): OrderDecision {
+  begin (ticket: Ticket, requestDigest: string): LedgerDecision {
     const record = this.records.get(ticket.counter)
-    if (record !== undefined) return { step: OrderStep.Repeat, result: this.resultOf(record) }
-    if (ticket.expiresAt <= this.options.clock.wall()) return this.refuseExpired()
-    this.forgetExpired()
-    if (this.records.size >= this.options.capacity) return this.refuseFull()
-    this.records.set(ticket.counter, { state: OrderState.Pending, expiresAt: ticket.expiresAt, waiters: [] })
+    if (record !== undefined) return this.repeat(record, requestDigest)
+    if (this.sealed.isSealed(ticket)) return { step: OrderStep.Repeat, result: Promise.resolve(Result.err(sealedRefusal())) }
+    if (this.isExpired(ticket)) return { step: OrderStep.Refuse, refusal: expiredRefusal() }
+    if (this.closed) return this.refuseSealed(ticket, refuse(RefusalReason.Draining, 'the VM is leaving'))
+    this.sweep()
+    if (this.isFull) return this.refuseSealed(ticket, fullRefusal())
+    this.records.set(ticket.counter, { state: OrderState.Pending, requestDigest, expiresAt: ticket.expiresAt, waiters: [] })
     return { step: OrderStep.Run }
   }
 
+  /**
+   * Makes a refusal that was decided outside the ledger final, and returns
+   * what may truthfully be said: `not-run` only where the ticket never ran.
+   */
+  seal (ticket: Ticket, refusal: Refusal): Refusal {
+    if (this.sealed.isSealed(ticket)) return refusal
+    if (this.records.has(ticket.counter) || this.isExpired(ticket)) return { ...refusal, outcome: Outcome.Unknown }
+    this.sealed.seal(ticket)
+    return refusal
+  }
+
   /** Must be called in the same turn as the order is handed to a connection. */
   markSent (ticket: Ticket): void {
     const record = this.records.get(ticket.counter)
-    assertInvariant(record?.state === OrderState.Pending, 'order-at-most-once',
+    assertInvariant(record?.state === OrderState.Pending && !this.sealed.isSealed(ticket), 'order-at-most-once',
       () => `ticket ${ticket.counter} sent from state ${record?.state ?? 'none'}`)
     if (record !== undefined) record.state = OrderState.Sent
   }
@@ -84,37 +98,73 @@
     const claimsNotRun = result.isErr && result.error.outcome === Outcome.NotRun
     assertInvariant(!(claimsNotRun && record.state === OrderState.Sent), 'not-run-is-true',
       () => `ticket ${ticket.counter} was sent but answered not-run`)
+    if (claimsNotRun) this.endSealed(ticket)
+    else this.endRecorded(record, result)
+    for (const waiter of record.waiters.splice(0)) waiter(result)
+  }
+
+  /** Refuses every unused ticket from now on; returns those that were used. */
+  close (): UsedTickets {
+    this.closed = true
+    return { counters: [...this.records.keys()], forgottenThrough: this.forgottenThrough }
+  }
+
+  private endSealed (ticket: Ticket): void {
+    this.sealed.seal(ticket)
+    this.records.delete(ticket.counter)
+  }
+
+  private endRecorded (record: OrderRecord, result: OrderResult): void {
     record.state = OrderState.Ended
     record.result = result
-    for (const waiter of record.waiters.splice(0)) waiter(result)
+    if (result.isOk) this.answerBytes += result.value.body.length
   }
 
-  private resultOf (record: OrderRecord): Promise<OrderResult> {
-    if (record.result !== undefined) return Promise.resolve(record.result)
-    return new Promise((resolve) => record.waiters.push(resolve))
+  private repeat (record: OrderRecord, requestDigest: string): LedgerDecision {
+    if (record.requestDigest !== requestDigest) return { step: OrderStep.Refuse, refusal: otherRequestRefusal() }
+    if (record.result !== undefined) return { step: OrderStep.Repeat, result: Promise.resolve(record.result) }
+    return { step: OrderStep.Repeat, result: new Promise((resolve) => record.waiters.push(resolve)) }
   }
 
-  private forgetExpired (): void {
-    const now = this.options.clock.wall()
-    for (const [counter, record] of this.records) {
-      if (record.expiresAt > now || record.state !== OrderState.Ended) return
-      this.records.delete(counter)
-    }
+  private refuseSealed (ticket: Ticket, refusal: Refusal): LedgerDecision {
+    return { step: OrderStep.Refuse, refusal: this.seal(ticket, refusal) }
   }
 
-  private refuseExpired (): OrderDecision {
-    return {
-      step: OrderStep.Refuse,
-      refusal: refuse(RefusalReason.TicketInvalid, 'the ticket has expired; its order may have run', {
-        outcome: Outcome.Unknown
-      })
-    }
+  private get isFull (): boolean {
+    const { capacity, capacityBytes } = this.options
+    return this.records.size >= capacity || this.answerBytes >= (capacityBytes ?? Infinity)
+  }
+
+  private isExpired (ticket: Ticket): boolean {
+    return ticket.expiresAt <= this.options.clock.monotonic()
   }
 
-  private refuseFull (): OrderDecision {
-    return {
-      step: OrderStep.Refuse,
-      refusal: refuse(RefusalReason.OrderMemoryFull, 'too many orders are on record', { retryAfterMilliseconds: 1_000 })
+  /** Forgets ended records of expired tickets, at most once an interval unless the ledger is full. */
+  private sweep (): void {
+    const now = this.options.clock.monotonic()
+    if (now - this.sweptAt < ledgerSweepMilliseconds && !this.isFull) return
+    this.sweptAt = now
+    this.sealed.forgetExpired()
+    for (const [counter, record] of this.records) {
+      if (record.expiresAt <= now && record.state === OrderState.Ended) this.forget(counter, record)
     }
   }
+
+  private forget (counter: number, record: OrderRecord): void {
+    this.records.delete(counter)
+    this.forgottenThrough = Math.max(this.forgottenThrough, counter)
+    if (record.result?.isOk === true) this.answerBytes -= record.result.value.body.length
+  }
 }
+
+const sealedRefusal = (): Refusal =>
+  refuse(RefusalReason.TicketSealed, 'an earlier attempt under the ticket was refused; nothing ran and nothing will')
+
+const expiredRefusal = (): Refusal =>
+  refuse(RefusalReason.TicketInvalid, 'the ticket has expired; its order may have run', { outcome: Outcome.Unknown })
+
+const otherRequestRefusal = (): Refusal =>
+  refuse(RefusalReason.TicketInvalid, 'the ticket was used for another request', { outcome: Outcome.Unknown })
+
+const fullRefusal = (): Refusal =>
+  refuse(RefusalReason.OrderMemoryFull, 'too many orders are on record', { retryAfterMilliseconds: fullRetryMilliseconds })
--- /dev/null
+++ b/packages/orders/src/sealedTickets.ts
@@ -0,0 +1,63 @@
+/**
+ * Tickets that were refused for good, one bit each. Sealing never fails for
+ * lack of memory, so a refusal can always be made final before it is sent.
+ */
+
+import type { Clock } from '@cuminvale/common'
+import { sealedBlockTickets } from './constants.js'
+import type { Ticket } from './ticket.js'
+
+interface Block {
+  readonly bits: Uint8Array
+  /** When the last sealed ticket of the block expires. */
+  expiresAt: number
+}
+
+const bitsPerByte = 8
+
+export class SealedTickets {
+  private readonly blocks = new Map<number, Block>()
+
+  constructor (private readonly clock: Clock) {}
+
+  get stateBytes (): number {
+    return this.blocks.size * sealedBlockTickets / bitsPerByte
+  }
+
+  seal (ticket: Ticket): void {
+    const block = this.blockFor(ticket.counter)
+    const { byte, mask } = placeOf(ticket.counter)
+    block.bits[byte] = (block.bits[byte] ?? 0) | mask
+    block.expiresAt = Math.max(block.expiresAt, ticket.expiresAt)
+  }
+
+  isSealed (ticket: Ticket): boolean {
+    const block = this.blocks.get(blockNumber(ticket.counter))
+    const { byte, mask } = placeOf(ticket.counter)
+    return ((block?.bits[byte] ?? 0) & mask) !== 0
+  }
+
+  /** Forgets blocks of which every sealed ticket has expired. */
+  forgetExpired (): void {
+    const now = this.clock.monotonic()
+    for (const [number, block] of this.blocks) {
+      if (block.expiresAt <= now) this.blocks.delete(number)
+    }
+  }
+
+  private blockFor (counter: number): Block {
+    const number = blockNumber(counter)
+    const existing = this.blocks.get(number)
+    if (existing !== undefined) return existing
+    const block: Block = { bits: new Uint8Array(sealedBlockTickets / bitsPerByte), expiresAt: 0 }
+    this.blocks.set(number, block)
+    return block
+  }
+}
+
+const blockNumber = (counter: number): number => Math.floor(counter / sealedBlockTickets)
+
+const placeOf = (counter: number): { readonly byte: number, readonly mask: number } => {
+  const offset = counter % sealedBlockTickets
+  return { byte: Math.floor(offset / bitsPerByte), mask: 1 << (offset % bitsPerByte) }
+}
--- a/packages/orders/src/ticket.ts
+++ b/packages/orders/src/ticket.ts
@@ -5,7 +5,7 @@
  * incarnation's memory.
  */
 
-import { createHmac, randomBytes, timingSafeEqual } from 'node:crypto'
+import { createHash, createHmac, randomBytes, timingSafeEqual } from 'node:crypto'
 import { Maybe } from 'true-myth'
 import { toIncarnationId, toTeamId, toVmId } from '@cuminvale/common'
 import type { Clock, IncarnationId, TeamId, VmId } from '@cuminvale/common'
@@ -16,7 +16,7 @@
   readonly vm: VmId
   readonly incarnation: IncarnationId
   readonly counter: number
-  /** Milliseconds since the Unix epoch. */
+  /** On the monotonic clock of the minting incarnation, which alone judges it. */
   readonly expiresAt: number
 }
 
@@ -46,10 +46,15 @@
   })
 }
 
+/** Names a ticket to holders of copies; whoever knows it has seen the ticket. */
+export const digestTicket = ({ payload, signature }: ParsedTicket): string =>
+  createHash('sha256').update(`${payload}.${signature}`).digest('base64url')
+
 export interface TicketMintOptions {
   readonly clock: Clock
   readonly vm: VmId
   readonly incarnation: IncarnationId
+  readonly lifetimeMilliseconds?: number
 }
 
 /** Mints and verifies the tickets of one incarnation. */
@@ -61,8 +66,8 @@
 
   mint (team: TeamId): string {
     this.counter += 1
-    const { vm, incarnation, clock } = this.options
-    const expiresAt = Math.floor(clock.wall()) + ticketLifetimeMilliseconds
+    const { vm, incarnation, clock, lifetimeMilliseconds = ticketLifetimeMilliseconds } = this.options
+    const expiresAt = Math.floor(clock.monotonic()) + lifetimeMilliseconds
     const payload = Buffer.from([team, vm, incarnation, this.counter, expiresAt].join(separator)).toString('base64url')
     return `${payload}.${this.sign(payload).toString('base64url')}`
   }
--- /dev/null
+++ b/packages/simulation/src/checkAsyncCommands.ts
@@ -0,0 +1,37 @@
+/**
+ * Runs a fast-check property over systems that settle promises, as one batch
+ * of a soak suite.
+ */
+
+import * as fastCheck from 'fast-check'
+import type { SoakViolation } from './soakSuite.js'
+
+export interface AsyncCommandCheck<Model extends object, Real> {
+  readonly seed: number
+  readonly runs: number
+  readonly commands: Parameters<typeof fastCheck.commands<Model, Real, true>>[0]
+  readonly maximumCommands: number
+  /** Makes a fresh model and system; `finish` runs after the commands and checks what must hold at the end. */
+  readonly setup: () => { model: Model, real: Real }
+  readonly finish: (real: Real) => Promise<void>
+}
+
+export const checkAsyncCommands = async <Model extends object, Real>(
+  check: AsyncCommandCheck<Model, Real>
+): Promise<SoakViolation | undefined> => {
+  const property = fastCheck.asyncProperty(
+    fastCheck.commands(check.commands, { maxCommands: check.maximumCommands, size: 'max' }),
+    async (commands) => {
+      const made = check.setup()
+      await fastCheck.asyncModelRun(() => made, commands as never)
+      await check.finish(made.real)
+    }
+  )
+  const result = await fastCheck.check(property, { seed: check.seed, numRuns: check.runs })
+  if (!result.failed) return undefined
+  return {
+    seed: check.seed,
+    detail: result.errorInstance instanceof Error ? result.errorInstance.message : String(result.errorInstance),
+    trace: result.counterexample === null ? '' : String(result.counterexample[0])
+  }
+}
--- /dev/null
+++ b/packages/simulation/src/fakeCalls.ts
@@ -0,0 +1,51 @@
+/**
+ * Request and answer between simulated VMs, over the same faulty network as
+ * their messages: either may be lost, late, cut off, or reach a VM that has
+ * been restarted or paused in between.
+ */
+
+import type { Random, VmId } from '@cuminvale/common'
+import type { FakeLink } from './fakeLink.js'
+import type { VirtualClock } from './virtualClock.js'
+
+export interface FakeCall<Answer> {
+  readonly from: VmId
+  readonly to: VmId
+  /** Runs at the receiver. */
+  readonly serve: () => Promise<Answer>
+  /** Whether the sender's incarnation is still the one that called. */
+  readonly isSenderAlive: () => boolean
+  readonly timeoutMilliseconds: number
+}
+
+export interface FakeCallsOptions {
+  readonly clock: VirtualClock
+  readonly random: Random
+  readonly link: FakeLink
+  readonly longestDelayMilliseconds: number
+}
+
+export class FakeCalls {
+  constructor (private readonly options: FakeCallsOptions) {}
+
+  /** Resolves with the answer, or undefined when none came in time; never where the sender has gone. */
+  async send <Answer> (call: FakeCall<Answer>): Promise<Answer | undefined> {
+    return await new Promise((resolve) => {
+      const settle = (answer: Answer | undefined): void => {
+        if (call.isSenderAlive()) this.options.link.runOn(call.from, () => resolve(answer))
+      }
+      this.options.clock.schedule(call.timeoutMilliseconds, () => settle(undefined))
+      this.travel(call, call.to, () => {
+        call.serve().then((answer) => this.travel(call, call.from, () => settle(answer)), () => settle(undefined))
+      })
+    })
+  }
+
+  private travel ({ from, to }: Pick<FakeCall<unknown>, 'from' | 'to'>, target: VmId, arrive: () => void): void {
+    const { clock, random, link, longestDelayMilliseconds } = this.options
+    if (random.next() < link.lossShare) return
+    clock.schedule(random.next() * longestDelayMilliseconds, () => {
+      if (!link.isCut(from, to)) link.runOn(target, arrive)
+    })
+  }
+}
--- /dev/null
+++ b/packages/simulation/src/ordersFleet.ts
@@ -0,0 +1,255 @@
+/**
+ * VMs that take orders, with the real ticket mints, ledgers, gates and copies
+ * of outcomes, between simulated callers and an upstream that counts runs. It
+ * notes everything that callers are told, and fails on the first contradiction.
+ */
+
+import { Result } from 'true-myth'
+import {
+  Outcome, RefusalReason, SeededRandom, pickOne, refuse, toFailureDomainId, toIncarnationId, toRegionId, toTeamId, toVmId
+} from '@cuminvale/common'
+import { OrderFinding } from '@cuminvale/messages'
+import { OrderCopies, OrderGate, OrderLedger, OrderStep, TicketMint, parseTicket } from '@cuminvale/orders'
+import type { IncarnationId, Random, Refusal, VmId } from '@cuminvale/common'
+import type { PeerIdentity, PeerProtocol } from '@cuminvale/messages'
+import type { CopyPeer, OrderResult, OrderSender, ParsedTicket } from '@cuminvale/orders'
+import { FakeCalls } from './fakeCalls.js'
+import { FakeLink } from './fakeLink.js'
+import { OrderWitness } from './orderWitness.js'
+import { VirtualClock } from './virtualClock.js'
+import { VmClock } from './vmClock.js'
+import type { FakeVm } from './fakeLink.js'
+import type { OrderStatement } from './orderWitness.js'
+
+export interface OrdersFleetOptions {
+  readonly seed: number
+  readonly vmCount: number
+  readonly copyCount: number
+  readonly ledgerCapacity: number
+}
+
+interface OrderVm extends FakeVm {
+  readonly mint: TicketMint
+  readonly ledger: OrderLedger
+  readonly gate: OrderGate
+  readonly copies: OrderCopies
+}
+
+interface Presented {
+  readonly ticketText: string
+  readonly hops: number
+  readonly runFor?: OrderSender
+}
+
+export const ordersTicketLifetimeMilliseconds = 20_000
+const team = toTeamId('binders')
+const requestDigest = 'order'
+const callTimeoutMilliseconds = 1_000
+const longestDelayMilliseconds = 400
+const upstreamMilliseconds = 300
+const listLagMilliseconds = 800
+const sliceMilliseconds = 25
+const microtaskRounds = 12
+const refusedShare = 0.1
+const connectFailedShare = 0.1
+const handedOverShare = 0.3
+
+const identityOf = (index: number, incarnation: number): PeerIdentity => ({
+  vm: toVmId(`vm-${index}`),
+  incarnation: toIncarnationId(`i-${index}-${incarnation}`),
+  region: toRegionId(index % 2 === 0 ? 'veneto' : 'emilia'),
+  failureDomain: toFailureDomainId(`fd-${index}`)
+})
+
+const unknown = (): Refusal => refuse(RefusalReason.OutcomeUnknown, 'no answer', { outcome: Outcome.Unknown })
+
+export class OrdersFleet {
+  readonly clock = new VirtualClock()
+  readonly random: Random = { next: () => this.generator.next() }
+  readonly link: FakeLink
+  readonly witness = new OrderWitness()
+  readonly vms: OrderVm[] = []
+  /** Share of upstream answers that never come. */
+  lostAnswerShare = 0
+  private readonly calls: FakeCalls
+  private readonly known = new Map<VmId, IncarnationId>()
+  private generator: SeededRandom
+  private incarnations = 0
+
+  constructor (private readonly options: OrdersFleetOptions) {
+    const { clock } = this
+    this.generator = new SeededRandom(options.seed)
+    this.link = new FakeLink({ clock, random: this.random, localDelayMilliseconds: 1, interRegionDelayMilliseconds: 55 })
+    this.calls = new FakeCalls({ clock, random: this.random, link: this.link, longestDelayMilliseconds })
+    for (let index = 0; index < options.vmCount; index += 1) this.start(index)
+  }
+
+  /** Takes randomness from another seed from now on. */
+  reseed (seed: number): void {
+    this.generator = new SeededRandom(seed)
+  }
+
+  /** Starts a VM, or restarts it as a new incarnation of which the others learn late. */
+  start (index: number): void {
+    this.incarnations += 1
+    const identity = identityOf(index, this.incarnations)
+    const clock = new VmClock({ base: this.clock, wallOffsetMilliseconds: this.random.next() * 10_000 })
+    const mint = new TicketMint({
+      clock, vm: identity.vm, incarnation: identity.incarnation, lifetimeMilliseconds: ordersTicketLifetimeMilliseconds
+    })
+    const ledger = new OrderLedger({ clock, capacity: this.options.ledgerCapacity })
+    const gate = new OrderGate({ mint, ledger, peer: (vm) => this.peerOf(identity.vm, vm) })
+    const copies = new OrderCopies({
+      clock, self: identity, peers: () => this.peersOf(identity), copyCount: this.options.copyCount
+    })
+    const protocols = new Map([['orders' as const, copies as PeerProtocol<never>]])
+    const vm: OrderVm = { identity, mint, ledger, gate, copies, protocols }
+    this.vms[index] = vm
+    this.link.attach(vm)
+    this.clock.schedule(this.known.has(identity.vm) ? listLagMilliseconds : 0, () => this.known.set(identity.vm, identity.incarnation))
+  }
+
+  crash (index: number): void {
+    this.link.detach(this.at(index).identity.vm)
+  }
+
+  /** Leaves in order: hands over which tickets were used, then ends. */
+  async leave (index: number): Promise<void> {
+    const vm = this.at(index)
+    const { outbound, held } = vm.copies.close(vm.ledger.close())
+    this.link.send(vm, outbound)
+    const gone = held.then(() => { if (this.isAlive(vm)) this.crash(index) })
+    await Promise.race([gone, this.settled()])
+  }
+
+  mint (index: number): string {
+    return this.at(index).mint.mint(team)
+  }
+
+  /** A caller presents a ticket to a VM; resolves with what it is told, never where the VM dies. */
+  present (index: number, ticketText: string): Promise<OrderStatement> {
+    return this.atEntry(index, ticketText, async (vm) => await this.serve(vm, { ticketText, hops: 0 }))
+  }
+
+  /** A VM refuses a caller's request while it reads it. */
+  refuseEarly (index: number, ticketText: string): Promise<OrderStatement> {
+    const refusal = refuse(RefusalReason.RequestInvalid, 'malformed')
+    return this.atEntry(index, ticketText, (vm) => Promise.resolve(Result.err(vm.gate.refusalBefore(ticketText, team, refusal))))
+  }
+
+  /** Lets time pass, and promises settle in between. */
+  async advance (milliseconds: number): Promise<void> {
+    for (let passed = 0; passed < milliseconds; passed += sliceMilliseconds) {
+      this.clock.advance(Math.min(sliceMilliseconds, milliseconds - passed))
+      await this.settled()
+      this.witness.check()
+    }
+  }
+
+  async settled (): Promise<void> {
+    for (let round = 0; round < microtaskRounds; round += 1) await Promise.resolve()
+  }
+
+  private atEntry (index: number, ticketText: string, serve: (vm: OrderVm) => Promise<OrderResult>): Promise<OrderStatement> {
+    const vm = this.at(index)
+    return new Promise((resolve) => {
+      if (!this.isAlive(vm)) return
+      this.link.runOn(vm.identity.vm, () => {
+        serve(vm).then((result) => resolve(this.witness.told(ticketText, result)), (error: unknown) => this.witness.failed(error))
+      })
+    })
+  }
+
+  private async serve (vm: OrderVm, presented: Presented): Promise<OrderResult> {
+    const parsed = parseTicket(presented.ticketText)
+    if (parsed.isNothing) return Result.err(refuse(RefusalReason.TicketInvalid, 'malformed'))
+    const ticket = parsed.value
+    const { hops, runFor } = presented
+    const decision = vm.gate.decide({ ticket, team, requestDigest, hops, ...(runFor === undefined ? {} : { runFor }) })
+    switch (decision.step) {
+      case OrderStep.Run: return await this.runAndRecord(vm, ticket, presented.ticketText)
+      case OrderStep.Repeat: return await decision.result
+      case OrderStep.RunForMinter: return await this.callUpstream(vm, presented.ticketText)
+      case OrderStep.Forward: return await this.forward(vm, decision.to, { ...presented, hops: 1 }) ?? await this.recall(vm, ticket)
+      case OrderStep.Recall: return await this.recall(vm, ticket)
+      case OrderStep.Refuse: return Result.err(decision.refusal)
+    }
+  }
+
+  private async forward (vm: OrderVm, to: VmId, presented: Presented): Promise<OrderResult | undefined> {
+    return await this.calls.send({
+      from: vm.identity.vm,
+      to,
+      isSenderAlive: () => this.isAlive(vm),
+      timeoutMilliseconds: callTimeoutMilliseconds,
+      serve: async () => {
+        const receiver = this.vms.find(({ identity }) => identity.vm === to)
+        if (receiver === undefined) throw new Error(`no VM ${to}`)
+        return await this.serve(receiver, presented)
+      }
+    })
+  }
+
+  private async recall (vm: OrderVm, ticket: ParsedTicket): Promise<OrderResult> {
+    const { outbound, found } = vm.copies.recall(ticket)
+    this.link.send(vm, outbound)
+    const { finding, answer } = await found
+    if (finding === OrderFinding.Done && answer !== undefined) return Result.ok(answer)
+    return Result.err(finding === OrderFinding.NotRun ? refuse(RefusalReason.TicketSealed, 'never used') : unknown())
+  }
+
+  private async runAndRecord (vm: OrderVm, ticket: ParsedTicket, ticketText: string): Promise<OrderResult> {
+    const result = await this.runOnce(vm, ticket, ticketText)
+    vm.ledger.end(ticket.ticket, result)
+    if (result.isOk) this.link.send(vm, vm.copies.copy(ticket, result.value))
+    return result
+  }
+
+  private async runOnce (vm: OrderVm, ticket: ParsedTicket, ticketText: string): Promise<OrderResult> {
+    if (this.random.next() < refusedShare) return Result.err(refuse(RefusalReason.RateExceeded, 'over rate'))
+    vm.ledger.markSent(ticket.ticket)
+    if (this.random.next() < connectFailedShare) {
+      vm.ledger.retractSend(ticket.ticket)
+      vm.ledger.markSent(ticket.ticket)
+    }
+    if (this.random.next() >= handedOverShare) return await this.callUpstream(vm, ticketText)
+    const to = pickOne(this.vms.filter((other) => other !== vm), this.random)?.identity.vm ?? vm.identity.vm
+    const { vm: name, incarnation } = vm.identity
+    const result = await this.forward(vm, to, { ticketText, hops: 1, runFor: { vm: name, incarnation } }) ?? Result.err(unknown())
+    if (result.isErr && result.error.outcome === Outcome.NotRun) vm.ledger.retractSend(ticket.ticket)
+    return result
+  }
+
+  /** The upstream runs what it is sent, also when nobody waits for its answer any more. */
+  private async callUpstream (vm: OrderVm, ticketText: string): Promise<OrderResult> {
+    return await new Promise((resolve) => {
+      this.clock.schedule(this.random.next() * upstreamMilliseconds, () => {
+        const body = this.witness.ran(ticketText)
+        if (this.random.next() < this.lostAnswerShare || !this.isAlive(vm)) return
+        this.link.runOn(vm.identity.vm, () => resolve(Result.ok({ status: 200, contentType: 'text/plain', body })))
+      })
+      this.clock.schedule(callTimeoutMilliseconds, () => {
+        if (this.isAlive(vm)) this.link.runOn(vm.identity.vm, () => resolve(Result.err(unknown())))
+      })
+    })
+  }
+
+  private at (index: number): OrderVm {
+    return this.vms[index] as OrderVm
+  }
+
+  private isAlive (vm: OrderVm): boolean {
+    return this.vms.includes(vm) && this.link.isAttached(vm.identity.vm)
+  }
+
+  private peerOf (self: VmId, vm: VmId): { readonly reachable: boolean, readonly incarnation?: IncarnationId } | undefined {
+    const incarnation = this.known.get(vm)
+    return incarnation === undefined ? undefined : { reachable: !this.link.isCut(self, vm) && this.link.isAttached(vm), incarnation }
+  }
+
+  private peersOf (self: PeerIdentity): readonly CopyPeer[] {
+    return this.vms
+      .filter(({ identity }) => identity.vm !== self.vm)
+      .map(({ identity }) => ({ ...identity, reachable: this.peerOf(self.vm, identity.vm)?.reachable === true }))
+  }
+}
--- a/packages/simulation/src/soakSuites.ts
+++ b/packages/simulation/src/soakSuites.ts
@@ -3,8 +3,10 @@
  */
 
 import { configurationSoak } from './configurationSoak.js'
+import { ordersSoak } from './ordersSoak.js'
 import type { SoakSuite } from './soakSuite.js'
 
 export const soakSuites: readonly SoakSuite[] = [
-  configurationSoak
+  configurationSoak,
+  ordersSoak
 ]
