Add a fair queue by team, a slot reserve and their measurement

Cause: the first-in-first-out queue is blind to teams. Change: virtual token counters by team, bounded head start, aging, bounds and shedding; the scheduler keeps one queue a pool; admissionMeasure compares with the baseline.

--- /dev/null
+++ b/packages/admission/src/dispatchRate.ts
@@ -0,0 +1,40 @@
+/**
+ * How many tokens a pool dispatches in a millisecond while requests wait,
+ * averaged with exponential decay. Time without any dispatch counts as well,
+ * so that the rate of a stalled pool falls.
+ */
+
+import type { Clock } from '@cuminvale/common'
+import { dispatchRateHalfLifeMilliseconds, dispatchRateWarmupMilliseconds } from './constants.js'
+
+export class DispatchRate {
+  private tokens = 0
+  private milliseconds = 0
+  private markedAt: number
+
+  constructor (private readonly clock: Clock) {
+    this.markedAt = clock.monotonic()
+  }
+
+  /** The pool was empty until now; idle time says nothing of its rate. */
+  start (): void {
+    this.markedAt = this.clock.monotonic()
+  }
+
+  dispatched (tokens: number): void {
+    const now = this.clock.monotonic()
+    const elapsed = now - this.markedAt
+    const decay = 0.5 ** (elapsed / dispatchRateHalfLifeMilliseconds)
+    this.tokens = this.tokens * decay + tokens
+    this.milliseconds = this.milliseconds * decay + elapsed
+    this.markedAt = now
+  }
+
+  /** Milliseconds to dispatch the tokens; undefined until enough has been seen. */
+  millisecondsFor (tokens: number): number | undefined {
+    const stalled = this.clock.monotonic() - this.markedAt
+    const observed = this.milliseconds + stalled
+    if (observed < dispatchRateWarmupMilliseconds || this.tokens === 0) return undefined
+    return tokens * observed / this.tokens
+  }
+}
--- /dev/null
+++ b/packages/admission/src/fairQueue.ts
@@ -0,0 +1,178 @@
+/**
+ * The admission queue of a VM: a fair queue for each pool of upstreams, under
+ * common bounds. When it is full it sheds the newest request of the team that
+ * holds the most for its weight; a request whose deadline can't be met is
+ * refused at once, with the time after which to come back.
+ */
+
+import { RefusalReason, assertInvariant, refuse } from '@cuminvale/common'
+import type { Clock, Refusal, RequestId, TeamId } from '@cuminvale/common'
+import { maximumPools, maximumRetryAfterMilliseconds, minimumRetryAfterMilliseconds } from './constants.js'
+import { IndexedHeap } from './indexedHeap.js'
+import { PoolQueue } from './poolQueue.js'
+import { TeamLoads } from './teamLoads.js'
+import type { AdmissionQueue, QueuedRequest, ShedRequest } from './types.js'
+
+export interface FairQueueOptions {
+  readonly clock: Clock
+  readonly capacityRequests: number
+  readonly capacityTokens: number
+  /** Largest share of either capacity that one team may fill. */
+  readonly teamShare: number
+  /** Tokens by which interactive work goes ahead of batch work, for a team of weight 1. */
+  readonly interactiveHeadStartTokens: number
+  /** Wait after which a batch request counts as interactive. */
+  readonly agingMilliseconds: number
+  /** Expected wait over remaining time above which a request is refused at once. */
+  readonly deadlineSlack: number
+}
+
+const clampRetryAfter = (milliseconds: number): number =>
+  Math.round(Math.min(maximumRetryAfterMilliseconds, Math.max(minimumRetryAfterMilliseconds, milliseconds)))
+
+export class FairQueue<Request extends QueuedRequest> implements AdmissionQueue<Request> {
+  private readonly pools = new Map<string, PoolQueue<Request>>()
+  private readonly requests = new Map<RequestId, Request>()
+  private readonly deadlines = new IndexedHeap<Request>()
+  private readonly teams = new TeamLoads<Request>()
+  private tokens = 0
+
+  constructor (private readonly options: FairQueueOptions) {}
+
+  get length (): number {
+    return this.requests.size
+  }
+
+  waitingIn (pool: string): number {
+    return this.pools.get(pool)?.length ?? 0
+  }
+
+  waitingSince (pool: string, team: TeamId): number | undefined {
+    return this.pools.get(pool)?.waitingSince(team)
+  }
+
+  enqueue (request: Request): ReadonlyArray<ShedRequest<Request>> {
+    const pool = this.poolOf(request.pool)
+    const expectedWait = pool.expectedWait(request) ?? 0
+    const refusal = this.refusalFor(request, expectedWait)
+    if (refusal !== undefined) return [{ request, refusal }]
+    this.add(request, pool)
+    return this.shedOverflow()
+  }
+
+  dequeue (canDispatch: (request: Request) => boolean): Request | undefined {
+    for (const [name, pool] of this.inTurn()) {
+      const taken = pool.take(canDispatch)
+      if (taken === undefined) continue
+      this.forget(taken)
+      this.pools.delete(name)
+      this.pools.set(name, pool)
+      return taken
+    }
+    return undefined
+  }
+
+  remove (id: RequestId): boolean {
+    const request = this.requests.get(id)
+    if (request === undefined) return false
+    this.drop(request)
+    return true
+  }
+
+  expire (): ReadonlyArray<ShedRequest<Request>> {
+    const now = this.options.clock.monotonic()
+    const expired: Array<ShedRequest<Request>> = []
+    for (;;) {
+      const deadline = this.deadlines.peekKey()
+      const request = this.deadlines.peek()
+      if (request === undefined || deadline === undefined || deadline > now) return expired
+      this.drop(request)
+      const refusal = this.refuseLate(request, 'no upstream was free before the deadline')
+      expired.push({ request, refusal })
+    }
+  }
+
+  /** Pools whose next request is urgent first, each group least recently served first. */
+  private inTurn (): ReadonlyArray<readonly [string, PoolQueue<Request>]> {
+    const waiting = [...this.pools].filter(([, pool]) => pool.length > 0)
+    const urgent = waiting.filter(([, pool]) => pool.isUrgent)
+    return urgent.concat(waiting.filter(([, pool]) => !pool.isUrgent))
+  }
+
+  private refusalFor (request: Request, expectedWait: number): Refusal | undefined {
+    const { clock, capacityRequests, capacityTokens, teamShare, deadlineSlack } = this.options
+    const remaining = request.deadlineAt - clock.monotonic()
+    if (expectedWait > remaining * deadlineSlack) {
+      return this.refuseLate(request, `about ${Math.round(expectedWait)} ms of work wait ahead, past the deadline`)
+    }
+    const isOverShare = this.teams.countOf(request.team) + 1 > Math.max(1, capacityRequests * teamShare) ||
+      this.teams.tokensOf(request.team) + request.cost > capacityTokens * teamShare
+    if (!isOverShare) return undefined
+    return this.refuseFull(request, `team "${request.team}" fills its part of the queue`)
+  }
+
+  private refuseLate (request: Request, detail: string): Refusal {
+    return refuse(RefusalReason.DeadlineExceeded, detail, { retryAfterMilliseconds: this.retryAfter(request) })
+  }
+
+  private refuseFull (request: Request, detail: string): Refusal {
+    return refuse(RefusalReason.QueueFull, detail, { retryAfterMilliseconds: this.retryAfter(request) })
+  }
+
+  /** The time in which the team's own waiting work should have been dispatched. */
+  private retryAfter (request: Request): number {
+    return clampRetryAfter(this.pools.get(request.pool)?.expectedWait(request) ?? 0)
+  }
+
+  private shedOverflow (): ReadonlyArray<ShedRequest<Request>> {
+    const { capacityRequests, capacityTokens } = this.options
+    const shed: Array<ShedRequest<Request>> = []
+    while (this.requests.size > capacityRequests || this.tokens > capacityTokens) {
+      const request = this.teams.mostExcessive()
+      if (request === undefined) break
+      const refusal = this.refuseFull(request, `the queue is full, and team "${request.team}" holds the most for its weight`)
+      this.drop(request)
+      shed.push({ request, refusal })
+    }
+    assertInvariant(this.requests.size <= capacityRequests, 'queue-bound', () => `${this.requests.size} requests queued`)
+    return shed
+  }
+
+  private add (request: Request, pool: PoolQueue<Request>): void {
+    assertInvariant(!this.requests.has(request.id), 'queued-once', () => `request ${request.id} is queued already`)
+    this.requests.set(request.id, request)
+    this.deadlines.set(request, request.deadlineAt)
+    this.teams.add(request)
+    this.tokens += request.cost
+    pool.add(request)
+  }
+
+  private drop (request: Request): void {
+    this.pools.get(request.pool)?.delete(request)
+    this.forget(request)
+  }
+
+  private forget (request: Request): void {
+    const wasHeld = this.requests.delete(request.id)
+    assertInvariant(wasHeld, 'queued-once', () => `request ${request.id} left the queue twice`)
+    this.deadlines.remove(request)
+    this.teams.delete(request)
+    this.tokens -= request.cost
+  }
+
+  private poolOf (name: string): PoolQueue<Request> {
+    const held = this.pools.get(name)
+    if (held !== undefined) return held
+    if (this.pools.size >= maximumPools) this.forgetEmptyPools()
+    const made = new PoolQueue<Request>(this.options)
+    this.pools.set(name, made)
+    return made
+  }
+
+  /** Pools change with the configuration; those without requests may be made again. */
+  private forgetEmptyPools (): void {
+    for (const [name, pool] of this.pools) {
+      if (pool.length === 0) this.pools.delete(name)
+    }
+  }
+}
--- a/packages/admission/src/fifoQueue.ts
+++ b/packages/admission/src/fifoQueue.ts
@@ -3,7 +3,7 @@
  */
 
 import { RefusalReason, refuse } from '@cuminvale/common'
-import type { Clock, RequestId } from '@cuminvale/common'
+import type { Clock, RequestId, TeamId } from '@cuminvale/common'
 import type { AdmissionQueue, QueuedRequest, ShedRequest } from './types.js'
 
 export interface FifoQueueOptions {
@@ -22,6 +22,14 @@
     return this.requests.length
   }
 
+  waitingIn (pool: string): number {
+    return this.requests.filter((request) => request.pool === pool).length
+  }
+
+  waitingSince (pool: string, team: TeamId): number | undefined {
+    return this.requests.find((request) => request.pool === pool && request.team === team)?.enqueuedAt
+  }
+
   enqueue (request: Request): ReadonlyArray<ShedRequest<Request>> {
     if (this.requests.length >= this.options.capacity) {
       return [{ request, refusal: refuse(RefusalReason.QueueFull, 'the queue is full', { retryAfterMilliseconds }) }]
--- a/packages/admission/src/index.ts
+++ b/packages/admission/src/index.ts
@@ -1,2 +1,6 @@
 export * from './types.js'
+export { defaultFairQueueBounds } from './constants.js'
+export * from './fairQueue.js'
 export * from './fifoQueue.js'
+export * from './indexedHeap.js'
+export * from './slotReserve.js'
--- /dev/null
+++ b/packages/admission/src/poolQueue.ts
@@ -0,0 +1,158 @@
+/**
+ * Fair queue of one pool of upstreams. Each team has a virtual time, the
+ * tokens dispatched for it divided by its weight; the least goes next.
+ * Interactive work goes ahead by a bounded number of tokens, so that it waits
+ * little while no team can starve another team's batch work with it. A batch
+ * request that has aged gets the same head start.
+ */
+
+import { assertInvariant } from '@cuminvale/common'
+import type { Clock, TeamId } from '@cuminvale/common'
+import { maximumHeadsTried } from './constants.js'
+import { DispatchRate } from './dispatchRate.js'
+import { IndexedHeap } from './indexedHeap.js'
+import { TeamBacklog } from './teamBacklog.js'
+import type { QueuedRequest } from './types.js'
+
+export interface PoolQueueOptions {
+  readonly clock: Clock
+  readonly interactiveHeadStartTokens: number
+  readonly agingMilliseconds: number
+}
+
+export class PoolQueue<Request extends QueuedRequest> {
+  readonly rate: DispatchRate
+  private readonly teams = new Map<TeamId, TeamBacklog<Request>>()
+  /** Teams with waiting requests, by virtual time less the head start. */
+  private readonly ready = new IndexedHeap<TeamBacklog<Request>>()
+  /** Teams with batch requests that have not aged, by the oldest one. */
+  private readonly aging = new IndexedHeap<TeamBacklog<Request>>()
+  /** Virtual time at which a team that was idle comes in; never falls. */
+  private systemTime = 0
+  private waiting = 0
+  private waitingTokens = 0
+  private activeWeight = 0
+
+  constructor (private readonly options: PoolQueueOptions) {
+    this.rate = new DispatchRate(options.clock)
+  }
+
+  get length (): number {
+    return this.waiting
+  }
+
+  /** Whether the request that goes next is interactive or has aged. */
+  get isUrgent (): boolean {
+    return this.ready.peek()?.isUrgent === true
+  }
+
+  waitingSince (team: TeamId): number | undefined {
+    const backlog = this.teams.get(team)
+    return backlog === undefined || backlog.size === 0 ? undefined : backlog.waitingSince
+  }
+
+  add (request: Request): void {
+    if (this.waiting === 0) this.rate.start()
+    const backlog = this.backlogOf(request.team)
+    if (backlog.size === 0) this.activate(backlog, request.weight)
+    backlog.add(request)
+    this.waiting += 1
+    this.waitingTokens += request.cost
+    this.refresh(backlog)
+  }
+
+  delete (request: Request): void {
+    const backlog = this.teams.get(request.team)
+    if (backlog === undefined || !backlog.delete(request)) return
+    this.waiting -= 1
+    this.waitingTokens -= request.cost
+    if (backlog.size === 0) this.deactivate(backlog)
+    this.refresh(backlog)
+  }
+
+  /** Takes the first dispatchable request among the heads of the next few teams. */
+  take (canDispatch: (request: Request) => boolean): Request | undefined {
+    this.promoteAged()
+    const least = this.ready.peekKey() ?? 0
+    const blocked: Array<TeamBacklog<Request>> = []
+    let taken: Request | undefined
+    while (taken === undefined && blocked.length < maximumHeadsTried) {
+      const backlog = this.ready.peek()
+      const head = backlog?.head()
+      if (backlog === undefined || head === undefined) break
+      if (canDispatch(head)) {
+        taken = head
+        this.dispatch(backlog, head, least)
+      } else {
+        blocked.push(backlog)
+        this.ready.remove(backlog)
+      }
+    }
+    blocked.forEach((backlog) => this.refresh(backlog))
+    return taken
+  }
+
+  /** Milliseconds until a new request would be dispatched, by its team's fair share of the measured rate. */
+  expectedWait (request: Request): number | undefined {
+    const backlog = this.teams.get(request.team)
+    const isActive = backlog !== undefined && backlog.size > 0
+    const weights = this.activeWeight + (isActive ? 0 : request.weight)
+    const ahead = (backlog?.tokens ?? 0) * weights / request.weight
+    return this.rate.millisecondsFor(Math.min(ahead, this.waitingTokens))
+  }
+
+  /** `least` is the smallest key of the pool, that of a blocked team perhaps. */
+  private dispatch (backlog: TeamBacklog<Request>, request: Request, least: number): void {
+    const before = this.systemTime
+    this.systemTime = Math.max(before, least)
+    backlog.virtualTime += request.cost / request.weight
+    assertInvariant(this.systemTime >= before && backlog.virtualTime >= this.systemTime, 'fair-queue-time',
+      () => `team ${request.team} at ${backlog.virtualTime} behind the pool at ${this.systemTime}`)
+    this.rate.dispatched(request.cost)
+    this.delete(request)
+  }
+
+  private keyOf (backlog: TeamBacklog<Request>): number {
+    return backlog.virtualTime - (backlog.isUrgent ? this.options.interactiveHeadStartTokens : 0)
+  }
+
+  /** A team that was idle gets no credit for that time, but keeps what it has used ahead of the others. */
+  private activate (backlog: TeamBacklog<Request>, weight: number): void {
+    backlog.virtualTime = Math.max(backlog.virtualTime, this.systemTime)
+    backlog.weight = weight
+    backlog.waitingSince = this.options.clock.monotonic()
+    this.activeWeight += weight
+  }
+
+  private deactivate (backlog: TeamBacklog<Request>): void {
+    this.activeWeight -= backlog.weight
+    if (backlog.virtualTime <= this.systemTime) this.teams.delete(backlog.team)
+  }
+
+  private backlogOf (team: TeamId): TeamBacklog<Request> {
+    const held = this.teams.get(team)
+    if (held !== undefined) return held
+    const made = new TeamBacklog<Request>(team, this.options.agingMilliseconds)
+    this.teams.set(team, made)
+    return made
+  }
+
+  private refresh (backlog: TeamBacklog<Request>): void {
+    if (backlog.size === 0) this.ready.remove(backlog)
+    else this.ready.set(backlog, this.keyOf(backlog))
+    const batch = backlog.promoted ? undefined : backlog.oldestBatch()
+    if (batch === undefined) this.aging.remove(backlog)
+    else this.aging.set(backlog, batch.enqueuedAt)
+  }
+
+  private promoteAged (): void {
+    const agedBefore = this.options.clock.monotonic() - this.options.agingMilliseconds
+    for (;;) {
+      const oldest = this.aging.peekKey()
+      const backlog = this.aging.peek()
+      if (oldest === undefined || backlog === undefined || oldest > agedBefore) return
+      backlog.promoted = true
+      this.refresh(backlog)
+    }
+  }
+}
--- /dev/null
+++ b/packages/admission/src/requestList.ts
@@ -0,0 +1,48 @@
+/**
+ * Items in order of arrival; the first is read and any is removed in constant
+ * time. (The first item of a JavaScript set is found by a scan over the
+ * entries removed before it.)
+ */
+
+interface Node<Item> {
+  readonly item: Item
+  previous: Node<Item> | undefined
+  next: Node<Item> | undefined
+}
+
+export class RequestList<Item> {
+  private readonly nodes = new Map<Item, Node<Item>>()
+  private head: Node<Item> | undefined
+  private tail: Node<Item> | undefined
+
+  get size (): number {
+    return this.nodes.size
+  }
+
+  first (): Item | undefined {
+    return this.head?.item
+  }
+
+  last (): Item | undefined {
+    return this.tail?.item
+  }
+
+  push (item: Item): void {
+    const node: Node<Item> = { item, previous: this.tail, next: undefined }
+    this.nodes.set(item, node)
+    if (this.tail === undefined) this.head = node
+    else this.tail.next = node
+    this.tail = node
+  }
+
+  delete (item: Item): boolean {
+    const node = this.nodes.get(item)
+    if (node === undefined) return false
+    this.nodes.delete(item)
+    if (node.previous === undefined) this.head = node.next
+    else node.previous.next = node.next
+    if (node.next === undefined) this.tail = node.previous
+    else node.next.previous = node.previous
+    return true
+  }
+}
--- /dev/null
+++ b/packages/admission/src/teamLoads.ts
@@ -0,0 +1,53 @@
+/**
+ * What each team has waiting in all pools of a VM, and which team to shed
+ * from when the queue is full: the one with the most tokens for its weight.
+ */
+
+import type { TeamId } from '@cuminvale/common'
+import { IndexedHeap } from './indexedHeap.js'
+import { RequestList } from './requestList.js'
+import type { QueuedRequest } from './types.js'
+
+interface TeamLoad<Request> {
+  readonly team: TeamId
+  readonly waiting: RequestList<Request>
+  tokens: number
+}
+
+export class TeamLoads<Request extends QueuedRequest> {
+  private readonly loads = new Map<TeamId, TeamLoad<Request>>()
+  private readonly byExcess = new IndexedHeap<TeamLoad<Request>>()
+
+  add (request: Request): void {
+    const load = this.loads.get(request.team) ?? { team: request.team, waiting: new RequestList<Request>(), tokens: 0 }
+    this.loads.set(request.team, load)
+    load.waiting.push(request)
+    load.tokens += request.cost
+    this.byExcess.set(load, -load.tokens / request.weight)
+  }
+
+  delete (request: Request): void {
+    const load = this.loads.get(request.team)
+    if (load?.waiting.delete(request) !== true) return
+    load.tokens -= request.cost
+    if (load.waiting.size > 0) {
+      this.byExcess.set(load, -load.tokens / request.weight)
+      return
+    }
+    this.loads.delete(request.team)
+    this.byExcess.remove(load)
+  }
+
+  countOf (team: TeamId): number {
+    return this.loads.get(team)?.waiting.size ?? 0
+  }
+
+  tokensOf (team: TeamId): number {
+    return this.loads.get(team)?.tokens ?? 0
+  }
+
+  /** The newest request of the team with the most waiting tokens for its weight. */
+  mostExcessive (): Request | undefined {
+    return this.byExcess.peek()?.waiting.last()
+  }
+}
--- a/packages/admission/src/types.ts
+++ b/packages/admission/src/types.ts
@@ -8,6 +8,8 @@
 export interface QueuedRequest {
   readonly id: RequestId
   readonly team: TeamId
+  /** Names the set of upstreams that can run the request; requests of other pools never block it. */
+  readonly pool: string
   readonly priority: PriorityClass
   /** Share of the queue relative to other teams. */
   readonly weight: number
@@ -32,5 +34,9 @@
   remove (id: RequestId): boolean
   /** Removes the requests whose deadline has passed. */
   expire (): ReadonlyArray<ShedRequest<Request>>
+  /** Requests that wait for upstreams of a pool. */
+  waitingIn (pool: string): number
+  /** Monotonic time since which a team has had requests waiting in a pool without a break. */
+  waitingSince (pool: string, team: TeamId): number | undefined
   readonly length: number
 }
--- a/packages/daemon/src/callerServer.ts
+++ b/packages/daemon/src/callerServer.ts
@@ -48,7 +48,6 @@
     return
   }
   const request = received.value
-  signal.addEventListener('abort', () => context.scheduler.abandon(request.id), { once: true })
   await gateway.serve(request, response)
   if (signal.aborted) logRefusal(context, request, refuse(RefusalReason.CallerGone, 'the caller went away'))
 }
--- a/packages/daemon/src/createContext.ts
+++ b/packages/daemon/src/createContext.ts
@@ -2,7 +2,7 @@
  * Builds the decision objects of a VM from its settings.
  */
 
-import { FifoQueue } from '@cuminvale/admission'
+import { FairQueue, defaultFairQueueBounds } from '@cuminvale/admission'
 import { RequestIdSource, VmState, newIncarnationId, runtimeClock, runtimeRandom } from '@cuminvale/common'
 import { ConfigurationHolder } from '@cuminvale/configuration'
 import { UniformEntryChooser } from '@cuminvale/entries'
@@ -23,6 +23,7 @@
 import { Scheduler } from './scheduler.js'
 import { SecretFile } from './secrets.js'
 import { reachablePeers } from './reachablePeers.js'
+import { UpstreamPools } from './upstreamPools.js'
 import { UpstreamClient } from './upstreamClient.js'
 import { Lifecycle } from './vmContext.js'
 import type { Waiting } from './scheduler.js'
@@ -77,13 +78,22 @@
     table.configure(inForce)
     metrics.revision.set(inForce.revision)
   })
+  const pools = new UpstreamPools({ region: identity.region, configuration: () => configuration.current })
   const scheduler = new Scheduler({
     clock,
     region: identity.region,
-    queue: new FifoQueue<Waiting>({ clock, capacity: settings.requests['queue-capacity'] }),
+    queue: new FairQueue<Waiting>({
+      ...defaultFairQueueBounds,
+      clock,
+      capacityRequests: settings.requests['queue-capacity'],
+      deadlineSlack: settings.policy['deadline-slack'],
+      agingMilliseconds: settings.policy['batch-aging-milliseconds'],
+      interactiveHeadStartTokens: settings.policy['interactive-head-start-tokens']
+    }),
     chooser: new LeastInFlightChooser(random),
     table,
-    remoteRegions: createRemoteRegions(configuration, membership, identity.region)
+    remoteRegions: createRemoteRegions(configuration, membership, identity.region),
+    poolOf: (request) => pools.poolOf(request)
   })
   const suspects = new CrashSuspects({ clock, capacity: crashSuspectCapacity })
   const mint = new TicketMint({ clock, vm: identity.vm, incarnation })
--- a/packages/daemon/src/peerServer.ts
+++ b/packages/daemon/src/peerServer.ts
@@ -28,7 +28,6 @@
     context.metrics.refusals.inc({ reason: received.error.reason })
     return sendRefusal(response, received.error)
   }
-  signal.addEventListener('abort', () => context.scheduler.abandon(received.value.id), { once: true })
   await gateway.serve(received.value, response)
 }
 
--- a/packages/daemon/src/scheduler.ts
+++ b/packages/daemon/src/scheduler.ts
@@ -6,7 +6,7 @@
 import { Result } from 'true-myth'
 import { RefusalReason, refuse } from '@cuminvale/common'
 import { RoutingChoiceKind } from '@cuminvale/routing'
-import type { Clock, Refusal, RegionId, RequestId, UpstreamId } from '@cuminvale/common'
+import type { Clock, Refusal, RegionId, UpstreamId } from '@cuminvale/common'
 import type { AdmissionQueue, QueuedRequest, ShedRequest } from '@cuminvale/admission'
 import type { RemoteRegionView, RoutingChoice, RoutingRequest, UpstreamChooser, UpstreamTable } from '@cuminvale/routing'
 import { maximumBorderCrossings, queueTickMilliseconds } from './constants.js'
@@ -28,6 +28,7 @@
   readonly chooser: UpstreamChooser
   readonly table: UpstreamTable
   readonly remoteRegions: (request: RoutingRequest) => readonly RemoteRegionView[]
+  readonly poolOf: (request: RoutingRequest) => string
 }
 
 const unavailableRetryMilliseconds = 1_000
@@ -56,11 +57,19 @@
   /** Waits for an assignment. A local one counts as in flight from here until `release`. */
   acquire (request: GatewayRequest, excluded: ReadonlySet<UpstreamId>): Promise<Result<Assignment, Refusal>> {
     const routing = routingRequestOf(request, excluded)
-    if (this.options.queue.length === 0) {
+    const pool = this.options.poolOf(routing)
+    if (this.options.queue.waitingIn(pool) === 0) {
       const choice = this.choose(routing)
       if (choice.kind !== RoutingChoiceKind.Wait) return Promise.resolve(this.take(choice))
     }
-    return new Promise((resolve) => this.enqueue(request, routing, resolve))
+    return new Promise((resolve) => {
+      const abandon = (): void => this.abandon(request, resolve)
+      request.signal.addEventListener('abort', abandon, { once: true })
+      this.enqueue({ request, routing, pool }, (result) => {
+        request.signal.removeEventListener('abort', abandon)
+        resolve(result)
+      })
+    })
   }
 
   release (upstream: UpstreamId, succeeded: boolean): void {
@@ -68,11 +77,6 @@
     this.pump()
   }
 
-  /** Drops a queued request whose caller has gone. */
-  abandon (id: RequestId): void {
-    this.options.queue.remove(id)
-  }
-
   /** Dispatches queued requests while upstreams have room. */
   pump (): void {
     for (;;) {
@@ -94,13 +98,13 @@
   }
 
   private enqueue (
-    request: GatewayRequest,
-    routing: RoutingRequest,
-    settle: (result: Result<Assignment, Refusal>) => void
+    { request, routing, pool }: { request: GatewayRequest, routing: RoutingRequest, pool: string },
+    settle: Waiting['settle']
   ): void {
     this.settleShed(this.options.queue.enqueue({
       id: request.id,
       team: request.team,
+      pool,
       priority: request.route.priority,
       weight: request.plan?.weight ?? 1,
       cost: Math.max(1, requestTokens(request)),
@@ -111,6 +115,12 @@
     }))
   }
 
+  /** Drops a queued request whose caller has gone. */
+  private abandon (request: GatewayRequest, settle: Waiting['settle']): void {
+    if (!this.options.queue.remove(request.id)) return
+    settle(Result.err(refuse(RefusalReason.CallerGone, 'the caller went away while the request waited')))
+  }
+
   private settleShed (shed: ReadonlyArray<ShedRequest<Waiting>>): void {
     for (const { request, refusal } of shed) request.settle(Result.err(refusal))
   }
--- a/packages/daemon/src/settings.ts
+++ b/packages/daemon/src/settings.ts
@@ -14,6 +14,8 @@
 const identifier = z.string().refine(isIdentifier, { error: '1 to 63 lower-case letters, digits, dots, dashes or underscores' })
 const integer = (minimum: number, maximum: number) =>
   z.coerce.number({ error: `a whole number from ${minimum} to ${maximum}` }).int().min(minimum).max(maximum)
+const decimal = (minimum: number, maximum: number) =>
+  z.coerce.number({ error: `a number from ${minimum} to ${maximum}` }).min(minimum).max(maximum)
 const port = integer(0, 65_535)
 const address = z.string().regex(/^https?:\/\/[^/]+$/, 'http://host:port or https://host:port')
 const fileName = z.string().min(1, 'the name of a readable file')
@@ -44,6 +46,11 @@
     'header-limit-bytes': integer(1_024, 1_048_576).default(16_384),
     'body-timeout-milliseconds': integer(100, 600_000).default(10_000),
     'queue-capacity': integer(1, 1_000_000).default(2_000)
+  }).prefault({}),
+  policy: z.strictObject({
+    'deadline-slack': decimal(0.1, 100).default(1.5),
+    'batch-aging-milliseconds': integer(0, 3_600_000).default(5_000),
+    'interactive-head-start-tokens': integer(0, 1e9).default(20_000)
   }).prefault({})
 })
 
--- /dev/null
+++ b/packages/daemon/src/upstreamPools.ts
@@ -0,0 +1,55 @@
+/**
+ * Names the pool of upstreams that can run a request. Routes and models that
+ * the same upstreams serve share a pool, and so their queue, whatever they
+ * are called.
+ */
+
+import type { RegionId } from '@cuminvale/common'
+import type { Configuration } from '@cuminvale/documents'
+import type { RoutingRequest } from '@cuminvale/routing'
+
+export interface UpstreamPoolsOptions {
+  readonly region: RegionId
+  readonly configuration: () => Configuration | undefined
+}
+
+export class UpstreamPools {
+  private readonly names = new Map<string, string>()
+  private namedFor: Configuration | undefined
+
+  constructor (private readonly options: UpstreamPoolsOptions) {}
+
+  /** Requests that may not run here, or that some upstreams have failed, wait in pools of their own. */
+  poolOf (request: RoutingRequest): string {
+    if (!request.allowedRegions.includes(this.options.region)) {
+      return `away ${this.routeKey(request)} ${[...request.allowedRegions].sort().join()}`
+    }
+    const name = this.localPool(request)
+    return request.excluded.size === 0 ? name : `${name} without ${[...request.excluded].sort().join()}`
+  }
+
+  private localPool (request: RoutingRequest): string {
+    const configuration = this.options.configuration()
+    if (configuration !== this.namedFor) this.names.clear()
+    this.namedFor = configuration
+    const key = this.routeKey(request)
+    const held = this.names.get(key)
+    if (held !== undefined) return held
+    const name = this.upstreamsOf(request, configuration)
+    this.names.set(key, name)
+    return name
+  }
+
+  private routeKey (request: RoutingRequest): string {
+    return `${request.route} ${request.model ?? ''}`
+  }
+
+  private upstreamsOf (request: RoutingRequest, configuration: Configuration | undefined): string {
+    return [...configuration?.upstreams.values() ?? []]
+      .filter((upstream) => upstream.region === this.options.region && upstream.routes.includes(request.route) &&
+        (request.model === undefined || upstream.models.includes(request.model)))
+      .map((upstream) => upstream.name)
+      .sort()
+      .join()
+  }
+}
--- /dev/null
+++ b/packages/simulation/src/admissionMeasure.ts
@@ -0,0 +1,263 @@
+/**
+ * Measures admission: five teams before one pool, the largest at its rate, at
+ * ten times its rate, and absent. Interactive and batch requests arrive as
+ * Poisson processes from one seed for every policy.
+ */
+
+import { FairQueue, FifoQueue, SlotReserve, defaultFairQueueBounds } from '@cuminvale/admission'
+import { PriorityClass, SeededRandom, millisecondsPerSecond, toRequestId, toTeamId } from '@cuminvale/common'
+import { TokenBucket } from '@cuminvale/limits'
+import type { AdmissionQueue, PoolSlots, QueuedRequest } from '@cuminvale/admission'
+import type { TeamId } from '@cuminvale/common'
+import { BatchRunner } from './batchRunner.js'
+import { MeasuredDeployment } from './measureScenario.js'
+import { exponential, percentile } from './statistics.js'
+import { VirtualClock } from './virtualClock.js'
+import type { MeasureRow, MeasureScenario } from './measureScenario.js'
+
+export interface TeamLoadSpecification {
+  readonly team: TeamId
+  readonly weight: number
+  /** Tokens a second that the plan grants. */
+  readonly rate: number
+}
+
+interface Kind {
+  readonly priority: PriorityClass
+  readonly promptTokens: number
+  readonly outputTokens: number
+  readonly deadlineMilliseconds: number
+  /** Part of a team's tokens. */
+  readonly share: number
+}
+
+const kinds: readonly Kind[] = [
+  { priority: PriorityClass.Interactive, promptTokens: 200, outputTokens: 40, deadlineMilliseconds: 10_000, share: 0.4 },
+  { priority: PriorityClass.Batch, promptTokens: 600, outputTokens: 200, deadlineMilliseconds: 120_000, share: 0.6 }
+]
+
+const planLoad = 0.75
+const planBurstSeconds = 2
+const floodFactor = 10
+const runMilliseconds = 120_000
+const settleMilliseconds = 180_000
+const queueCapacity = 2_000
+const pool = 'pool'
+const weights = [4, 4, 2, 2, 1]
+const cacheBlocks = 1
+/** Tokens a second of a full slot, prompt and output together, by the mix of `kinds`. */
+const tokensPerSlotSecond = 170
+
+export const AdmissionPolicy = { Fair: 'fair', FairNoReserve: 'fair-without-reserve', Fifo: 'fifo' } as const
+export type AdmissionPolicy = typeof AdmissionPolicy[keyof typeof AdmissionPolicy]
+
+interface MeasuredRequest extends QueuedRequest {
+  readonly kind: Kind
+}
+
+interface TeamOutcome {
+  readonly firstToken: Record<PriorityClass, number[]>
+  offered: number
+  servedTokens: number
+  refused: number
+  expired: number
+}
+
+interface Situation {
+  readonly slots: number
+  readonly reserveShare: number
+  readonly deadlineSlack: number
+}
+
+const situations: Record<MeasuredDeployment, Situation> = {
+  [MeasuredDeployment.Cooperativa]: { slots: 64, reserveShare: 0.15, deadlineSlack: 1 },
+  [MeasuredDeployment.Talahib]: { slots: 48, reserveShare: 0.05, deadlineSlack: 2 }
+}
+
+/** Two runners behind one queue, with the teams' arrivals. */
+export class AdmissionRun {
+  readonly outcomes = new Map<TeamId, TeamOutcome>()
+  readonly runners: readonly BatchRunner[]
+  private readonly clock = new VirtualClock()
+  private readonly queue: AdmissionQueue<MeasuredRequest>
+  private readonly reserve: SlotReserve
+  private nextId = 0
+  private limited: TokenBucket | undefined
+
+  constructor (
+    policy: AdmissionPolicy,
+    private readonly teams: readonly TeamLoadSpecification[],
+    private readonly situation: Situation
+  ) {
+    const { clock } = this
+    const totalWeight = teams.reduce((sum, { weight }) => sum + weight, 0)
+    this.runners = [0, 1].map(() => new BatchRunner({ clock, slots: situation.slots / 2, cacheBlocks }))
+    this.queue = policy === AdmissionPolicy.Fifo
+      ? new FifoQueue({ clock, capacity: queueCapacity })
+      : new FairQueue({ ...defaultFairQueueBounds, clock, capacityRequests: queueCapacity, deadlineSlack: situation.deadlineSlack })
+    this.reserve = new SlotReserve({
+      clock,
+      reserveShare: policy === AdmissionPolicy.Fair ? situation.reserveShare : 0,
+      weightShare: (team) => (teams.find((entry) => entry.team === team)?.weight ?? 0) / totalWeight,
+      vmCount: () => 1
+    })
+    for (const { team } of teams) {
+      this.outcomes.set(team, { firstToken: { interactive: [], batch: [] }, offered: 0, servedTokens: 0, refused: 0, expired: 0 })
+    }
+  }
+
+  /** Puts the largest team behind the rate and burst of its plan. */
+  limitLargest (): void {
+    const rate = this.teams[0]?.rate ?? 0
+    this.limited = new TokenBucket({ ratePerSecond: rate, capacity: rate * planBurstSeconds }, this.clock.monotonic())
+  }
+
+  run (seed: number, factorOf: (team: TeamId) => number): void {
+    this.teams.forEach((team, teamIndex) => kinds.forEach((kind, kindIndex) => {
+      const random = new SeededRandom(seed * 1_000 + teamIndex * 10 + kindIndex)
+      const factor = factorOf(team.team)
+      if (factor === 0) return
+      const mean = (kind.promptTokens + kind.outputTokens) / (team.rate * factor * kind.share) * millisecondsPerSecond
+      this.arrive({ team, kind, random, mean })
+    }))
+    for (let now = 0; now < runMilliseconds + settleMilliseconds; now += 20) {
+      this.clock.advance(20)
+      for (const { request } of this.queue.expire()) this.outcomeOf(request.team).expired += 1
+      this.pump()
+    }
+  }
+
+  private arrive (source: { team: TeamLoadSpecification, kind: Kind, random: SeededRandom, mean: number }): void {
+    this.clock.schedule(exponential(source.random, source.mean), () => {
+      if (this.clock.monotonic() > runMilliseconds) return
+      this.offer(source.team, source.kind)
+      this.arrive(source)
+    })
+  }
+
+  private offer ({ team, weight }: TeamLoadSpecification, kind: Kind): void {
+    const now = this.clock.monotonic()
+    const cost = kind.promptTokens + kind.outputTokens
+    if (team === this.teams[0]?.team && this.limited?.take(cost, now) === false) return
+    this.nextId += 1
+    this.outcomeOf(team).offered += cost
+    const shed = this.queue.enqueue({
+      id: toRequestId(`r-${this.nextId}`),
+      team,
+      pool,
+      priority: kind.priority,
+      weight,
+      cost: kind.promptTokens + kind.outputTokens,
+      enqueuedAt: now,
+      deadlineAt: now + kind.deadlineMilliseconds,
+      kind
+    })
+    for (const { request } of shed) this.outcomeOf(request.team).refused += 1
+    this.pump()
+  }
+
+  private pump (): void {
+    for (;;) {
+      const runner = this.runners.reduce((best, next) => next.running < best.running ? next : best)
+      if (runner.running >= runner.slots) return
+      const request = this.queue.dequeue(({ team }) => this.reserve.mayTake(pool, team, this.slotsFor(team)))
+      if (request === undefined) return
+      this.start(request, runner)
+    }
+  }
+
+  private start (request: MeasuredRequest, runner: BatchRunner): void {
+    const outcome = this.outcomeOf(request.team)
+    this.reserve.begin(pool, request.team)
+    runner.submit({
+      priority: request.priority,
+      promptTokens: request.kind.promptTokens,
+      outputTokens: request.kind.outputTokens,
+      blocks: [],
+      onFirstToken: () => outcome.firstToken[request.priority].push(this.clock.monotonic() - request.enqueuedAt),
+      onEnd: () => {
+        outcome.servedTokens += request.cost
+        this.reserve.end(pool, request.team)
+        this.pump()
+      }
+    })
+  }
+
+  private slotsFor (team: TeamId): PoolSlots {
+    const total = this.situation.slots
+    return { total, free: total - this.runners.reduce((sum, { running }) => sum + running, 0), waitingSince: this.queue.waitingSince(pool, team) }
+  }
+
+  private outcomeOf (team: TeamId): TeamOutcome {
+    return this.outcomes.get(team) as TeamOutcome
+  }
+}
+
+const teamsFor = (slots: number): readonly TeamLoadSpecification[] => {
+  const total = weights.reduce((sum, weight) => sum + weight, 0)
+  const capacity = slots * tokensPerSlotSecond * planLoad
+  return weights.map((weight, index) => ({ team: toTeamId(`team-${index + 1}`), weight, rate: capacity * weight / total }))
+}
+
+interface RunOptions {
+  readonly policy: AdmissionPolicy
+  readonly situation: Situation
+  readonly seed: number
+  /** Factor on the largest team's rate; 0 leaves it out. */
+  readonly factor: number
+  readonly limited: boolean
+}
+
+const runOnce = ({ policy, situation, seed, factor, limited }: RunOptions): AdmissionRun => {
+  const teams = teamsFor(situation.slots)
+  const run = new AdmissionRun(policy, teams, situation)
+  if (limited) run.limitLargest()
+  run.run(seed, (team) => team === teams[0]?.team ? factor : 1)
+  return run
+}
+
+const withinPlanShare = (run: AdmissionRun, teams: readonly TeamLoadSpecification[]): number =>
+  Math.min(...teams.flatMap(({ team, rate }) => {
+    const outcome = run.outcomes.get(team)
+    if (outcome === undefined || outcome.offered === 0) return []
+    const withinPlan = Math.min(outcome.offered, rate * runMilliseconds / millisecondsPerSecond)
+    return [Math.min(1, outcome.servedTokens / withinPlan)]
+  }))
+
+/** Worst 99th percentile over the teams other than the largest. */
+const othersTail = (run: AdmissionRun, priority: PriorityClass): number =>
+  Math.max(...[...run.outcomes.values()].slice(1).map(({ firstToken }) => percentile(firstToken[priority], 0.99)))
+
+const toRow = (run: AdmissionRun, options: RunOptions, scenario: string): MeasureRow => {
+  const others = [...run.outcomes.values()].slice(1)
+  const tokens = [...run.outcomes.values()].reduce((sum, outcome) => sum + outcome.servedTokens, 0)
+  const compute = run.runners.reduce((sum, runner) => sum + runner.computeMilliseconds, 0)
+  const requests = others.reduce((sum, { firstToken, refused, expired }) =>
+    sum + firstToken.interactive.length + firstToken.batch.length + refused + expired, 0)
+  return {
+    decision: 'admission',
+    policy: options.policy,
+    scenario,
+    cost: compute / tokens,
+    tailLatencyMilliseconds: othersTail(run, PriorityClass.Interactive),
+    sentAwayShare: null,
+    worstTeamShare: withinPlanShare(run, teamsFor(options.situation.slots)),
+    wrongfulRefusalShare: others.reduce((sum, { refused, expired }) => sum + refused + expired, 0) / requests,
+    overspendTokens: null
+  }
+}
+
+const scenarios = [
+  { name: 'largest team absent', factor: 0, limited: true },
+  { name: 'largest team at its rate', factor: 1, limited: false },
+  { name: 'largest team at 10 times, behind its limit', factor: floodFactor, limited: true },
+  { name: 'largest team at 10 times, unlimited', factor: floodFactor, limited: false }
+]
+
+export const admissionMeasure: MeasureScenario = {
+  decision: 'admission',
+  run: (deployment, seed) => Object.values(AdmissionPolicy).flatMap((policy) => scenarios.map(({ name, factor, limited }) => {
+    const options = { policy, situation: situations[deployment], seed, factor, limited }
+    return toRow(runOnce(options), options, name)
+  }))
+}
--- /dev/null
+++ b/packages/simulation/src/admissionSoak.ts
@@ -0,0 +1,228 @@
+/**
+ * Soak suite: no queued request is lost or settled twice, the bounds hold, and
+ * no team is starved, however requests, stalls and departures mix.
+ */
+
+import * as fastCheck from 'fast-check'
+import { FairQueue } from '@cuminvale/admission'
+import { PriorityClass, toRequestId, toTeamId } from '@cuminvale/common'
+import type { QueuedRequest, ShedRequest } from '@cuminvale/admission'
+import type { RequestId, TeamId } from '@cuminvale/common'
+import { checkCommands } from './checkCommands.js'
+import { VirtualClock } from './virtualClock.js'
+import { FaultKind } from './soakSuite.js'
+import type { SoakSuite, SoakTally } from './soakSuite.js'
+
+const teamWeights = [4, 2, 1, 1]
+const pools = ['pool-0', 'pool-1']
+const runsPerBatch = 60
+const maximumCommands = 80
+const capacityRequests = 60
+const capacityTokens = 30_000
+const maximumCost = 1_000
+const headStartTokens = 1_500
+const agingMilliseconds = 2_000
+const farDeadlineMilliseconds = 100_000
+
+/**
+ * Most weighted tokens that another team may be given above a team that has
+ * requests waiting: the head starts of both, and one request of each.
+ */
+const unfairnessBound = 2 * headStartTokens + 2 * maximumCost
+
+/** Weighted tokens that each team of a pool was given since a team began to wait. */
+interface WaitRecord {
+  own: number
+  readonly others: Map<TeamId, number>
+}
+
+export class AdmissionFleet {
+  readonly clock = new VirtualClock()
+  readonly stalled = new Set<string>()
+  private readonly queue = new FairQueue<QueuedRequest>({
+    clock: this.clock,
+    capacityRequests,
+    capacityTokens,
+    teamShare: 0.6,
+    interactiveHeadStartTokens: headStartTokens,
+    agingMilliseconds,
+    deadlineSlack: 1.5
+  })
+
+  private readonly outstanding = new Map<RequestId, QueuedRequest>()
+  private readonly settled = new Set<RequestId>()
+  private readonly waits = new Map<string, WaitRecord>()
+  private nextId = 0
+
+  constructor (readonly tally: SoakTally) {}
+
+  offer (request: { team: number, pool: number, priority: PriorityClass, cost: number, deadline: number }): void {
+    this.tally.operation()
+    const now = this.clock.monotonic()
+    this.nextId += 1
+    const queued: QueuedRequest = {
+      id: toRequestId(`r-${this.nextId}`),
+      team: toTeamId(`team-${request.team}`),
+      pool: pools[request.pool] ?? '',
+      priority: request.priority,
+      weight: teamWeights[request.team] ?? 1,
+      cost: request.cost,
+      enqueuedAt: now,
+      deadlineAt: now + request.deadline
+    }
+    this.outstanding.set(queued.id, queued)
+    this.startWait(queued)
+    this.settleShed(this.queue.enqueue(queued))
+    this.checkBounds()
+  }
+
+  dispatch (count: number): void {
+    for (let index = 0; index < count; index += 1) {
+      const request = this.queue.dequeue(({ pool }) => !this.stalled.has(pool))
+      if (request === undefined) return
+      this.tally.operation()
+      this.checkOrder(request)
+      this.settle(request)
+      this.recordService(request)
+    }
+  }
+
+  /** A caller goes away; the queue must hold exactly the requests that are outstanding. */
+  leave (index: number): void {
+    const ids = [...this.outstanding.keys()]
+    const id = ids[index % Math.max(1, ids.length)]
+    const request = id === undefined ? undefined : this.outstanding.get(id)
+    if (request === undefined) return
+    this.tally.operation()
+    if (!this.queue.remove(request.id)) throw new Error(`request ${request.id} was lost`)
+    if (this.queue.remove(request.id)) throw new Error(`request ${request.id} was removed twice`)
+    this.settle(request)
+  }
+
+  wait (milliseconds: number): void {
+    this.clock.advance(milliseconds)
+    this.settleShed(this.queue.expire())
+    const late = [...this.outstanding.values()].filter(({ deadlineAt }) => deadlineAt <= this.clock.monotonic())
+    if (late.length > 0) throw new Error(`request ${late[0]?.id ?? ''} is kept past its deadline`)
+  }
+
+  finish (): void {
+    this.stalled.clear()
+    this.dispatch(this.outstanding.size)
+    if (this.outstanding.size > 0) throw new Error(`${this.outstanding.size} requests were lost`)
+    if (this.queue.length !== 0) throw new Error(`the queue still counts ${this.queue.length} requests`)
+  }
+
+  private settleShed (shed: ReadonlyArray<ShedRequest<QueuedRequest>>): void {
+    for (const { request, refusal } of shed) {
+      if (refusal.outcome !== 'not-run') throw new Error(`request ${request.id} was shed as ${refusal.outcome}`)
+      if ((refusal.retryAfterMilliseconds ?? 0) <= 0) throw new Error(`request ${request.id} was shed without a time to come back`)
+      this.settle(request)
+    }
+  }
+
+  private settle (request: QueuedRequest): void {
+    if (this.settled.has(request.id)) throw new Error(`request ${request.id} was settled twice`)
+    this.settled.add(request.id)
+    this.outstanding.delete(request.id)
+    const stillWaits = [...this.outstanding.values()].some((other) => waitKey(other) === waitKey(request))
+    if (!stillWaits) this.waits.delete(waitKey(request))
+  }
+
+  private startWait (request: QueuedRequest): void {
+    if (!this.waits.has(waitKey(request))) this.waits.set(waitKey(request), { own: 0, others: new Map() })
+  }
+
+  private recordService (request: QueuedRequest): void {
+    const served = request.cost / request.weight
+    for (const [key, record] of this.waits) {
+      if (!key.startsWith(`${request.pool} `)) continue
+      if (key === waitKey(request)) {
+        record.own += served
+        continue
+      }
+      const total = (record.others.get(request.team) ?? 0) + served
+      record.others.set(request.team, total)
+      if (total - record.own > unfairnessBound) {
+        throw new Error(`${key} waited while ${request.team} was given ${total - record.own} weighted tokens more`)
+      }
+    }
+  }
+
+  /** Within a team and class the order of arrival holds, and a request that is not blocked is never passed over for good. */
+  private checkOrder (request: QueuedRequest): void {
+    for (const other of this.outstanding.values()) {
+      const isSameLine = other.team === request.team && other.pool === request.pool && other.priority === request.priority
+      if (isSameLine && other.enqueuedAt < request.enqueuedAt) throw new Error(`${request.id} overtook ${other.id}`)
+    }
+  }
+
+  private checkBounds (): void {
+    const requests = [...this.outstanding.values()]
+    const tokens = requests.reduce((sum, { cost }) => sum + cost, 0)
+    if (requests.length > capacityRequests || tokens > capacityTokens) {
+      throw new Error(`${requests.length} requests of ${tokens} tokens are queued`)
+    }
+    if (requests.length !== this.queue.length) throw new Error(`${this.queue.length} queued, ${requests.length} outstanding`)
+  }
+}
+
+const waitKey = (request: QueuedRequest): string => `${request.pool} ${request.team}`
+
+type Model = Record<string, never>
+
+class AdmissionCommand implements fastCheck.Command<Model, AdmissionFleet> {
+  constructor (private readonly name: string, private readonly act: (fleet: AdmissionFleet) => void) {}
+
+  check (): boolean {
+    return true
+  }
+
+  run (_: Model, fleet: AdmissionFleet): void {
+    this.act(fleet)
+  }
+
+  toString (): string {
+    return this.name
+  }
+}
+
+const offered = fastCheck.record({
+  team: fastCheck.integer({ min: 0, max: teamWeights.length - 1 }),
+  pool: fastCheck.integer({ min: 0, max: pools.length - 1 }),
+  priority: fastCheck.constantFrom(PriorityClass.Interactive, PriorityClass.Batch),
+  cost: fastCheck.integer({ min: 1, max: maximumCost }),
+  deadline: fastCheck.constantFrom(500, 5_000, farDeadlineMilliseconds)
+})
+
+const commands = [
+  offered.map((request) => new AdmissionCommand(`offer(${JSON.stringify(request)})`, (fleet) => fleet.offer(request))),
+  fastCheck.tuple(offered, fastCheck.integer({ min: 2, max: 40 })).map(([request, count]) =>
+    new AdmissionCommand(`flood(${JSON.stringify(request)},${count})`, (fleet) => {
+      for (let index = 0; index < count; index += 1) fleet.offer(request)
+    })),
+  fastCheck.integer({ min: 1, max: 30 }).map((count) =>
+    new AdmissionCommand(`dispatch(${count})`, (fleet) => fleet.dispatch(count))),
+  fastCheck.integer({ min: 0, max: 100 }).map((index) =>
+    new AdmissionCommand(`leave(${index})`, (fleet) => fleet.leave(index))),
+  fastCheck.integer({ min: 1, max: 3_000 }).map((span) =>
+    new AdmissionCommand(`wait(${span})`, (fleet) => fleet.wait(span))),
+  fastCheck.constantFrom(...pools).map((pool) => new AdmissionCommand(`stall(${pool})`, (fleet) => {
+    fleet.tally.fault(FaultKind.UpstreamCrash)
+    fleet.stalled.add(pool)
+  })),
+  fastCheck.constant(new AdmissionCommand('recover', (fleet) => fleet.stalled.clear()))
+]
+
+export const admissionSoak: SoakSuite = {
+  name: 'admission',
+  promise: 'The largest customer never crowds out the rest; no queued request is lost or settled twice.',
+  run: async (seed, tally) => await checkCommands<Model, AdmissionFleet>({
+    seed,
+    runs: runsPerBatch,
+    maximumCommands,
+    commands,
+    setup: () => ({ model: {}, real: new AdmissionFleet(tally) }),
+    finish: (fleet) => fleet.finish()
+  })
+}
--- /dev/null
+++ b/packages/simulation/src/batchRunner.ts
@@ -0,0 +1,120 @@
+/**
+ * Stand-in for a model engine in measurements: prefills one prompt at a time,
+ * interactive ones first, decodes up to its slots together, and keeps the prefixes of recent prompts.
+ */
+
+import { PriorityClass } from '@cuminvale/common'
+import type { VirtualClock } from './virtualClock.js'
+
+export interface RunnerRequest {
+  readonly priority: PriorityClass
+  readonly promptTokens: number
+  readonly outputTokens: number
+  /** Chained digests of the prompt's blocks, first block first. */
+  readonly blocks: readonly number[]
+  readonly onFirstToken: () => void
+  readonly onEnd: () => void
+}
+
+export interface BatchRunnerOptions {
+  readonly clock: VirtualClock
+  readonly slots: number
+  readonly cacheBlocks: number
+  readonly onStored?: (block: number) => void
+  readonly onRemoved?: (block: number) => void
+}
+
+export const blockTokens = 16
+const prefillMillisecondsPerToken = 0.1
+const decodeMilliseconds = 14
+/** Added to each token's time when every slot is in use. */
+const decodeMillisecondsAtFull = 14
+
+interface Prefill {
+  readonly request: RunnerRequest
+  readonly milliseconds: number
+}
+
+export class BatchRunner {
+  running = 0
+  computeMilliseconds = 0
+  failed = false
+  private readonly waiting: RunnerRequest[] = []
+  private readonly cache = new Map<number, undefined>()
+  private readonly urgentPrefills: Prefill[] = []
+  private readonly prefills: Prefill[] = []
+  private isPrefilling = false
+
+  constructor (private readonly options: BatchRunnerOptions) {}
+
+  get queued (): number {
+    return this.waiting.length
+  }
+
+  get slots (): number {
+    return this.options.slots
+  }
+
+  submit (request: RunnerRequest): void {
+    if (this.running < this.options.slots) this.start(request)
+    else this.waiting.push(request)
+  }
+
+  cachedTokens (blocks: readonly number[]): number {
+    const missing = blocks.findIndex((block) => !this.cache.has(block))
+    return (missing < 0 ? blocks.length : missing) * blockTokens
+  }
+
+  forgetCache (): void {
+    for (const block of this.cache.keys()) this.options.onRemoved?.(block)
+    this.cache.clear()
+  }
+
+  private start (request: RunnerRequest): void {
+    this.running += 1
+    const uncached = Math.max(0, request.promptTokens - this.cachedTokens(request.blocks))
+    this.store(request.blocks)
+    const prefill = { request, milliseconds: uncached * prefillMillisecondsPerToken }
+    if (request.priority === PriorityClass.Interactive) this.urgentPrefills.push(prefill)
+    else this.prefills.push(prefill)
+    if (!this.isPrefilling) this.prefillNext()
+  }
+
+  private prefillNext (): void {
+    const next = this.urgentPrefills.shift() ?? this.prefills.shift()
+    this.isPrefilling = next !== undefined
+    if (next === undefined) return
+    this.options.clock.schedule(next.milliseconds, () => {
+      this.decode(next)
+      this.prefillNext()
+    })
+  }
+
+  private decode ({ request, milliseconds }: Prefill): void {
+    const { clock, slots } = this.options
+    const token = decodeMilliseconds + decodeMillisecondsAtFull * this.running / slots
+    const decode = request.outputTokens * token
+    this.computeMilliseconds += milliseconds + decode / slots
+    clock.schedule(token, request.onFirstToken)
+    clock.schedule(token + decode, () => this.end(request))
+  }
+
+  private end (request: RunnerRequest): void {
+    this.running -= 1
+    const next = this.waiting.shift()
+    if (next !== undefined) this.start(next)
+    request.onEnd()
+  }
+
+  private store (blocks: readonly number[]): void {
+    for (const block of blocks) {
+      if (!this.cache.delete(block)) this.options.onStored?.(block)
+      this.cache.set(block, undefined)
+    }
+    for (const oldest of this.cache.keys()) {
+      if (this.cache.size <= this.options.cacheBlocks) return
+      this.cache.delete(oldest)
+      this.options.onRemoved?.(oldest)
+    }
+  }
+}
--- a/packages/simulation/src/measureScenarios.ts
+++ b/packages/simulation/src/measureScenarios.ts
@@ -2,6 +2,9 @@
  * Every measured scenario, by decision.
  */
 
+import { admissionMeasure } from './admissionMeasure.js'
 import type { MeasureScenario } from './measureScenario.js'
 
-export const measureScenarios: readonly MeasureScenario[] = []
+export const measureScenarios: readonly MeasureScenario[] = [
+  admissionMeasure
+]
