--- a/packages/simulation/src/admissionMeasure.ts
+++ b/packages/simulation/src/admissionMeasure.ts
@@ -70,8 +70,8 @@
 }
 
 const situations: Record<MeasuredDeployment, Situation> = {
-  [MeasuredDeployment.Cooperativa]: { slots: 64, reserveShare: 0.15, deadlineSlack: 1 },
-  [MeasuredDeployment.Talahib]: { slots: 48, reserveShare: 0.05, deadlineSlack: 2 }
+  [MeasuredDeployment.Cooperativa]: { slots: 64, reserveShare: 0.25, deadlineSlack: 1 },
+  [MeasuredDeployment.Talahib]: { slots: 48, reserveShare: 0.25, deadlineSlack: 2 }
 }
 
 /** Two runners behind one queue, with the teams' arrivals. */
