Queue fairly by team before each pool of upstreams

The table's views are kept instead of built for each choice, and lay own requests over lagging reports. The views moved `leaving` out of `upstream`, so the test of leaving upstreams reads `view.leaving`, which is set by the same reports.

--- a/packages/admission/src/slotReserve.ts
+++ b/packages/admission/src/slotReserve.ts
@@ -32,6 +32,7 @@
   updatedAt: number
 }
 
+const maximumPools = 64
 const lastingBacklogMilliseconds = 3_000
 const averagingMilliseconds = 10_000
 const forgottenAverage = 0.01
@@ -42,6 +43,7 @@
   constructor (private readonly options: SlotReserveOptions) {}
 
   begin (pool: string, team: TeamId): void {
+    if (this.usages.size >= maximumPools) this.prune()
     const teams = this.usages.get(pool) ?? new Map<TeamId, Usage>()
     this.usages.set(pool, teams)
     const usage = teams.get(team) ?? { held: 0, average: 0, updatedAt: this.options.clock.monotonic() }
@@ -72,7 +74,7 @@
   }
 
   /** Forgets teams and pools that have been idle for long. */
-  prune (): void {
+  private prune (): void {
     for (const [pool, teams] of this.usages) {
       for (const [team, usage] of teams) {
         this.update(usage)
--- a/packages/daemon/src/createContext.ts
+++ b/packages/daemon/src/createContext.ts
@@ -2,7 +2,7 @@
  * Builds the decision objects of a VM from its settings.
  */
 
-import { FairQueue, defaultFairQueueBounds } from '@cuminvale/admission'
+import { FairQueue, SlotReserve, defaultFairQueueBounds } from '@cuminvale/admission'
 import { RequestIdSource, VmState, newIncarnationId, runtimeClock, runtimeRandom } from '@cuminvale/common'
 import { ConfigurationHolder } from '@cuminvale/configuration'
 import { UniformEntryChooser } from '@cuminvale/entries'
@@ -24,6 +24,7 @@
 import { SecretFile } from './secrets.js'
 import { reachablePeers } from './reachablePeers.js'
 import { UpstreamPools } from './upstreamPools.js'
+import { weightShare } from './weightShare.js'
 import { UpstreamClient } from './upstreamClient.js'
 import { Lifecycle } from './vmContext.js'
 import type { Waiting } from './scheduler.js'
@@ -93,7 +94,13 @@
     chooser: new LeastInFlightChooser(random),
     table,
     remoteRegions: createRemoteRegions(configuration, membership, identity.region),
-    poolOf: (request) => pools.poolOf(request)
+    poolOf: (request) => pools.poolOf(request),
+    reserve: new SlotReserve({
+      clock,
+      reserveShare: settings.policy['reserved-slot-share'],
+      weightShare: (team) => weightShare(configuration.current, team),
+      vmCount: () => membership.inRegion(identity.region).length + 1
+    })
   })
   const suspects = new CrashSuspects({ clock, capacity: crashSuspectCapacity })
   const mint = new TicketMint({ clock, vm: identity.vm, incarnation })
--- a/packages/daemon/src/execution.ts
+++ b/packages/daemon/src/execution.ts
@@ -101,8 +101,8 @@
   return mayHaveRun && request.route.idempotent
 }
 
-const releaseUnused = (context: VmContext, assignment: Assignment): void => {
-  if (assignment.kind === RoutingChoiceKind.Run) context.scheduler.release(assignment.upstream, true)
+const releaseUnused = (context: VmContext, request: GatewayRequest, assignment: Assignment): void => {
+  if (assignment.kind === RoutingChoiceKind.Run) context.scheduler.release(assignment.upstream, { team: request.team, succeeded: true })
 }
 
 const pause = async (milliseconds: number): Promise<void> =>
@@ -149,7 +149,7 @@
     const assignment = acquired.value
     const confirmed = confirmSend(context, request)
     if (confirmed.isErr) {
-      releaseUnused(context, assignment)
+      releaseUnused(context, request, assignment)
       return Result.err(worse(last, confirmed.error))
     }
     logChoice(context, request, assignment)
--- a/packages/daemon/src/scheduler.ts
+++ b/packages/daemon/src/scheduler.ts
@@ -6,9 +6,9 @@
 import { Result } from 'true-myth'
 import { RefusalReason, refuse } from '@cuminvale/common'
 import { RoutingChoiceKind } from '@cuminvale/routing'
-import type { Clock, Refusal, RegionId, UpstreamId } from '@cuminvale/common'
-import type { AdmissionQueue, QueuedRequest, ShedRequest } from '@cuminvale/admission'
-import type { RemoteRegionView, RoutingChoice, RoutingRequest, UpstreamChooser, UpstreamTable } from '@cuminvale/routing'
+import type { Clock, Refusal, RegionId, TeamId, UpstreamId } from '@cuminvale/common'
+import type { AdmissionQueue, QueuedRequest, ShedRequest, SlotReserve } from '@cuminvale/admission'
+import type { RemoteRegionView, RoutingChoice, RoutingRequest, UpstreamChooser, UpstreamTable, UpstreamView } from '@cuminvale/routing'
 import { maximumBorderCrossings, queueTickMilliseconds } from './constants.js'
 import { requestTokens } from './gatewayRequest.js'
 import type { GatewayRequest } from './gatewayRequest.js'
@@ -29,12 +29,15 @@
   readonly table: UpstreamTable
   readonly remoteRegions: (request: RoutingRequest) => readonly RemoteRegionView[]
   readonly poolOf: (request: RoutingRequest) => string
+  readonly reserve: SlotReserve
 }
 
 const unavailableRetryMilliseconds = 1_000
 
 export class Scheduler {
   private readonly timer: NodeJS.Timeout
+  /** Pools of the requests that a team has on an upstream, by both names. */
+  private readonly takenFrom = new Map<string, string[]>()
 
   constructor (private readonly options: SchedulerOptions) {
     this.timer = setInterval(() => this.tick(), queueTickMilliseconds)
@@ -59,8 +62,8 @@
     const routing = routingRequestOf(request, excluded)
     const pool = this.options.poolOf(routing)
     if (this.options.queue.waitingIn(pool) === 0) {
-      const choice = this.choose(routing)
-      if (choice.kind !== RoutingChoiceKind.Wait) return Promise.resolve(this.take(choice))
+      const choice = this.chooseFor(routing, { pool })
+      if (choice.kind !== RoutingChoiceKind.Wait) return Promise.resolve(this.take(choice, { pool, team: request.team }))
     }
     return new Promise((resolve) => {
       const abandon = (): void => this.abandon(request, resolve)
@@ -72,8 +75,12 @@
     })
   }
 
-  release (upstream: UpstreamId, succeeded: boolean): void {
+  release (upstream: UpstreamId, { team, succeeded }: { team: TeamId, succeeded: boolean }): void {
     this.options.table.end(upstream, succeeded)
+    const pools = this.takenFrom.get(`${upstream} ${team}`)
+    const pool = pools?.pop()
+    if (pools?.length === 0) this.takenFrom.delete(`${upstream} ${team}`)
+    if (pool !== undefined) this.options.reserve.end(pool, team)
     this.pump()
   }
 
@@ -82,13 +89,13 @@
     for (;;) {
       let found: RoutingChoice | undefined
       const waiting = this.options.queue.dequeue((candidate) => {
-        const choice = this.choose(candidate.routing)
+        const choice = this.chooseFor(candidate.routing, candidate)
         if (choice.kind === RoutingChoiceKind.Wait) return false
         found = choice
         return true
       })
       if (waiting === undefined || found === undefined) return
-      waiting.settle(this.take(found))
+      waiting.settle(this.take(found, waiting))
     }
   }
 
@@ -127,12 +134,27 @@
 
   private choose (routing: RoutingRequest): RoutingChoice {
     const { chooser, region, table, remoteRegions } = this.options
-    return chooser.choose(routing, { region, upstreams: table.views(), remoteRegions: remoteRegions(routing) })
+    const upstreams = table.servingViews(region, routing)
+    return chooser.choose(routing, { region, upstreams, remoteRegions: remoteRegions(routing) })
   }
 
-  private take (choice: RoutingChoice): Result<Assignment, Refusal> {
+  /** As `choose`, but a team with a lasting backlog is kept off the reserved slots. */
+  private chooseFor (routing: RoutingRequest, { pool }: { pool: string }): RoutingChoice {
+    const choice = this.choose(routing)
+    if (choice.kind !== RoutingChoiceKind.Run) return choice
+    const { reserve, queue, table, region } = this.options
+    const slots = slotsOf(table.servingViews(region, routing))
+    const waitingSince = queue.waitingSince(pool, routing.team)
+    if (reserve.mayTake(pool, routing.team, { ...slots, waitingSince })) return choice
+    return { kind: RoutingChoiceKind.Wait, reason: 'the last slots are kept for teams within their share' }
+  }
+
+  private take (choice: RoutingChoice, { pool, team }: { pool: string, team: TeamId }): Result<Assignment, Refusal> {
     if (choice.kind === RoutingChoiceKind.Run) {
       this.options.table.begin(choice.upstream)
+      this.options.reserve.begin(pool, team)
+      const key = `${choice.upstream} ${team}`
+      this.takenFrom.set(key, [...this.takenFrom.get(key) ?? [], pool])
       return Result.ok(choice)
     }
     if (choice.kind === RoutingChoiceKind.Forward) return Result.ok(choice)
@@ -142,6 +164,17 @@
   }
 }
 
+const slotsOf = (views: readonly UpstreamView[]) => {
+  let total = 0
+  let free = 0
+  for (const { upstream, occupancy, leaving, ejected } of views) {
+    if (leaving || ejected) continue
+    total += upstream.slots
+    free += Math.max(0, upstream.slots - occupancy)
+  }
+  return { total, free }
+}
+
 export const routingRequestOf = (
   request: GatewayRequest,
   excluded: ReadonlySet<UpstreamId>
--- a/packages/daemon/src/settings.ts
+++ b/packages/daemon/src/settings.ts
@@ -50,6 +50,7 @@
   policy: z.strictObject({
     'deadline-slack': decimal(0.1, 100).default(1.5),
     'batch-aging-milliseconds': integer(0, 3_600_000).default(5_000),
+    'reserved-slot-share': decimal(0, 0.9).default(0.25),
     'interactive-head-start-tokens': integer(0, 1e9).default(20_000)
   }).prefault({})
 })
--- a/packages/daemon/src/upstreamAttempt.ts
+++ b/packages/daemon/src/upstreamAttempt.ts
@@ -69,7 +69,7 @@
     if (this.ended) return
     this.ended = true
     if (error?.kind === UpstreamErrorKind.Silent) this.context.upstreamClient.retire(this.origin)
-    this.context.scheduler.release(this.upstream, !isUpstreamFault(error))
+    this.context.scheduler.release(this.upstream, { team: this.request.team, succeeded: !isUpstreamFault(error) })
     if (error?.kind === UpstreamErrorKind.Broken) return await this.noteBreak()
     if (this.context.suspects.isEmpty) return
     const digest = requestDigestOf(this.request)
--- /dev/null
+++ b/packages/daemon/src/weightShare.ts
@@ -0,0 +1,25 @@
+/**
+ * A team's part of the weights of all teams.
+ */
+
+import { planOfTeam } from '@cuminvale/documents'
+import type { TeamId } from '@cuminvale/common'
+import type { Configuration } from '@cuminvale/documents'
+
+const totals = new WeakMap<Configuration, number>()
+
+const totalWeight = (configuration: Configuration): number => {
+  const held = totals.get(configuration)
+  if (held !== undefined) return held
+  const total = [...configuration.teams.keys()]
+    .reduce((sum, team) => sum + (planOfTeam(configuration, team)?.weight ?? 0), 0)
+  totals.set(configuration, total)
+  return total
+}
+
+/** Between 0 and 1; a request without a team, on an open route, counts with weight 1. */
+export const weightShare = (configuration: Configuration | undefined, team: TeamId): number => {
+  if (configuration === undefined) return 0
+  const weight = planOfTeam(configuration, team)?.weight ?? 1
+  return weight / Math.max(weight, totalWeight(configuration))
+}
--- a/packages/routing/src/candidates.ts
+++ b/packages/routing/src/candidates.ts
@@ -4,11 +4,12 @@
  */
 
 import type { RegionId } from '@cuminvale/common'
+import type { Upstream } from '@cuminvale/documents'
 import type { RoutingRequest, UpstreamView } from './types.js'
 
-const serves = (request: RoutingRequest, view: UpstreamView): boolean =>
-  view.upstream.routes.includes(request.route) &&
-  (request.model === undefined || view.upstream.models.includes(request.model))
+export const serves = (request: Pick<RoutingRequest, 'route' | 'model'>, upstream: Upstream): boolean =>
+  upstream.routes.includes(request.route) &&
+  (request.model === undefined || upstream.models.includes(request.model))
 
 /** Upstreams of the region that may run the request at all. */
 export const eligibleUpstreams = (
@@ -17,10 +18,6 @@
   upstreams: readonly UpstreamView[]
 ): readonly UpstreamView[] => {
   if (!request.allowedRegions.includes(region)) return []
-  return upstreams.filter((view) => view.upstream.region === region && serves(request, view) &&
-    !view.upstream.leaving && !view.ejected && !request.excluded.has(view.upstream.name))
+  return upstreams.filter((view) => view.upstream.region === region && serves(request, view.upstream) &&
+    !view.leaving && !view.ejected && !request.excluded.has(view.upstream.name))
 }
-
-/** Requests that occupy an upstream: reported ones, or this VM's own where the report lags behind. */
-export const occupancy = (view: UpstreamView): number =>
-  Math.max(view.inFlight, view.reportedRunning + view.reportedQueued)
--- a/packages/routing/src/index.ts
+++ b/packages/routing/src/index.ts
@@ -1,6 +1,7 @@
 export * from './types.js'
 export * from './candidates.js'
 export * from './leastInFlightChooser.js'
+export * from './upstreamState.js'
 export * from './upstreamTable.js'
 export * from './outlierEjection.js'
 export * from './retryPolicy.js'
--- a/packages/routing/src/leastInFlightChooser.ts
+++ b/packages/routing/src/leastInFlightChooser.ts
@@ -5,7 +5,7 @@
 
 import { pickOne } from '@cuminvale/common'
 import type { Random } from '@cuminvale/common'
-import { eligibleUpstreams, occupancy } from './candidates.js'
+import { eligibleUpstreams } from './candidates.js'
 import { RoutingChoiceKind } from './types.js'
 import type { RoutingChoice, RoutingRequest, RoutingSituation, UpstreamChooser, UpstreamView } from './types.js'
 
@@ -16,20 +16,20 @@
     const eligible = eligibleUpstreams(request, situation.region, situation.upstreams)
     if (eligible.length === 0) return this.chooseRemote(request, situation)
     const [best, next] = this.ranked(eligible)
-    if (best === undefined || occupancy(best) >= best.upstream.slots) {
+    if (best === undefined || best.occupancy >= best.upstream.slots) {
       return { kind: RoutingChoiceKind.Wait, reason: 'every local upstream is full' }
     }
     return {
       kind: RoutingChoiceKind.Run,
       upstream: best.upstream.name,
       ...(next === undefined ? {} : { runnerUp: next.upstream.name }),
-      reason: `least in flight: ${occupancy(best)}`
+      reason: `least in flight: ${best.occupancy}`
     }
   }
 
   private ranked (views: readonly UpstreamView[]): UpstreamView[] {
     return views
-      .map((view) => ({ view, rank: occupancy(view) / view.upstream.slots, tie: this.random.next() }))
+      .map((view) => ({ view, rank: view.occupancy / view.upstream.slots, tie: this.random.next() }))
       .sort((first, second) => first.rank - second.rank || first.tie - second.tie)
       .map(({ view }) => view)
   }
--- a/packages/routing/src/types.ts
+++ b/packages/routing/src/types.ts
@@ -30,6 +30,14 @@
   readonly reportedQueued: number
   /** Age of the last load report in milliseconds; infinite where there is none. */
   readonly reportAgeMilliseconds: number
+  /** Requests that occupy the upstream: those reported, with this VM's own changes since. */
+  readonly occupancy: number
+  /** By the configuration or by its own report. */
+  readonly leaving: boolean
+  /** Monotonic time at which it came, or came back after a silence. */
+  readonly warmingSince: number | undefined
+  /** Models that the engine reports as loaded; absent where it does not say. */
+  readonly loaded: readonly ModelName[] | undefined
   readonly ejected: boolean
 }
 
--- /dev/null
+++ b/packages/routing/src/upstreamState.ts
@@ -0,0 +1,95 @@
+/**
+ * What a VM knows of one upstream. The last load report lags behind, so the
+ * VM's own requests that began or ended after it was taken are laid over it.
+ */
+
+import type { Clock, ModelName } from '@cuminvale/common'
+import type { Upstream } from '@cuminvale/documents'
+import type { UpstreamView } from './types.js'
+
+export interface LoadSample {
+  readonly running: number
+  readonly queued: number
+  readonly ageMilliseconds: number
+  readonly leaving: boolean
+  /** Models that the engine has loaded; absent where it does not say. */
+  readonly loaded?: readonly ModelName[]
+}
+
+interface OwnChange {
+  readonly at: number
+  readonly change: 1 | -1
+}
+
+/** Own changes kept while no report arrives. */
+const maximumOwnChanges = 4_096
+/** An upstream unheard of for this long counts as returning when it reports again. */
+const returningAfterMilliseconds = 5_000
+
+export class UpstreamState implements UpstreamView {
+  inFlight = 0
+  reportedRunning = 0
+  reportedQueued = 0
+  sampledAt = -Infinity
+  warmingSince: number | undefined
+  loaded: readonly ModelName[] | undefined
+  private isLeaving = false
+  private changesSinceReport = 0
+  private changes: OwnChange[] = []
+
+  constructor (
+    public upstream: Upstream,
+    private readonly clock: Clock,
+    private readonly isEjected: () => boolean
+  ) {}
+
+  get leaving (): boolean {
+    return this.isLeaving || this.upstream.leaving
+  }
+
+  get ejected (): boolean {
+    return this.isEjected()
+  }
+
+  get reportAgeMilliseconds (): number {
+    return this.clock.monotonic() - this.sampledAt
+  }
+
+  get occupancy (): number {
+    return Math.max(this.inFlight, this.reportedRunning + this.reportedQueued + this.changesSinceReport)
+  }
+
+  begin (): void {
+    this.inFlight += 1
+    this.note(1)
+  }
+
+  end (): void {
+    if (this.inFlight === 0) return
+    this.inFlight -= 1
+    this.note(-1)
+  }
+
+  report (sample: LoadSample): void {
+    const now = this.clock.monotonic()
+    const sampledAt = now - sample.ageMilliseconds
+    if (sampledAt < this.sampledAt) return
+    const isReturning = sampledAt - this.sampledAt > returningAfterMilliseconds
+    if (isReturning) this.warmingSince = now
+    this.sampledAt = sampledAt
+    this.reportedRunning = sample.running
+    this.reportedQueued = sample.queued
+    this.isLeaving = sample.leaving
+    this.loaded = sample.loaded
+    this.changes = this.changes.filter(({ at }) => at > sampledAt)
+    this.changesSinceReport = this.changes.reduce((sum, { change }) => sum + change, 0)
+  }
+
+  private note (change: OwnChange['change']): void {
+    this.changes.push({ at: this.clock.monotonic(), change })
+    this.changesSinceReport += change
+    if (this.changes.length <= maximumOwnChanges) return
+    const [oldest] = this.changes.splice(0, 1)
+    this.changesSinceReport -= oldest?.change ?? 0
+  }
+}
--- a/packages/routing/src/upstreamTable.ts
+++ b/packages/routing/src/upstreamTable.ts
@@ -3,28 +3,17 @@
  * flight, the last load reports, and upstreams set aside after failures.
  */
 
-import type { Clock, UpstreamId } from '@cuminvale/common'
+import type { Clock, RegionId, UpstreamId } from '@cuminvale/common'
 import type { Configuration, Upstream } from '@cuminvale/documents'
 import { OutlierEjection } from './outlierEjection.js'
-import type { UpstreamView } from './types.js'
-
-export interface LoadSample {
-  readonly running: number
-  readonly queued: number
-  readonly ageMilliseconds: number
-  readonly leaving: boolean
-}
-
-interface UpstreamState {
-  upstream: Upstream
-  inFlight: number
-  sample: LoadSample | undefined
-  sampledAt: number
-}
+import { UpstreamState } from './upstreamState.js'
+import { serves } from './candidates.js'
+import type { LoadSample } from './upstreamState.js'
+import type { RoutingRequest, UpstreamView } from './types.js'
 
 export class UpstreamTable {
   private readonly states = new Map<UpstreamId, UpstreamState>()
-
+  private readonly serving = new Map<string, readonly UpstreamView[]>()
   private readonly ejection: OutlierEjection
 
   constructor (private readonly clock: Clock) {
@@ -38,13 +27,23 @@
     for (const upstream of configuration.upstreams.values()) {
       const state = this.states.get(upstream.name)
       if (state !== undefined) state.upstream = upstream
-      else this.states.set(upstream.name, newState(upstream))
+      else this.states.set(upstream.name, this.newState(upstream))
     }
+    this.serving.clear()
   }
 
   views (): readonly UpstreamView[] {
-    const now = this.clock.monotonic()
-    return [...this.states.values()].map((state) => viewOf(state, now, this.ejection.isEjected(state.upstream.name)))
+    return [...this.states.values()]
+  }
+
+  /** The upstreams of a region that serve a route and model; the same array until the configuration changes. */
+  servingViews (region: RegionId, request: Pick<RoutingRequest, 'route' | 'model'>): readonly UpstreamView[] {
+    const key = `${region} ${request.route} ${request.model ?? ''}`
+    const held = this.serving.get(key)
+    if (held !== undefined) return held
+    const views = this.views().filter(({ upstream }) => upstream.region === region && serves(request, upstream))
+    this.serving.set(key, views)
+    return views
   }
 
   find (name: UpstreamId): Upstream | undefined {
@@ -52,23 +51,23 @@
   }
 
   begin (name: UpstreamId): void {
-    const state = this.states.get(name)
-    if (state !== undefined) state.inFlight += 1
+    this.states.get(name)?.begin()
   }
 
   end (name: UpstreamId, succeeded: boolean): void {
     const state = this.states.get(name)
     if (state === undefined) return
-    state.inFlight = Math.max(0, state.inFlight - 1)
+    state.end()
     if (succeeded) this.ejection.succeeded(name)
     else this.ejection.failed(name)
   }
 
   report (name: UpstreamId, sample: LoadSample): void {
-    const state = this.states.get(name)
-    if (state === undefined) return
-    state.sample = sample
-    state.sampledAt = this.clock.monotonic() - sample.ageMilliseconds
+    this.states.get(name)?.report(sample)
+  }
+
+  private newState (upstream: Upstream): UpstreamState {
+    return new UpstreamState(upstream, this.clock, () => this.ejection.isEjected(upstream.name))
   }
 
   private forget (name: UpstreamId): void {
@@ -76,16 +75,3 @@
     this.ejection.forget(name)
   }
 }
-
-const newState = (upstream: Upstream): UpstreamState => ({
-  upstream, inFlight: 0, sample: undefined, sampledAt: 0
-})
-
-const viewOf = (state: UpstreamState, now: number, ejected: boolean): UpstreamView => ({
-  upstream: state.sample?.leaving === true ? { ...state.upstream, leaving: true } : state.upstream,
-  inFlight: state.inFlight,
-  reportedRunning: state.sample?.running ?? 0,
-  reportedQueued: state.sample?.queued ?? 0,
-  reportAgeMilliseconds: state.sample === undefined ? Infinity : now - state.sampledAt,
-  ejected
-})
--- a/packages/simulation/src/soakSuites.ts
+++ b/packages/simulation/src/soakSuites.ts
@@ -2,11 +2,13 @@
  * Every soak suite, in the order in which they run.
  */
 
+import { admissionSoak } from './admissionSoak.js'
 import { configurationSoak } from './configurationSoak.js'
 import { ordersSoak } from './ordersSoak.js'
 import type { SoakSuite } from './soakSuite.js'
 
 export const soakSuites: readonly SoakSuite[] = [
   configurationSoak,
-  ordersSoak
+  ordersSoak,
+  admissionSoak
 ]
