Convict by intersection of deaths, repeat suspicion reports, and soak them

Change: blame is worked out anew from all deaths known: two deaths convict unless another suspect shares them all, then three do; convicts explain deaths for others. Reports of the last minute are repeated to two peers each second.

--- a/packages/daemon/src/createContext.ts
+++ b/packages/daemon/src/createContext.ts
@@ -124,7 +124,7 @@
     scheduler,
     retries: new RetryBudget({ clock, random }),
     suspects,
-    suspicionSpread: new SuspicionSpread({ clock, suspects, peers: reachablePeers(membership) }),
+    suspicionSpread: new SuspicionSpread({ clock, random, suspects, peers: reachablePeers(membership) }),
     mint,
     ledger,
     orderGate: new OrderGate({ mint, ledger, peer: (vm) => membership.find(vm) }),
--- a/packages/routing/src/crashSuspects.test.ts
+++ b/packages/routing/src/crashSuspects.test.ts
@@ -50,6 +50,32 @@
     expect(suspects.suspicionOf(culprit).kind).toBe(SuspicionKind.Convicted)
   })
 
+  it('waits for a third death where two requests died together each time', () => {
+    const { time, suspects } = setup()
+    const [culprit, bystander] = [digestOf('bad'), digestOf('good')]
+    for (const upstream of [first, second]) {
+      suspects.died(bystander, team, upstream)
+      suspects.died(culprit, team, upstream)
+    }
+    expect(suspects.suspicionOf(bystander).kind).toBe(SuspicionKind.Suspected)
+    expect(suspects.suspicionOf(culprit).kind).toBe(SuspicionKind.Suspected)
+    time.now = 4_000
+    suspects.heard(culprit, team, [{ upstream: third, at: 0 }])
+    expect(suspects.suspicionOf(bystander).kind).toBe(SuspicionKind.Clear)
+    expect(suspects.suspicionOf(culprit).kind).toBe(SuspicionKind.Convicted)
+  })
+
+  it('convicts the one that is left when the other of a pair survives', () => {
+    const { suspects } = setup()
+    const [culprit, bystander] = [digestOf('bad'), digestOf('good')]
+    for (const upstream of [first, second]) {
+      suspects.died(bystander, team, upstream)
+      suspects.died(culprit, team, upstream)
+    }
+    suspects.survived(bystander)
+    expect(suspects.suspicionOf(culprit).kind).toBe(SuspicionKind.Convicted)
+  })
+
   it('clears a suspect that an upstream ran to its end, but no convict', () => {
     const { time, suspects } = setup()
     const [suspect, convict] = [digestOf('good'), digestOf('bad')]
--- a/packages/routing/src/crashSuspects.ts
+++ b/packages/routing/src/crashSuspects.ts
@@ -1,9 +1,9 @@
 /**
  * Finds requests that crash the upstreams that run them. Every request that
  * was running on an upstream when it died is a suspect. A suspect with two
- * unexplained deaths is convicted and refused for a while; its deaths are then
- * explained, which clears the requests that merely ran beside it. Suspects are
- * kept apart, so that two of them rarely share a death.
+ * deaths that no other suspect shares is convicted and refused for a while; its
+ * deaths are then explained, which clears the requests that merely ran beside
+ * it. Suspects are kept apart, so that two of them rarely share a death.
  */
 
 import type { Clock, TeamId, UpstreamId } from '@cuminvale/common'
@@ -16,11 +16,17 @@
   readonly at: number
 }
 
+export interface SuspicionRecord {
+  readonly digest: RequestDigest
+  readonly team: TeamId
+  readonly deaths: readonly Death[]
+}
+
 interface Suspect {
   readonly team: TeamId
   deaths: readonly Death[]
-  convictedUntil: number
   lastDeathAt: number
+  convicted: boolean
 }
 
 export const SuspicionKind = {
@@ -41,7 +47,8 @@
 }
 
 const deathsBeforeConviction = 2
-const convictionMilliseconds = 600_000
+/** Where two suspects died together each time, only a third death tells which of them is to blame. */
+const deathsDespiteTie = 3
 const suspicionMilliseconds = 600_000
 /** Two reports about one upstream within this span are about the same death. */
 const sameDeathMilliseconds = 3_000
@@ -49,6 +56,13 @@
 const isSameDeath = (first: Death, second: Death): boolean =>
   first.upstream === second.upstream && Math.abs(first.at - second.at) <= sameDeathMilliseconds
 
+const includesDeath = (deaths: readonly Death[], death: Death): boolean =>
+  deaths.some((known) => isSameDeath(known, death))
+
+/** Whether every death of the first is also one of the second. */
+const isCoveredBy = (first: Suspect, second: Suspect): boolean =>
+  first.deaths.every((death) => includesDeath(second.deaths, death))
+
 export class CrashSuspects {
   private readonly suspects = new Map<RequestDigest, Suspect>()
   private readonly running = new Map<RequestDigest, UpstreamId>()
@@ -64,11 +78,13 @@
 
   suspicionOf (digest: RequestDigest): Suspicion {
     const suspect = this.suspects.get(digest)
-    if (suspect === undefined || this.isOver(suspect)) return { kind: SuspicionKind.Clear }
-    const remainingMilliseconds = suspect.convictedUntil - this.options.clock.monotonic()
-    if (remainingMilliseconds > 0) return { kind: SuspicionKind.Convicted, remainingMilliseconds }
-    if (suspect.deaths.length === 0) return { kind: SuspicionKind.Clear }
-    return { kind: SuspicionKind.Suspected, diedOn: suspect.deaths.map(({ upstream }) => upstream) }
+    if (suspect === undefined) return { kind: SuspicionKind.Clear }
+    const remainingMilliseconds = suspect.lastDeathAt + suspicionMilliseconds - this.options.clock.monotonic()
+    if (remainingMilliseconds <= 0) return { kind: SuspicionKind.Clear }
+    if (suspect.convicted) return { kind: SuspicionKind.Convicted, remainingMilliseconds }
+    const unexplained = suspect.deaths.filter((death) => !includesDeath(this.explained, death))
+    if (unexplained.length === 0) return { kind: SuspicionKind.Clear }
+    return { kind: SuspicionKind.Suspected, diedOn: unexplained.map(({ upstream }) => upstream) }
   }
 
   /** Whether a copy of the suspect is running already; a second one could kill a second upstream. */
@@ -95,7 +111,9 @@
   survived (digest: RequestDigest): void {
     this.running.delete(digest)
     const suspect = this.suspects.get(digest)
-    if (suspect !== undefined && suspect.convictedUntil === 0) this.suspects.delete(digest)
+    if (suspect === undefined || suspect.convicted) return
+    this.suspects.delete(digest)
+    this.convict()
   }
 
   /** Blames a request that was running on an upstream when it died; returns the deaths to tell peers of. */
@@ -104,6 +122,14 @@
     return this.blame(digest, team, { upstream, at: this.options.clock.monotonic() })
   }
 
+  /** Suspicions whose last death is recent, to be told again. */
+  recent (withinMilliseconds: number): ReadonlyArray<SuspicionRecord> {
+    const oldest = this.options.clock.monotonic() - withinMilliseconds
+    return [...this.suspects]
+      .filter(([, suspect]) => suspect.lastDeathAt >= oldest)
+      .map(([digest, { team, deaths }]) => ({ digest, team, deaths }))
+  }
+
   /** Adopts what a peer knows of a suspect. */
   heard (digest: RequestDigest, team: TeamId, deaths: readonly Death[]): void {
     for (const death of deaths) this.blame(digest, team, death)
@@ -111,38 +137,43 @@
 
   /** Forgets suspicions that have run out. */
   forgetOld (): void {
+    const oldest = this.options.clock.monotonic() - suspicionMilliseconds
     for (const [digest, suspect] of this.suspects) {
-      if (this.isOver(suspect)) this.suspects.delete(digest)
+      if (suspect.lastDeathAt <= oldest) this.suspects.delete(digest)
     }
-    const oldest = this.options.clock.monotonic() - suspicionMilliseconds
-    this.explained = this.explained.filter((death) => death.at > oldest)
+    this.convict()
   }
 
   private blame (digest: RequestDigest, team: TeamId, death: Death): readonly Death[] {
-    const isExplained = this.explained.some((known) => isSameDeath(known, death))
-    const isConvicted = (this.suspects.get(digest)?.convictedUntil ?? 0) > 0
-    if (isExplained && !isConvicted) return []
     const suspect = this.suspectFor(digest, team)
     if (suspect === undefined) return []
-    if (!suspect.deaths.some((known) => isSameDeath(known, death))) {
-      suspect.deaths = [...suspect.deaths, death]
-      suspect.lastDeathAt = Math.max(suspect.lastDeathAt, death.at)
-    }
-    if (suspect.deaths.length >= deathsBeforeConviction) this.convict(digest, suspect)
+    if (includesDeath(suspect.deaths, death)) return suspect.deaths
+    suspect.deaths = [...suspect.deaths, death]
+    suspect.lastDeathAt = Math.max(suspect.lastDeathAt, death.at)
+    if (suspect.deaths.length >= deathsBeforeConviction) this.convict()
     return suspect.deaths
   }
 
-  private convict (digest: RequestDigest, suspect: Suspect): void {
-    suspect.convictedUntil = this.options.clock.monotonic() + convictionMilliseconds
-    this.explained = [...this.explained, ...suspect.deaths]
-    for (const [other, record] of this.suspects) {
-      if (other !== digest && record.convictedUntil === 0) this.clearExplained(other, record, suspect.deaths)
+  /** Works out anew, from all deaths known, which suspects are to blame for them. */
+  private convict (): void {
+    const candidates = [...this.suspects.values()]
+      .filter(({ deaths }) => deaths.length >= deathsBeforeConviction)
+      .sort((first, second) => second.deaths.length - first.deaths.length)
+    const convicts: Suspect[] = []
+    for (const suspect of this.suspects.values()) suspect.convicted = false
+    for (const candidate of candidates) {
+      candidate.convicted = this.isToBlame(candidate, candidates, convicts)
+      if (candidate.convicted) convicts.push(candidate)
     }
+    this.explained = convicts.flatMap(({ deaths }) => deaths)
   }
 
-  private clearExplained (digest: RequestDigest, record: Suspect, explained: readonly Death[]): void {
-    record.deaths = record.deaths.filter((death) => !explained.some((known) => isSameDeath(known, death)))
-    if (record.deaths.length === 0) this.suspects.delete(digest)
+  private isToBlame (candidate: Suspect, candidates: readonly Suspect[], convicts: readonly Suspect[]): boolean {
+    const worse = convicts.filter(({ deaths }) => deaths.length > candidate.deaths.length)
+    const unexplained = candidate.deaths.filter((death) => !worse.some(({ deaths }) => includesDeath(deaths, death)))
+    if (unexplained.length < deathsBeforeConviction) return false
+    const isTied = candidates.some((other) => other !== candidate && isCoveredBy(candidate, other))
+    return !isTied || unexplained.length >= deathsDespiteTie
   }
 
   /** A full table takes no new suspects: forgetting a convicted one would let it kill again. */
@@ -150,14 +181,8 @@
     const existing = this.suspects.get(digest)
     if (existing !== undefined) return existing
     if (this.suspects.size >= this.options.capacity) return undefined
-    const suspect: Suspect = { team, deaths: [], convictedUntil: 0, lastDeathAt: 0 }
+    const suspect: Suspect = { team, deaths: [], lastDeathAt: 0, convicted: false }
     this.suspects.set(digest, suspect)
     return suspect
   }
-
-  private isOver (suspect: Suspect): boolean {
-    const now = this.options.clock.monotonic()
-    if (suspect.convictedUntil > 0) return suspect.convictedUntil <= now
-    return suspect.lastDeathAt + suspicionMilliseconds <= now
-  }
 }
--- a/packages/simulation/src/soakSuites.ts
+++ b/packages/simulation/src/soakSuites.ts
@@ -5,10 +5,12 @@
 import { admissionSoak } from './admissionSoak.js'
 import { configurationSoak } from './configurationSoak.js'
 import { ordersSoak } from './ordersSoak.js'
+import { suspicionSoak } from './suspicionSoak.js'
 import type { SoakSuite } from './soakSuite.js'
 
 export const soakSuites: readonly SoakSuite[] = [
+  admissionSoak,
   configurationSoak,
   ordersSoak,
-  admissionSoak
+  suspicionSoak
 ]
