--- a/packages/simulation/src/measureScenarios.ts
+++ b/packages/simulation/src/measureScenarios.ts
@@ -2,9 +2,12 @@
  * Every measured scenario, by decision.
  */
 
+<<<<<<< HEAD
 import { admissionMeasure } from './admissionMeasure.js'
+import { retriesMeasure } from './retriesMeasure.js'
 import type { MeasureScenario } from './measureScenario.js'
 
 export const measureScenarios: readonly MeasureScenario[] = [
-  admissionMeasure
+  admissionMeasure,
+  retriesMeasure
 ]
--- /dev/null
+++ b/packages/simulation/src/retriesMeasure.ts
@@ -0,0 +1,190 @@
+/**
+ * Measures retries through the loss of half of the upstreams for 30 seconds
+ * and their return: the load that upstreams are offered over the useful load,
+ * and what becomes of requests.
+ */
+
+import { SeededRandom, millisecondsPerSecond, pickOne, toTeamId, toUpstreamId } from '@cuminvale/common'
+import { OutlierEjection, PlainRetries, RetryBudget, RetryDecisionKind } from '@cuminvale/routing'
+import type { UpstreamId } from '@cuminvale/common'
+import type { RetryPolicy } from '@cuminvale/routing'
+import { MeasuredDeployment } from './measureScenario.js'
+import { quantile } from './quantile.js'
+import { VirtualClock } from './virtualClock.js'
+import type { MeasureRow, MeasureScenario } from './measureScenario.js'
+
+interface RetriesPolicy {
+  readonly name: string
+  readonly ejects: boolean
+  /** Attempts that the gateway has on an upstream at most; the rest is refused at once. */
+  readonly slots: number
+  readonly retries: (clock: VirtualClock, random: SeededRandom) => RetryPolicy
+}
+
+interface MeasuredUpstream {
+  readonly name: UpstreamId
+  up: boolean
+  /** When the work queued on the upstream will be done. */
+  busyUntil: number
+  /** Attempts that hold a slot, on a lost upstream too. */
+  inFlight: number
+}
+
+interface MeasuredRequest {
+  readonly team: number
+  readonly arrivedAt: number
+  attempts: number
+  readonly failedOn: Set<UpstreamId>
+}
+
+const runSeconds = 120
+const lossFromSeconds = 40
+const lossSeconds = 30
+const serviceMilliseconds = 20
+const boundedSlots = 16
+/** Requests a second over what the upstreams can serve when all are up. */
+const offeredShare = 0.7
+const teamCount = 5
+/** The largest team sends more than all others together. */
+const largestTeamShare = 0.6
+const deadlineMilliseconds = 4_000
+const attemptMilliseconds = 1_000
+const refusalMilliseconds = 1
+const tailQuantile = 0.99
+
+const upstreamCounts = { [MeasuredDeployment.Cooperativa]: 8, [MeasuredDeployment.Talahib]: 6 }
+
+const policies: readonly RetriesPolicy[] = [
+  { name: 'three plain retries, no slots', ejects: false, slots: Infinity, retries: () => new PlainRetries() },
+  { name: 'three plain retries', ejects: false, slots: boundedSlots, retries: () => new PlainRetries() },
+  { name: 'budget', ejects: false, slots: boundedSlots, retries: (clock, random) => new RetryBudget({ clock, random }) },
+  { name: 'budget and ejection', ejects: true, slots: boundedSlots, retries: (clock, random) => new RetryBudget({ clock, random }) }
+]
+
+class RetriesRun {
+  private readonly clock = new VirtualClock()
+  private readonly random: SeededRandom
+  private readonly upstreams: readonly MeasuredUpstream[]
+  private readonly ejection: OutlierEjection
+  private readonly retries: RetryPolicy
+  private readonly latencies: number[] = []
+  private readonly sent = Array.from({ length: teamCount }, () => 0)
+  private readonly served = Array.from({ length: teamCount }, () => 0)
+  private attempts = 0
+
+  constructor (private readonly policy: RetriesPolicy, seed: number, count: number) {
+    this.random = new SeededRandom(seed)
+    this.upstreams = Array.from({ length: count }, (_, index) => ({ name: toUpstreamId(`upstream-${index}`), up: true, busyUntil: 0, inFlight: 0 }))
+    this.ejection = new OutlierEjection({ clock: this.clock, upstreamCount: () => count })
+    this.retries = policy.retries(this.clock, new SeededRandom(seed + 1))
+  }
+
+  run (scenario: string, down: 'refuses' | 'silent'): MeasureRow {
+    const ratePerMillisecond = this.upstreams.length / serviceMilliseconds * offeredShare
+    const half = this.upstreams.slice(0, this.upstreams.length / 2)
+    this.clock.schedule(lossFromSeconds * millisecondsPerSecond, () => half.forEach((upstream) => { upstream.up = false }))
+    this.clock.schedule((lossFromSeconds + lossSeconds) * millisecondsPerSecond, () => half.forEach((upstream) => this.comeBack(upstream)))
+    this.scheduleArrival(ratePerMillisecond, down)
+    this.clock.advance(runSeconds * millisecondsPerSecond + deadlineMilliseconds)
+    return this.row(scenario)
+  }
+
+  private scheduleArrival (ratePerMillisecond: number, down: 'refuses' | 'silent'): void {
+    const gap = -Math.log(1 - this.random.next()) / ratePerMillisecond
+    if (this.clock.monotonic() + gap > runSeconds * millisecondsPerSecond) return
+    this.clock.schedule(gap, () => {
+      this.arrive(down)
+      this.scheduleArrival(ratePerMillisecond, down)
+    })
+  }
+
+  private arrive (down: 'refuses' | 'silent'): void {
+    const isLargest = this.random.next() < largestTeamShare
+    const team = isLargest ? 0 : 1 + Math.floor(this.random.next() * (teamCount - 1))
+    this.sent[team] = (this.sent[team] ?? 0) + 1
+    this.retries.started(toTeamId(`team-${team}`))
+    this.attempt({ team, arrivedAt: this.clock.monotonic(), attempts: 0, failedOn: new Set() }, down)
+  }
+
+  private attempt (request: MeasuredRequest, down: 'refuses' | 'silent'): void {
+    request.attempts += 1
+    const upstream = this.choose(request)
+    if (upstream === undefined) return
+    upstream.inFlight += 1
+    this.attempts += 1
+    if (upstream.up) return this.serve(request, upstream, down)
+    const wait = down === 'refuses' ? refusalMilliseconds : attemptMilliseconds
+    this.clock.schedule(wait, () => this.fail(request, upstream, down))
+  }
+
+  /** An upstream works off its queue in order, and does the work of attempts that were given up too. */
+  private serve (request: MeasuredRequest, upstream: MeasuredUpstream, down: 'refuses' | 'silent'): void {
+    const now = this.clock.monotonic()
+    const doneAt = Math.max(now, upstream.busyUntil) + serviceMilliseconds
+    upstream.busyUntil = doneAt
+    if (doneAt - now > attemptMilliseconds) {
+      this.clock.schedule(attemptMilliseconds, () => this.fail(request, upstream, down))
+      return
+    }
+    this.clock.schedule(doneAt - now, () => this.finish(request, upstream))
+  }
+
+  private finish (request: MeasuredRequest, upstream: MeasuredUpstream): void {
+    upstream.inFlight -= 1
+    this.ejection.succeeded(upstream.name)
+    const latency = this.clock.monotonic() - request.arrivedAt
+    if (latency > deadlineMilliseconds) return
+    this.latencies.push(latency)
+    this.served[request.team] = (this.served[request.team] ?? 0) + 1
+  }
+
+  private fail (request: MeasuredRequest, upstream: MeasuredUpstream, down: 'refuses' | 'silent'): void {
+    upstream.inFlight -= 1
+    this.ejection.failed(upstream.name)
+    request.failedOn.add(upstream.name)
+    const decision = this.retries.decide({
+      team: toTeamId(`team-${request.team}`),
+      attempts: request.attempts,
+      remainingMilliseconds: request.arrivedAt + deadlineMilliseconds - this.clock.monotonic()
+    })
+    if (decision.kind === RetryDecisionKind.Retry) {
+      this.clock.schedule(decision.delayMilliseconds, () => this.attempt(request, down))
+    }
+  }
+
+  /** An upstream with a free slot, one that has not failed the request first. */
+  private choose (request: MeasuredRequest): MeasuredUpstream | undefined {
+    const open = this.upstreams.filter(({ name, inFlight }) =>
+      inFlight < this.policy.slots && !(this.policy.ejects && this.ejection.isEjected(name)))
+    const untried = open.filter(({ name }) => !request.failedOn.has(name))
+    return pickOne(untried.length > 0 ? untried : open, this.random)
+  }
+
+  private comeBack (upstream: MeasuredUpstream): void {
+    upstream.up = true
+    upstream.busyUntil = this.clock.monotonic()
+  }
+
+  private row (scenario: string): MeasureRow {
+    const total = this.sent.reduce((sum, count) => sum + count, 0)
+    const useful = this.served.reduce((sum, count) => sum + count, 0)
+    return {
+      decision: 'retries',
+      policy: this.policy.name,
+      scenario,
+      cost: this.attempts / useful,
+      tailLatencyMilliseconds: quantile(this.latencies, tailQuantile),
+      sentAwayShare: null,
+      worstTeamShare: Math.min(...this.sent.map((count, team) => count === 0 ? 1 : (this.served[team] ?? 0) / count)),
+      wrongfulRefusalShare: 1 - useful / total,
+      overspendTokens: null
+    }
+  }
+}
+
+/** `cost` is the load offered to upstreams over the useful load, in attempts for each request served. */
+export const retriesMeasure: MeasureScenario = {
+  decision: 'retries',
+  run: (deployment, seed) => policies.flatMap((policy) => (['refuses', 'silent'] as const).map((down) =>
+    new RetriesRun(policy, seed, upstreamCounts[deployment]).run(`half of the upstreams lost for 30 s, a lost one ${down}`, down)))
+}
