Resolve the list of measured scenarios after a merge

Cause: a rebase left conflict markers in measureScenarios.ts, and the landing command went on after the failed build.

--- a/packages/simulation/src/measureScenarios.ts
+++ b/packages/simulation/src/measureScenarios.ts
@@ -2,7 +2,6 @@
  * Every measured scenario, by decision.
  */
 
-<<<<<<< HEAD
 import { admissionMeasure } from './admissionMeasure.js'
 import { retriesMeasure } from './retriesMeasure.js'
 import type { MeasureScenario } from './measureScenario.js'
