Limit each team's rate and burst fleet-wide by escrowed shares

Cause: the static split never overspends while all VMs agree on their number, but a list that lags breaks that, and uneven demand is refused needlessly. Change: VMs of a region own equal parts of the region's share, by mutual recognition and VM-list evidence (HolderSet), and lend them with their unspent tokens for at most 1.5 s (LoanDesk, TeamShare). Refunds are bounded by the headroom since the charge. The daemon uses it; requests may wait up to 150 ms for a loan. Soak suite `limits` checks every window over the whole fleet.

--- a/packages/daemon/src/createContext.ts
+++ b/packages/daemon/src/createContext.ts
@@ -6,7 +6,7 @@
 import { RequestIdSource, VmState, newIncarnationId, runtimeClock, runtimeRandom } from '@cuminvale/common'
 import { ConfigurationHolder } from '@cuminvale/configuration'
 import { UniformEntryChooser } from '@cuminvale/entries'
-import { StaticSplitLimiter } from '@cuminvale/limits'
+import { EscrowLimiter } from '@cuminvale/limits'
 import { ListMembership } from '@cuminvale/membership'
 import { UsageMeter } from '@cuminvale/metering'
 import { SeenProofs, seenProofCapacity } from '@cuminvale/keys'
@@ -17,6 +17,7 @@
 import type { Membership } from '@cuminvale/membership'
 import type { RemoteRegionView, RoutingRequest } from '@cuminvale/routing'
 import { crashSuspectCapacity } from './constants.js'
+import { reachableVms } from './limitWiring.js'
 import { createLog } from './log.js'
 import { Metrics } from './metrics.js'
 import { OrderPeers } from './orderPeers.js'
@@ -70,8 +71,12 @@
   const configuration = new ConfigurationHolder()
   const membership = new ListMembership(identity.vm)
   const table = new UpstreamTable(clock)
-  const limiter = new StaticSplitLimiter({
-    clock, region: identity.region, vmsInRegion: () => membership.inRegion(identity.region).length + 1
+  const limiter = new EscrowLimiter({
+    clock,
+    random,
+    self: identity,
+    peers: reachableVms(membership),
+    listLagMilliseconds: settings.platform['vm-list-lag-milliseconds']
   })
   const metrics = new Metrics()
   configuration.onChange((inForce) => {
--- a/packages/daemon/src/createDaemon.ts
+++ b/packages/daemon/src/createDaemon.ts
@@ -63,7 +63,8 @@
     ['configuration', spawnProtocolActor(parent, { name: 'configuration', protocol: spread, send, log: context.log })],
     ['suspicion', spawnProtocolActor(parent, {
       name: 'suspicion', protocol: context.suspicionSpread, send, log: context.log
-    })]
+    })],
+    ['limits', spawnProtocolActor(parent, { name: 'limits', protocol: context.limiter, send, log: context.log })]
   ])
 }
 
--- a/packages/daemon/src/gateway.ts
+++ b/packages/daemon/src/gateway.ts
@@ -29,7 +29,7 @@
   /** Serves a classified request to its end. */
   async serve (request: GatewayRequest, response: ServerResponse): Promise<void> {
     if (!request.route.idempotent) return await serveOrder(this.context, request, response)
-    const charge = chargeRequest(this.context, request)
+    const charge = await chargeRequest(this.context, request)
     if (charge.isErr) return this.refuse(request, response, charge.error)
     const running = await execute(this.context, request)
     if (running.isErr) {
--- a/packages/daemon/src/platformPolls.ts
+++ b/packages/daemon/src/platformPolls.ts
@@ -12,6 +12,7 @@
 import {
   configurationRetryMilliseconds, configurationWatchMilliseconds, loadPollMilliseconds, vmListPollMilliseconds
 } from './constants.js'
+import { adoptListedVms } from './limitWiring.js'
 import type { PeerLinks } from './peerLinks.js'
 import type { VmContext } from './vmContext.js'
 
@@ -43,8 +44,10 @@
 }
 
 export const createVmListPoll = (context: VmContext, links: PeerLinks): () => Promise<number> => async () => {
+  const askedAt = context.clock.monotonic()
   const listed = await context.platform.vmList.list()
   if (listed.isOk) {
+    adoptListedVms(context.limiter, context.identity.region, { vms: listed.value, askedAt })
     context.membership.adoptList(listed.value)
     links.adoptMembers(context.membership.members)
   }
--- a/packages/daemon/src/requestAccounting.ts
+++ b/packages/daemon/src/requestAccounting.ts
@@ -15,9 +15,12 @@
 import type { VmContext } from './vmContext.js'
 
 /** Charges the team unless another VM has, or the route is open. */
-export const chargeRequest = (context: VmContext, request: GatewayRequest): Result<Charge | undefined, Refusal> => {
+export const chargeRequest = async (
+  context: VmContext,
+  request: GatewayRequest
+): Promise<Result<Charge | undefined, Refusal>> => {
   if (request.charged || request.identity === undefined) return Result.ok(undefined)
-  return context.limiter.charge(request.team, requestTokens(request))
+  return await context.limiter.chargeSoon(request.team, requestTokens(request))
 }
 
 export const settleCharge = (context: VmContext, charge: Charge | undefined, tokens: number): void => {
--- a/packages/daemon/src/serveOrder.ts
+++ b/packages/daemon/src/serveOrder.ts
@@ -106,7 +106,7 @@
 const runOnce = async (call: OrderCall): Promise<OrderResult> => {
   const { context, ticket } = call
   const request = detached(call.request)
-  const charge = chargeRequest(context, request)
+  const charge = await chargeRequest(context, request)
   if (charge.isErr) return Result.err(charge.error)
   const running = await execute(context, request, {
     onSend: () => context.ledger.markSent(ticket.ticket),
--- a/packages/daemon/src/settings.ts
+++ b/packages/daemon/src/settings.ts
@@ -36,7 +36,9 @@
     'configuration-service': address,
     'vm-list': address,
     'client-directory': address,
-    'weight-store': address
+    'weight-store': address,
+    /** Bound on how old what the VM list shows may be. */
+    'vm-list-lag-milliseconds': integer(0, 60_000).default(2_000)
   }),
   security: z.strictObject({
     'fleet-secret-file': fileName,
--- a/packages/daemon/src/vmContext.ts
+++ b/packages/daemon/src/vmContext.ts
@@ -7,7 +7,7 @@
 import type { Clock, IncarnationId, RequestIdSource } from '@cuminvale/common'
 import type { ConfigurationHolder } from '@cuminvale/configuration'
 import type { EntryChooser } from '@cuminvale/entries'
-import type { TeamLimiter } from '@cuminvale/limits'
+import type { EscrowLimiter } from '@cuminvale/limits'
 import type { Membership } from '@cuminvale/membership'
 import type { Outbound, PeerIdentity } from '@cuminvale/messages'
 import type { OrderGate, OrderLedger, TicketMint } from '@cuminvale/orders'
@@ -43,7 +43,7 @@
   readonly platform: Platform
   readonly configuration: ConfigurationHolder
   readonly membership: Membership
-  readonly limiter: TeamLimiter
+  readonly limiter: EscrowLimiter
   readonly entries: EntryChooser
   readonly table: UpstreamTable
   readonly scheduler: Scheduler
--- a/packages/demo/src/daemonProcess.ts
+++ b/packages/demo/src/daemonProcess.ts
@@ -67,6 +67,7 @@
 vm-list = ${platform.vmList.server.address}
 client-directory = ${platform.clientDirectory.server.address}
 weight-store = ${platform.weightStore.server.address}
+vm-list-lag-milliseconds = 100
 
 [security]
 fleet-secret-file = ${secrets.fleetSecret}
--- a/packages/demo/src/testFleet.ts
+++ b/packages/demo/src/testFleet.ts
@@ -53,12 +53,12 @@
     this.platform.vmList.set(this.vms.map(({ listed }) => listed))
   }
 
-  /** Waits until every VM is ready and linked to every other. */
+  /** Waits until every VM is ready, linked to every other, and holds its share of the teams' rates. */
   async linked (): Promise<void> {
     await waitFor('the fleet to be linked', () => Promise.resolve(this.vms.every(({ daemon }) => {
-      const { configuration, membership } = daemon.context
+      const { configuration, limiter, membership } = daemon.context
       const reachable = membership.members.filter((member) => member.reachable)
-      return configuration.current !== undefined && reachable.length === this.vms.length - 1
+      return configuration.current !== undefined && reachable.length === this.vms.length - 1 && limiter.isHolding
     })), readyMilliseconds)
   }
 
--- /dev/null
+++ b/packages/limits/src/chargeWaiters.ts
@@ -0,0 +1,50 @@
+/**
+ * Requests of one team that wait a moment for tokens, in order of arrival.
+ */
+
+import type { Refusal } from '@cuminvale/common'
+import type { Result } from 'true-myth'
+import { dryMilliseconds, loanWaitMilliseconds, maximumWaiters } from './constants.js'
+import type { Charge } from './types.js'
+
+interface ChargeWaiter {
+  readonly tokens: number
+  readonly until: number
+  readonly settle: (result: Result<Charge, Refusal>) => void
+}
+
+export class ChargeWaiters {
+  private waiting: ChargeWaiter[] = []
+  private dryUntil = -Infinity
+
+  get length (): number {
+    return this.waiting.length
+  }
+
+  get tokens (): number {
+    return this.waiting.reduce((sum, { tokens }) => sum + tokens, 0)
+  }
+
+  /** Whether waiting has a prospect: it lately had one, and few wait already. */
+  mayWait (now: number): boolean {
+    return now >= this.dryUntil && this.waiting.length < maximumWaiters
+  }
+
+  wait (tokens: number, now: number): Promise<Result<Charge, Refusal>> {
+    return new Promise((resolve) => this.waiting.push({ tokens, until: now + loanWaitMilliseconds, settle: resolve }))
+  }
+
+  /** Serves waiters in order while tokens last, then refuses those whose time is up. */
+  serve (now: number, charge: (tokens: number) => Result<Charge, Refusal>): void {
+    while (this.waiting[0] !== undefined) {
+      const result = charge(this.waiting[0].tokens)
+      if (result.isErr) break
+      this.waiting.shift()?.settle(result)
+    }
+    const late = this.waiting.filter(({ until }) => until <= now)
+    if (late.length === 0) return
+    this.dryUntil = now + dryMilliseconds
+    this.waiting = this.waiting.filter(({ until }) => until > now)
+    late.forEach((waiter) => waiter.settle(charge(waiter.tokens)))
+  }
+}
--- /dev/null
+++ b/packages/limits/src/escrowLimiter.ts
@@ -0,0 +1,250 @@
+/**
+ * Fleet-wide rate and burst by escrow. Each VM of a region owns an equal part
+ * of the region's share of every team, and lends it to the VMs where the
+ * demand is, for a short time. Shares move; none is ever created, so the fleet
+ * together stays within the burst plus the rate times any window.
+ */
+
+import { Result } from 'true-myth'
+import { RefusalReason, refuse } from '@cuminvale/common'
+import { planOfTeam } from '@cuminvale/documents'
+import type { Clock, Random, Refusal, TeamId, VmId } from '@cuminvale/common'
+import type { Configuration } from '@cuminvale/documents'
+import type { LimitMessage, Outbound, PeerIdentity, PeerProtocol } from '@cuminvale/messages'
+import {
+  defaultListLagMilliseconds, escrowTickMilliseconds, longestRetryAfterMilliseconds, suspensionMilliseconds
+} from './constants.js'
+import { EscrowTeam } from './escrowTeam.js'
+import { HolderSet } from './holderSet.js'
+import { LoanDesk } from './loanDesk.js'
+import type { LoanPeer } from './loanDesk.js'
+import type { Charge, TeamLimiter } from './types.js'
+
+export interface EscrowLimiterOptions {
+  readonly clock: Clock
+  readonly random: Random
+  readonly self: PeerIdentity
+  /** Live VMs that can be reached, of any region. */
+  readonly peers: () => readonly LoanPeer[]
+  /** Bound on the age of the VM list's content. */
+  readonly listLagMilliseconds?: number
+}
+
+export class EscrowLimiter implements TeamLimiter, PeerProtocol<LimitMessage> {
+  readonly tickMilliseconds = escrowTickMilliseconds
+  private readonly teams = new Map<TeamId, EscrowTeam>()
+  private readonly holders: HolderSet
+  private readonly desk: LoanDesk
+  private configuration: Configuration | undefined
+  private nextCharge = 1
+  private lastMonotonic: number
+  private lastWall: number
+  /** Own part of the region's share that the teams have now. */
+  private ownPart = 0
+
+  constructor (private readonly options: EscrowLimiterOptions) {
+    const { clock, self } = options
+    this.lastMonotonic = clock.monotonic()
+    this.lastWall = clock.wall()
+    const listLagMilliseconds = options.listLagMilliseconds ?? defaultListLagMilliseconds
+    this.holders = new HolderSet({ self, listLagMilliseconds }, this.lastMonotonic)
+    this.desk = new LoanDesk({ self, random: options.random, peers: options.peers, holders: this.holders, teams: this.teams })
+  }
+
+  /** Whether this VM holds its own part of its region's shares. */
+  get isHolding (): boolean {
+    return this.holders.isHolding
+  }
+
+  /** A team's part of the fleet-wide amounts at this VM, for metrics and tests. */
+  heldShare (team: TeamId): number {
+    const now = this.wake()
+    const entry = this.teams.get(team)
+    if (entry === undefined) return 0
+    entry.share.advance(now, this.ownUntil)
+    return entry.share.held
+  }
+
+  configure (configuration: Configuration): void {
+    const now = this.wake()
+    this.configuration = configuration
+    for (const [name, team] of this.teams) {
+      team.share.advance(now, this.ownUntil)
+      if (!configuration.teams.has(name)) team.configured = false
+    }
+    for (const name of configuration.teams.keys()) this.configureTeam(configuration, name, now)
+  }
+
+  /** Adopts the VM list's names of this region, asked for at a monotonic time. */
+  adoptList (names: ReadonlySet<VmId>, askedAt: number): void {
+    const now = this.wake()
+    this.holders.adoptList(names, askedAt)
+    this.shareOut(now)
+  }
+
+  charge (name: TeamId, tokens: number): Result<Charge, Refusal> {
+    const now = this.wake()
+    const team = this.teams.get(name)
+    if (team?.configured !== true) return Result.err(refuse(RefusalReason.NotInPlan, `team "${name}" has no plan`))
+    team.noteRequest(tokens, now)
+    return this.take(name, team, tokens)
+  }
+
+  async chargeSoon (name: TeamId, tokens: number): Promise<Result<Charge, Refusal>> {
+    const team = this.teams.get(name)
+    const isFirst = team === undefined || team.waiters.length === 0
+    const charged = this.charge(name, tokens)
+    if (charged.isOk || team === undefined || tokens > team.amounts.burst) return charged
+    const now = this.options.clock.monotonic()
+    if (!team.waiters.mayWait(now)) return charged
+    if (isFirst) team.askedAt = -Infinity
+    return await team.waiters.wait(tokens, now)
+  }
+
+  settle (charge: Charge, usedTokens: number): void {
+    const now = this.wake()
+    const team = this.teams.get(charge.team)
+    if (team === undefined) return
+    team.share.advance(now, this.ownUntil)
+    if (usedTokens > charge.tokens) team.share.overdraw(usedTokens - charge.tokens)
+    else team.share.refund(charge.id, charge.tokens - usedTokens)
+  }
+
+  receive (from: PeerIdentity, message: LimitMessage): readonly Outbound[] {
+    const now = this.wake()
+    switch (message.kind) {
+      case 'limits.hello': {
+        const fits = !message.joining || this.fitsWith(from.vm, now)
+        const answer = this.holders.answer(from, message, now, fits)
+        this.shareOut(now)
+        return [{ to: from.vm, message: answer }]
+      }
+      case 'limits.recognition':
+        this.holders.recognised(from, message, now)
+        this.shareOut(now)
+        return []
+      case 'limits.borrow':
+        return this.desk.lend(from, message, this.desk.moment(now, this.ownUntil))
+      case 'limits.lend':
+        this.desk.borrowed(from, message, this.desk.moment(now, this.ownUntil))
+        this.serveWaiters(now)
+        return []
+      case 'limits.return':
+        this.desk.takeBack(message, this.desk.moment(now, this.ownUntil))
+        return []
+      default:
+        return []
+    }
+  }
+
+  tick (): readonly Outbound[] {
+    const now = this.wake()
+    const hellos = this.holders.tick(now)
+    this.shareOut(now)
+    this.raiseShares(now)
+    const loans = this.desk.tick(this.desk.moment(now, this.ownUntil))
+    this.serveWaiters(now)
+    this.forgetTeams()
+    return [...hellos, ...loans]
+  }
+
+  /** End of the evidence under which the own part may be used. */
+  private get ownUntil (): number {
+    return this.holders.isHolding ? this.holders.evidenceUntil : -Infinity
+  }
+
+  /** Reads the clock; notices suspensions and evidence that has run out before anything else is done. */
+  private wake (): number {
+    const { clock } = this.options
+    const now = clock.monotonic()
+    const wall = clock.wall()
+    const isSuspected = wall - this.lastWall - (now - this.lastMonotonic) > suspensionMilliseconds
+    this.lastMonotonic = now
+    this.lastWall = wall
+    if (isSuspected) this.suspended(now)
+    else if (this.holders.isHolding && this.ownUntil <= now) this.lapse(now)
+    return now
+  }
+
+  private suspended (now: number): void {
+    for (const { share } of this.teams.values()) {
+      share.dropBorrowed()
+      share.setOwn(0)
+      share.advance(now, now)
+    }
+    this.ownPart = 0
+    this.holders.suspended(now)
+  }
+
+  private lapse (now: number): void {
+    const until = this.ownUntil
+    for (const { share } of this.teams.values()) share.advance(now, until)
+    this.ownPart = 0
+    this.holders.lapse(now)
+  }
+
+  /** Gives every team its own part anew after the number of holders has changed. */
+  private shareOut (now: number): void {
+    const part = this.holders.isHolding && this.ownUntil > now ? 1 / this.holders.count : 0
+    if (part === this.ownPart) return
+    for (const team of this.teams.values()) {
+      team.share.advance(now, this.ownPart === 0 ? -Infinity : Infinity)
+      team.share.setOwn(team.regionShare * part)
+    }
+    this.ownPart = part
+  }
+
+  private raiseShares (now: number): void {
+    for (const team of this.teams.values()) {
+      if (!team.applyRaise(now)) continue
+      team.share.advance(now, this.ownUntil)
+      team.share.setOwn(team.regionShare * this.ownPart)
+    }
+  }
+
+  /** Whether this VM's loans stay within its own part with a joining VM counted. */
+  private fitsWith (joining: VmId, now: number): boolean {
+    const part = 1 / (this.holders.counts(joining) ? this.holders.count : this.holders.count + 1)
+    const fits = this.desk.fits(part, now)
+    if (!fits) this.desk.makeRoom(part, now)
+    return fits
+  }
+
+  private configureTeam (configuration: Configuration, name: TeamId, now: number): void {
+    const plan = planOfTeam(configuration, name)
+    if (plan === undefined) return
+    const { region } = this.options.self
+    const known = this.teams.get(name)
+    if (known !== undefined) known.adopt(plan, region, now)
+    const team = known ?? new EscrowTeam(plan, region, now)
+    team.share.setOwn(team.regionShare * this.ownPart)
+    this.teams.set(name, team)
+  }
+
+  private take (name: TeamId, team: EscrowTeam, tokens: number): Result<Charge, Refusal> {
+    const now = this.options.clock.monotonic()
+    team.share.advance(now, this.ownUntil)
+    const id = this.nextCharge
+    if (team.share.take(id, tokens)) {
+      this.nextCharge += 1
+      return Result.ok({ id, team: name, tokens })
+    }
+    const wait = Math.min(team.share.millisecondsUntil(tokens), longestRetryAfterMilliseconds)
+    return Result.err(refuse(RefusalReason.RateExceeded, `team "${name}" is over its rate`, {
+      retryAfterMilliseconds: wait
+    }))
+  }
+
+  private serveWaiters (now: number): void {
+    for (const [name, team] of this.teams) {
+      if (team.waiters.length > 0) team.waiters.serve(now, (tokens) => this.take(name, team, tokens))
+    }
+  }
+
+  /** Forgets teams that have left once none of their loans is left. */
+  private forgetTeams (): void {
+    for (const [name, team] of this.teams) {
+      if (!team.configured && team.share.isIdle && this.configuration?.teams.has(name) !== true) this.teams.delete(name)
+    }
+  }
+}
--- a/packages/limits/src/staticSplitLimiter.ts
+++ b/packages/limits/src/staticSplitLimiter.ts
@@ -9,6 +9,7 @@
 import { planOfTeam, regionShare } from '@cuminvale/documents'
 import type { Clock, Refusal, RegionId, TeamId } from '@cuminvale/common'
 import type { Configuration, Plan } from '@cuminvale/documents'
+import { longestRetryAfterMilliseconds } from './constants.js'
 import { TokenBucket } from './tokenBucket.js'
 import type { BucketShape } from './tokenBucket.js'
 import type { Charge, TeamLimiter } from './types.js'
@@ -20,8 +21,6 @@
   readonly vmsInRegion: () => number
 }
 
-const longestRetryAfterMilliseconds = 60_000
-
 export class StaticSplitLimiter implements TeamLimiter {
   private configuration: Configuration | undefined
   private readonly buckets = new Map<TeamId, TokenBucket>()
@@ -52,6 +51,10 @@
     }))
   }
 
+  chargeSoon (team: TeamId, tokens: number): Promise<Result<Charge, Refusal>> {
+    return Promise.resolve(this.charge(team, tokens))
+  }
+
   settle (charge: Charge, usedTokens: number): void {
     const unused = Math.max(0, charge.tokens - usedTokens)
     this.buckets.get(charge.team)?.put(unused, this.options.clock.monotonic())
--- /dev/null
+++ b/packages/limits/src/teamShare.ts
@@ -0,0 +1,219 @@
+/**
+ * One VM's share of one team's rate and burst, and the tokens in it. Shares
+ * are parts of the fleet-wide amounts: own, lent to others, borrowed from them.
+ *
+ * The sum over the fleet of what VMs hold is at most 1, and each level is at
+ * most its holder's part of the burst. So the tokens taken in any window are
+ * at most the burst plus the rate times the window.
+ */
+
+import { assertInvariant, millisecondsPerSecond } from '@cuminvale/common'
+import type { IncarnationId, VmId } from '@cuminvale/common'
+import { clockDriftShare, shareTolerance } from './constants.js'
+import { HeadroomHistory } from './headroomHistory.js'
+
+export interface LentLoan {
+  readonly share: number
+  readonly borrower: VmId
+  /** Monotonic milliseconds of this VM from which the borrower surely spends no more. */
+  endsAt: number
+}
+
+export interface BorrowedLoan {
+  readonly id: number
+  readonly share: number
+  readonly lender: VmId
+  readonly lenderIncarnation: IncarnationId
+  endsAt: number
+}
+
+export interface Amounts {
+  readonly ratePerSecond: number
+  readonly burst: number
+}
+
+export class TeamShare {
+  private level = 0
+  private own = 0
+  private lentShare = 0
+  private borrowedShare = 0
+  readonly lent = new Map<number, LentLoan>()
+  private readonly loans: BorrowedLoan[] = []
+  private readonly history = new HeadroomHistory()
+
+  constructor (private amounts: Amounts, private updatedAt: number) {}
+
+  get ownShare (): number {
+    return this.own
+  }
+
+  get lentTotal (): number {
+    return this.lentShare
+  }
+
+  get borrowed (): readonly BorrowedLoan[] {
+    return this.loans
+  }
+
+  /** Part of the fleet-wide rate and burst that this VM may use now. */
+  get held (): number {
+    return Math.max(0, this.own - this.lentShare) + this.borrowedShare
+  }
+
+  get capacity (): number {
+    return this.held * this.amounts.burst
+  }
+
+  get tokens (): number {
+    return this.level
+  }
+
+  /** Own share that is not lent. */
+  get unlent (): number {
+    return Math.max(0, this.own - this.lentShare)
+  }
+
+  /**
+   * Brings the tokens up to date. What has ended in the meantime, loans and
+   * the own share alike, counts up to its end only.
+   */
+  advance (now: number, ownUntil: number): void {
+    while (this.updatedAt < now) {
+      const end = Math.min(now, this.nextEnd(ownUntil))
+      this.fill(Math.max(end, this.updatedAt))
+      if (end >= now) break
+      this.dropEnded(end, ownUntil)
+    }
+    this.dropEnded(now, ownUntil)
+    for (const [id, loan] of this.lent) if (loan.endsAt <= now) this.endLent(id, loan)
+  }
+
+  /** The caller has advanced the share to now. */
+  setOwn (own: number): void {
+    this.own = own
+    this.clamp()
+  }
+
+  setAmounts (amounts: Amounts): void {
+    this.amounts = amounts
+    this.clamp()
+  }
+
+  take (charge: number, tokens: number): boolean {
+    if (tokens > this.level) return false
+    this.level -= tokens
+    this.history.open(charge, this.capacity - this.level)
+    return true
+  }
+
+  /** Returns what a charge did not use, without what would have overflowed since. */
+  refund (charge: number, tokens: number): void {
+    const kept = Math.min(tokens, this.history.since(charge))
+    if (kept <= 0) return
+    this.level += kept
+    this.history.refund(kept)
+    this.clamp()
+  }
+
+  /** Charges what a request used beyond its charge; the level may become negative. */
+  overdraw (tokens: number): void {
+    this.level -= tokens
+  }
+
+  /** Lends part of the own share, with its part of the unspent tokens. */
+  lend (id: number, loan: LentLoan): number {
+    assertInvariant(loan.share <= this.own - this.lentShare + shareTolerance, 'limits-lent-share',
+      () => `lends ${loan.share} of ${this.own} with ${this.lentShare} lent already`)
+    const tokens = this.tokensOf(loan.share)
+    this.level -= tokens
+    this.lentShare += loan.share
+    this.lent.set(id, loan)
+    this.clamp()
+    return tokens
+  }
+
+  /** Takes back a loan that has not ended; anything else brings nothing. */
+  takeBack (id: number, tokens: number): void {
+    const loan = this.lent.get(id)
+    if (loan === undefined) return
+    this.endLent(id, loan)
+    this.level += Math.max(0, Math.min(tokens, loan.share * this.amounts.burst))
+    this.clamp()
+  }
+
+  borrow (loan: BorrowedLoan, tokens: number): void {
+    this.loans.push(loan)
+    this.borrowedShare += loan.share
+    this.level += Math.max(0, Math.min(tokens, loan.share * this.amounts.burst))
+    this.clamp()
+  }
+
+  /** Gives a loan up; answers the tokens that go back with it. */
+  giveBack (loan: BorrowedLoan): number {
+    const tokens = this.tokensOf(loan.share)
+    this.level -= tokens
+    this.removeBorrowed(loan)
+    this.clamp()
+    return tokens
+  }
+
+  /** Drops every loan from others, for a VM that may have been suspended. */
+  dropBorrowed (): void {
+    this.loans.splice(0)
+    this.borrowedShare = 0
+    this.clamp()
+  }
+
+  get isIdle (): boolean {
+    return this.lent.size === 0 && this.loans.length === 0
+  }
+
+  /** Milliseconds until the tokens are there at the present share. */
+  millisecondsUntil (tokens: number): number {
+    if (tokens <= this.level) return 0
+    const perSecond = this.held * this.amounts.ratePerSecond
+    return perSecond <= 0 ? Infinity : (tokens - this.level) / perSecond * millisecondsPerSecond
+  }
+
+  private tokensOf (share: number): number {
+    const { held } = this
+    return held <= 0 ? 0 : Math.max(0, this.level) * Math.min(1, share / held)
+  }
+
+  private nextEnd (ownUntil: number): number {
+    let end = this.own > 0 ? ownUntil : Infinity
+    for (const loan of this.loans) end = Math.min(end, loan.endsAt)
+    return end
+  }
+
+  private fill (until: number): void {
+    const seconds = (until - this.updatedAt) / millisecondsPerSecond
+    const gained = seconds * this.held * this.amounts.ratePerSecond * (1 - clockDriftShare)
+    this.level = Math.min(this.capacity, this.level + Math.max(0, gained))
+    this.updatedAt = until
+    this.clamp()
+  }
+
+  private dropEnded (at: number, ownUntil: number): void {
+    for (const loan of this.loans.filter(({ endsAt }) => endsAt <= at)) this.removeBorrowed(loan)
+    if (ownUntil <= at) this.own = 0
+    this.clamp()
+  }
+
+  private removeBorrowed (loan: BorrowedLoan): void {
+    const index = this.loans.indexOf(loan)
+    if (index < 0) return
+    this.loans.splice(index, 1)
+    this.borrowedShare = this.loans.reduce((sum, { share }) => sum + share, 0)
+  }
+
+  private endLent (id: number, loan: LentLoan): void {
+    this.lent.delete(id)
+    this.lentShare = this.lent.size === 0 ? 0 : Math.max(0, this.lentShare - loan.share)
+  }
+
+  private clamp (): void {
+    this.level = Math.min(this.level, this.capacity)
+    this.history.record(this.capacity - this.level)
+  }
+}
--- a/packages/limits/src/types.ts
+++ b/packages/limits/src/types.ts
@@ -18,6 +18,8 @@
   configure (configuration: Configuration): void
   /** Charges the greatest number of tokens that the request may use, or refuses. */
   charge (team: TeamId, tokens: number): Result<Charge, Refusal>
-  /** Returns what a request was charged but did not use. */
+  /** Like `charge`, but may wait a moment for tokens that other VMs hold. */
+  chargeSoon (team: TeamId, tokens: number): Promise<Result<Charge, Refusal>>
+  /** Returns what a request was charged but did not use, or charges what it used beyond. */
   settle (charge: Charge, usedTokens: number): void
 }
--- /dev/null
+++ b/packages/simulation/src/limitsSoak.ts
@@ -0,0 +1,276 @@
+/**
+ * Soak suite: no team exceeds its rate and burst across all VMs together,
+ * through partitions, pauses, suspensions, crashes, restarts, a lagging VM list
+ * and drifting clocks.
+ */
+
+import * as fastCheck from 'fast-check'
+import { SeededRandom } from '@cuminvale/common'
+import { EscrowLimiter, loanMilliseconds } from '@cuminvale/limits'
+import type { Charge } from '@cuminvale/limits'
+import { checkCommands } from './checkCommands.js'
+import { LimitsFleet, configurationOf, nameOf, teamName } from './limitsFleet.js'
+import { SpendingLedger } from './spendingLedger.js'
+import { FaultKind } from './soakSuite.js'
+import type { Spending } from './spendingLedger.js'
+import type { SoakSuite, SoakTally } from './soakSuite.js'
+
+const regions = ['veneto', 'veneto', 'veneto', 'veneto', 'emilia', 'emilia']
+const vmCount = regions.length
+const plan = { ratePerSecond: 1_000, burst: 300, regionShares: { veneto: 0.7, emilia: 0.3 } }
+const listLagMilliseconds = 1_000
+const relistMilliseconds = 2_500
+const runsPerBatch = 10
+const maximumCommands = 24
+const warmUpMilliseconds = 4_000
+const finishMilliseconds = 2_000
+const floodMilliseconds = 20
+const requestTokens = 40
+const tolerance = 1e-3
+
+interface Running {
+  readonly vm: number
+  readonly incarnation: string
+  readonly charge: Charge
+  readonly spending: Spending
+}
+
+class LimitsSoakFleet {
+  readonly fleet: LimitsFleet
+  readonly ledger = new SpendingLedger()
+  private readonly random: SeededRandom
+  private readonly listed = new Set(regions.keys())
+  private readonly listChangedAt = new Map<number, number>()
+  private running: Running[] = []
+  /** VMs through which more is asked for than the team may have. */
+  flooded = new Set<number>(regions.keys())
+
+  constructor (seed: number, readonly tally: SoakTally) {
+    this.random = new SeededRandom(seed)
+    this.fleet = new LimitsFleet({
+      random: this.random,
+      regions,
+      configuration: configurationOf(1, regions, [plan]),
+      createLimiter: (parts) => new EscrowLimiter({ ...parts, listLagMilliseconds }),
+      listLagMilliseconds,
+      clockDriftShare: 0.001
+    })
+    this.fleet.list([...this.listed])
+    this.fleet.clock.advance(listLagMilliseconds)
+    for (let index = 0; index < vmCount; index += 1) this.fleet.start(index)
+    this.flood()
+    this.fleet.clock.advance(warmUpMilliseconds)
+  }
+
+  /** Changes what the VM list shows; it does not flicker faster than its lag. */
+  setListed (index: number, isListed: boolean): void {
+    const { clock } = this.fleet
+    const changedAt = this.listChangedAt.get(index) ?? -Infinity
+    if (this.listed.has(index) === isListed || clock.monotonic() - changedAt < relistMilliseconds) return
+    if (isListed) this.listed.add(index)
+    else this.listed.delete(index)
+    this.listChangedAt.set(index, clock.monotonic())
+    this.tally.fault(FaultKind.ListLag)
+    this.fleet.list([...this.listed])
+  }
+
+  /** Ends about half of the running requests, which used less than their charge. */
+  settleSome (): void {
+    const ended = this.running.filter(() => this.random.next() < 0.5)
+    this.running = this.running.filter((running) => !ended.includes(running))
+    for (const { vm, incarnation, charge, spending } of ended) {
+      const target = this.fleet.vms[vm]
+      if (target === undefined || target.identity.incarnation !== incarnation || !this.fleet.isRunning(vm)) continue
+      const used = Math.floor(charge.tokens * this.random.next())
+      this.fleet.link.runOn(target.identity.vm, () => {
+        target.limiter.settle(charge, used)
+        spending.tokens = used
+      })
+    }
+  }
+
+  /** Lets the buckets fill, then asks for more than the team may have through every VM. */
+  rest (span: number): void {
+    this.flooded = new Set()
+    this.fleet.clock.advance(span)
+    this.flooded = new Set(regions.keys())
+    this.fleet.clock.advance(floodMilliseconds)
+  }
+
+  /** Brings most of the team's shares to one VM, and fills its bucket. */
+  drawAllTo (index: number): void {
+    this.flooded = new Set([index])
+    this.fleet.clock.advance(600)
+    this.flooded = new Set()
+    this.fleet.clock.advance(300)
+  }
+
+  finish (): void {
+    this.fleet.link.heal()
+    this.fleet.link.lossShare = 0
+    for (let index = 0; index < vmCount; index += 1) this.fleet.resume(index)
+    this.settleSome()
+    this.fleet.clock.advance(finishMilliseconds)
+    const over = this.ledger.overspend(plan)
+    if (over > tolerance) throw new Error(`the team spent ${over} tokens more than its burst and rate allow`)
+  }
+
+  private flood (): void {
+    for (const index of this.flooded) this.request(index)
+    this.fleet.clock.schedule(floodMilliseconds, () => this.flood())
+  }
+
+  private request (index: number): void {
+    const vm = this.fleet.vms[index]
+    if (vm === undefined || !this.fleet.isRunning(index) || this.fleet.link.isPaused(nameOf(index))) return
+    this.tally.operation()
+    const charge = vm.limiter.charge(teamName(0), 1 + Math.floor(this.random.next() * requestTokens))
+    if (charge.isErr) return
+    const spending = this.ledger.spend(this.fleet.clock.monotonic(), charge.value.tokens)
+    this.running.push({ vm: index, incarnation: vm.identity.incarnation, charge: charge.value, spending })
+  }
+}
+
+type Model = Record<string, never>
+
+class FleetCommand implements fastCheck.Command<Model, LimitsSoakFleet> {
+  constructor (private readonly name: string, private readonly act: (soak: LimitsSoakFleet) => void) {}
+
+  check (): boolean {
+    return true
+  }
+
+  run (_: Model, soak: LimitsSoakFleet): void {
+    this.act(soak)
+    soak.fleet.clock.advance(1)
+  }
+
+  toString (): string {
+    return this.name
+  }
+}
+
+const vmIndex = fastCheck.integer({ min: 0, max: vmCount - 1 })
+
+const onVm = (name: string, fault: FaultKind | undefined, act: (soak: LimitsSoakFleet, index: number) => void) =>
+  vmIndex.map((index) => new FleetCommand(`${name}(${index})`, (soak) => {
+    if (fault !== undefined) soak.tally.fault(fault)
+    act(soak, index)
+  }))
+
+const plain = (name: string, act: (soak: LimitsSoakFleet) => void) => fastCheck.constant(new FleetCommand(name, act))
+
+/** After the restart of a VM whose grant is still under way, asks for more than the team may have. */
+const restartBorrower = (soak: LimitsSoakFleet, index: number): void => {
+  soak.rest(800)
+  soak.fleet.link.reorderMilliseconds = 1_000
+  soak.flooded = new Set([index])
+  soak.fleet.clock.advance(200)
+  soak.fleet.start(index)
+  soak.fleet.link.reorderMilliseconds = 0
+  soak.fleet.clock.advance(2_500)
+  soak.rest(400)
+  soak.fleet.clock.advance(loanMilliseconds)
+}
+
+const wait = (most: number) => fastCheck.integer({ min: 1, max: most })
+  .map((span) => new FleetCommand(`wait(${span})`, (soak) => soak.fleet.clock.advance(span)))
+
+const commands = [
+  onVm('flood', undefined, (soak, index) => soak.flooded.add(index)),
+  plain('floodAll', (soak) => { soak.flooded = new Set(regions.keys()) }),
+  fastCheck.integer({ min: 300, max: 1_500 }).map((span) => new FleetCommand(`rest(${span})`, (soak) => soak.rest(span))),
+  onVm('suspendBorrower', FaultKind.Pause, (soak, index) => {
+    soak.drawAllTo(index)
+    soak.fleet.suspend(index)
+    soak.fleet.clock.advance(loanMilliseconds + 500)
+    soak.rest(800)
+    soak.fleet.resume(index)
+    soak.fleet.clock.advance(loanMilliseconds)
+  }),
+  onVm('restartLender', FaultKind.Restart, (soak, index) => {
+    soak.drawAllTo((index + 1) % vmCount)
+    soak.fleet.start(index)
+    soak.flooded = new Set(regions.keys())
+    soak.fleet.clock.advance(loanMilliseconds)
+  }),
+  onVm('restartBorrower', FaultKind.Restart, restartBorrower),
+  onVm('returnUnseen', FaultKind.Partition, (soak, index) => {
+    soak.fleet.crash(index)
+    soak.setListed(index, false)
+    soak.fleet.clock.advance(4_000)
+    for (const other of regions.keys()) if (other !== index) soak.fleet.withoutList.add(nameOf(other))
+    soak.fleet.start(index)
+    soak.fleet.link.isolate([nameOf(index)])
+    soak.setListed(index, true)
+    soak.fleet.clock.advance(2_500)
+    soak.rest(800)
+    soak.fleet.clock.advance(1_500)
+  }),
+  plain('replaceCutOff', (soak) => {
+    soak.tally.fault(FaultKind.Partition)
+    soak.fleet.link.isolate([nameOf(4)])
+    soak.fleet.start(5)
+    soak.fleet.clock.advance(500)
+    soak.setListed(4, false)
+    soak.rest(800)
+    soak.fleet.clock.advance(2_500)
+  }),
+  onVm('floodOnly', undefined, (soak, index) => { soak.flooded = new Set([index]) }),
+  plain('settle', (soak) => soak.settleSome()),
+  onVm('crash', FaultKind.Crash, (soak, index) => {
+    soak.fleet.crash(index)
+    soak.setListed(index, false)
+  }),
+  onVm('restart', FaultKind.Restart, (soak, index) => {
+    soak.fleet.start(index)
+    soak.setListed(index, true)
+  }),
+  onVm('unlist', undefined, (soak, index) => soak.setListed(index, false)),
+  onVm('cutOffAndUnlist', FaultKind.Partition, (soak, index) => {
+    soak.fleet.link.isolate([nameOf(index)])
+    soak.fleet.withoutList.add(nameOf(index))
+    soak.setListed(index, false)
+  }),
+  onVm('list', undefined, (soak, index) => soak.setListed(index, true)),
+  onVm('pause', FaultKind.Pause, (soak, index) => soak.fleet.link.pause(nameOf(index))),
+  onVm('suspend', FaultKind.Pause, (soak, index) => soak.fleet.suspend(index)),
+  onVm('resume', undefined, (soak, index) => soak.fleet.resume(index)),
+  onVm('loseList', FaultKind.ServiceDown, (soak, index) => soak.fleet.withoutList.add(nameOf(index))),
+  onVm('isolate', FaultKind.Partition, (soak, index) => soak.fleet.link.isolate([nameOf(index)])),
+  fastCheck.tuple(vmIndex, vmIndex).map(([first, second]) => new FleetCommand(`cut(${first},${second})`, (soak) => {
+    soak.tally.fault(FaultKind.Partition)
+    if (first !== second) soak.fleet.link.cut(nameOf(first), nameOf(second))
+  })),
+  plain('cutRegions', (soak) => {
+    soak.tally.fault(FaultKind.Partition)
+    soak.fleet.link.isolate([4, 5].map(nameOf))
+  }),
+  plain('heal', (soak) => {
+    soak.fleet.link.heal()
+    soak.fleet.withoutList.clear()
+  }),
+  fastCheck.integer({ min: 0, max: 60 }).map((percent) => new FleetCommand(`loss(${percent}%)`, (soak) => {
+    soak.tally.fault(FaultKind.Loss)
+    soak.fleet.link.lossShare = percent / 100
+  })),
+  fastCheck.integer({ min: 0, max: 2_500 }).map((span) => new FleetCommand(`reorder(${span})`, (soak) => {
+    soak.tally.fault(FaultKind.Reorder)
+    soak.fleet.link.reorderMilliseconds = span
+  })),
+  wait(400),
+  wait(4_000)
+]
+
+export const limitsSoak: SoakSuite = {
+  name: 'limits',
+  promise: 'No team exceeds its rate and burst across all VMs together.',
+  run: async (seed, tally) => await checkCommands<Model, LimitsSoakFleet>({
+    seed,
+    runs: runsPerBatch,
+    maximumCommands,
+    commands,
+    setup: () => ({ model: {}, real: new LimitsSoakFleet(seed, tally) }),
+    finish: (soak) => soak.finish()
+  })
+}
--- a/packages/simulation/src/soakSuites.ts
+++ b/packages/simulation/src/soakSuites.ts
@@ -4,6 +4,7 @@
 
 import { admissionSoak } from './admissionSoak.js'
 import { configurationSoak } from './configurationSoak.js'
+import { limitsSoak } from './limitsSoak.js'
 import { ordersSoak } from './ordersSoak.js'
 import { suspicionSoak } from './suspicionSoak.js'
 import type { SoakSuite } from './soakSuite.js'
@@ -12,5 +13,7 @@
   admissionSoak,
   configurationSoak,
   ordersSoak,
-  suspicionSoak
+  suspicionSoak,
+  admissionSoak,
+  limitsSoak
 ]
