--- /dev/null
+++ b/packages/benchmark/src/bareMain.ts
@@ -0,0 +1,46 @@
+/**
+ * The bare pass-through that the gateway is compared with: `http` in, `undici`
+ * out, the next upstream in turn, nothing else.
+ */
+
+import { createServer } from 'node:http'
+import { Pool } from 'undici'
+import type { IncomingMessage, ServerResponse } from 'node:http'
+import type { AddressInfo } from 'node:net'
+import type { Dispatcher } from 'undici'
+import { loopbackHost } from './constants.js'
+
+const connectionsPerUpstream = 256
+const pools = process.argv.slice(2).map((origin) => new Pool(origin, { connections: connectionsPerUpstream }))
+let turn = 0
+
+const nextPool = (): Pool => {
+  turn = (turn + 1) % pools.length
+  const pool = pools[turn]
+  if (pool === undefined) throw new Error('usage: bareMain <upstream origin>...')
+  return pool
+}
+
+const readBody = async (request: IncomingMessage): Promise<Buffer> => {
+  const chunks: Buffer[] = []
+  for await (const chunk of request) chunks.push(chunk as Buffer)
+  return chunks.length === 1 && chunks[0] !== undefined ? chunks[0] : Buffer.concat(chunks)
+}
+
+const pass = async (request: IncomingMessage, response: ServerResponse): Promise<void> => {
+  await nextPool().stream({
+    path: request.url ?? '/',
+    method: (request.method ?? 'GET') as Dispatcher.HttpMethod,
+    headers: { 'content-type': request.headers['content-type'] ?? 'application/json' },
+    body: await readBody(request)
+  }, ({ statusCode, headers }) => response.writeHead(statusCode, headers as Record<string, string>))
+}
+
+const server = createServer((request, response) => {
+  pass(request, response).catch(() => response.destroy())
+})
+
+server.listen(0, loopbackHost, () => {
+  process.stdout.write(JSON.stringify({ port: (server.address() as AddressInfo).port }) + '\n')
+})
+process.once('SIGTERM', () => process.exit(0))
--- /dev/null
+++ b/packages/benchmark/src/index.ts
@@ -0,0 +1,2 @@
+export * from './types.js'
+export * from './summary.js'
--- /dev/null
+++ b/packages/benchmark/src/messages.ts
@@ -0,0 +1,39 @@
+/**
+ * The request bodies that the load sends and the answers that the upstream
+ * gives to them, shared so that an answer can be checked for being whole.
+ */
+
+import { eventsPerStream, firstByteEventsPerStream } from './constants.js'
+import { LoadKind } from './types.js'
+
+const model = 'catalogue-writer'
+const prompt = 'Describe a cloth-bound diary of two hundred and forty pages for the spring catalogue.'
+
+export const bodyFor = (kind: LoadKind): string => JSON.stringify({
+  model,
+  prompt,
+  max_tokens: 16,
+  ...(kind === LoadKind.Small ? {} : { stream: true, stream_options: { events: eventCount(kind) } })
+})
+
+export const eventCount = (kind: LoadKind): number =>
+  kind === LoadKind.Streamed ? eventsPerStream : firstByteEventsPerStream
+
+export const eventFor = (index: number): string =>
+  `data: ${JSON.stringify({ model, choices: [{ index: 0, text: `w${index} ` }] })}\n\n`
+
+export const endMark = 'data: [DONE]\n\n'
+
+export const smallAnswer = JSON.stringify({
+  object: 'text_completion',
+  model,
+  choices: [{ index: 0, text: 'A diary bound in linen, sewn in sections.', finish_reason: 'stop' }],
+  usage: { prompt_tokens: 22, completion_tokens: 16, total_tokens: 38 }
+})
+
+const streamLength = (events: number): number =>
+  Array.from({ length: events }, (_, index) => eventFor(index).length).reduce((sum, length) => sum + length, endMark.length)
+
+/** Bytes of a whole answer. */
+export const answerLength = (kind: LoadKind): number =>
+  kind === LoadKind.Small ? smallAnswer.length : streamLength(eventCount(kind))
--- /dev/null
+++ b/packages/benchmark/src/upstreamMain.ts
@@ -0,0 +1,76 @@
+/**
+ * The upstream process: it answers at once, streams one event a turn of its
+ * event loop, and reports no load.
+ */
+
+import { createServer } from 'node:http'
+import type { IncomingMessage, ServerResponse } from 'node:http'
+import type { AddressInfo } from 'node:net'
+import { loopbackHost } from './constants.js'
+import { endMark, eventFor, smallAnswer } from './messages.js'
+
+const idleLoad = JSON.stringify({ running: 0, queued: 0, ageMilliseconds: 0, leaving: false })
+const eventsPattern = /"events":(\d+)/
+const longestStream = 4_096
+const framed = (event: string): Buffer => Buffer.from(`${event.length.toString(16)}\r\n${event}\r\n`)
+const events = Array.from({ length: longestStream }, (_, index) => framed(eventFor(index)))
+
+const sendJson = (response: ServerResponse, body: string): void => {
+  response.writeHead(200, { 'content-type': 'application/json', 'content-length': body.length })
+  response.end(body)
+}
+
+/** Streams that still have events to send; each sends one a turn, while its caller keeps up. */
+const streaming = new Set<EventStream>()
+
+class EventStream {
+  private sent = 0
+
+  constructor (private readonly response: ServerResponse, private readonly count: number) {
+    response.writeHead(200, { 'content-type': 'text/event-stream' })
+    response.flushHeaders()
+  }
+
+  step (): void {
+    const { socket } = this.response
+    if (socket === null || socket.destroyed) return this.finish()
+    if (socket.writableNeedDrain) return
+    // Writes the framed event to the socket itself: `write` of the response would cost more than the relays measured here.
+    socket.write(events[this.sent] ?? '')
+    this.sent += 1
+    if (this.sent === this.count) this.finish()
+  }
+
+  private finish (): void {
+    streaming.delete(this)
+    this.response.end(endMark)
+  }
+}
+
+const stepAll = (): void => {
+  for (const stream of streaming) stream.step()
+  if (streaming.size > 0) setImmediate(stepAll)
+}
+
+const startStream = (response: ServerResponse, count: number): void => {
+  streaming.add(new EventStream(response, count))
+  if (streaming.size === 1) setImmediate(stepAll)
+}
+
+const complete = async (request: IncomingMessage, response: ServerResponse): Promise<void> => {
+  let body = ''
+  for await (const chunk of request) body += String(chunk)
+  const count = eventsPattern.exec(body)?.[1]
+  if (count === undefined) sendJson(response, smallAnswer)
+  else startStream(response, Number(count))
+}
+
+const server = createServer((request, response) => {
+  if (request.url === '/control/load') return sendJson(response, idleLoad)
+  complete(request, response).catch(() => response.destroy())
+})
+
+server.listen(0, loopbackHost, () => {
+  process.stdout.write(JSON.stringify({ port: (server.address() as AddressInfo).port }) + '\n')
+})
+process.once('SIGTERM', () => process.exit(0))
--- a/packages/demo/src/daemonProcess.ts
+++ b/packages/demo/src/daemonProcess.ts
@@ -51,7 +51,10 @@
   readonly administrationToken: string
 }
 
-export const settingsText = (vm: ListedVm, platform: FakePlatform, secrets: SecretFiles): string => `[vm]
+/** The stand-ins whose addresses go into the settings. */
+export type SettingsPlatform = Pick<FakePlatform, 'configuration' | 'vmList' | 'clientDirectory' | 'weightStore'>
+
+export const settingsText = (vm: ListedVm, platform: SettingsPlatform, secrets: SecretFiles): string => `[vm]
 name = ${vm.name}
 region = ${vm.region}
 failure-domain = ${vm.failureDomain}
--- a/packages/demo/src/index.ts
+++ b/packages/demo/src/index.ts
@@ -1,1 +1,3 @@
-export {}
+export * from './daemonProcess.js'
+export * from './deployments.js'
+export * from './waitFor.js'
--- a/packages/repository/src/packageLayers.ts
+++ b/packages/repository/src/packageLayers.ts
@@ -10,7 +10,8 @@
   ['platform', 'simulation'],
   ['fakes', 'caller'],
   ['daemon', 'cli'],
-  ['demo']
+  ['demo'],
+  ['benchmark']
 ]
 
 export const layerOf = (packageName: string): number =>
