--- /dev/null
+++ b/packages/daemon/bin/cuminvaled.js
@@ -0,0 +1,2 @@
+#!/usr/bin/env node
+import '../dist/main.js'
--- a/packages/daemon/src/answer.ts
+++ b/packages/daemon/src/answer.ts
@@ -30,21 +30,25 @@
   exchange.body.destroy()
 }
 
-/** Reads the whole answer; a broken or overlong one is an error. */
-export const collectAnswer = async (exchange: Exchange): Promise<Result<CollectedAnswer, UpstreamError>> => {
-  const chunks: Buffer[] = []
-  let length = 0
-  try {
-    for await (const chunk of exchange.body) {
-      chunks.push(chunk as Buffer)
-      length += (chunk as Buffer).length
-      if (length > responseLimitBytes) {
-        discardAnswer(exchange)
-        return Result.err(new UpstreamError(UpstreamErrorKind.TooLong, `answer is over ${responseLimitBytes} bytes`))
-      }
-    }
-  } catch (error) {
-    return Result.err(toUpstreamError(error))
-  }
-  return Result.ok({ status: exchange.status, contentType: contentTypeOf(exchange), body: Buffer.concat(chunks) })
+const joinChunks = (chunks: readonly Buffer[]): Buffer => {
+  const [first] = chunks
+  return first !== undefined && chunks.length === 1 ? first : Buffer.concat(chunks)
 }
+
+/** Reads the whole answer; a broken or overlong one is an error. */
+export const collectAnswer = (exchange: Exchange): Promise<Result<CollectedAnswer, UpstreamError>> =>
+  new Promise((resolve) => {
+    const chunks: Buffer[] = []
+    let length = 0
+    exchange.body.on('data', (chunk: Buffer) => {
+      chunks.push(chunk)
+      length += chunk.length
+      if (length <= responseLimitBytes) return
+      discardAnswer(exchange)
+      resolve(Result.err(new UpstreamError(UpstreamErrorKind.TooLong, `answer is over ${responseLimitBytes} bytes`)))
+    })
+    exchange.body.once('error', (error) => resolve(Result.err(toUpstreamError(error))))
+    exchange.body.once('end', () => resolve(Result.ok({
+      status: exchange.status, contentType: contentTypeOf(exchange), body: joinChunks(chunks)
+    })))
+  })
--- a/packages/daemon/src/gateway.ts
+++ b/packages/daemon/src/gateway.ts
@@ -8,6 +8,7 @@
 import type { Refusal } from '@cuminvale/common'
 import type { Charge } from '@cuminvale/limits'
 import { contentTypeOf } from './answer.js'
+import { endWithBody } from './endWithBody.js'
 import { execute } from './execution.js'
 import { requestTokens } from './gatewayRequest.js'
 import { problemOf, sendRefusal } from './problemDocument.js'
@@ -78,7 +79,7 @@
     response.writeHead(answer.status, {
       'content-type': answer.contentType, 'content-length': answer.body.length
     })
-    response.end(answer.body)
+    endWithBody(response, answer.body)
     return Result.ok(usedTokens(request, answer))
   }
 
--- a/packages/daemon/src/log.ts
+++ b/packages/daemon/src/log.ts
@@ -6,6 +6,7 @@
 import { createConsola } from 'consola'
 import type { ConsolaInstance, ConsolaOptions, LogObject } from 'consola'
 import type { VmId } from '@cuminvale/common'
+import { LineBuffer } from './lineBuffer.js'
 
 export type LogFields = Readonly<Record<string, string | number | boolean | undefined>>
 
@@ -22,11 +23,9 @@
   return JSON.stringify({ time: entry.date.toISOString(), level: entry.type, vm, event, ...fields }) + '\n'
 }
 
-const writeToStandardOutput: Write = (line) => {
-  process.stdout.write(line)
-}
+const standardOutput = new LineBuffer((text) => { process.stdout.write(text) })
 
-export const createLog = (vm: VmId, write: Write = writeToStandardOutput): Log => {
+export const createLog = (vm: VmId, write: Write = (line) => standardOutput.push(line)): Log => {
   const options: Partial<ConsolaOptions> = {
     level: 3,
     throttle: 0,
--- /dev/null
+++ b/packages/daemon/src/usedTokens.test.ts
@@ -0,0 +1,23 @@
+import { describe, expect, it } from 'vitest'
+import { usedTokens } from './usedTokens.js'
+import type { GatewayRequest } from './gatewayRequest.js'
+
+const request = { route: { kind: 'completion' }, promptTokens: 10, outputTokens: 5 } as unknown as GatewayRequest
+
+const tokensOf = (body: string): number =>
+  usedTokens(request, { status: 200, contentType: 'application/json', body: Buffer.from(body) })
+
+describe('usedTokens', () => {
+  it.each<[string, unknown, number]>([
+    ['the reported total', { choices: [], usage: { prompt_tokens: 3, total_tokens: 7 } }, 7],
+    ['the report, not a text that looks like one', { usage: { total_tokens: 7 }, choices: [{ text: '"usage":{"total_tokens":99}' }] }, 7],
+    ['the charge where nothing is reported', { choices: [{ text: 'linen' }] }, 15],
+    ['the charge where the total is no number', { usage: { total_tokens: 'many' } }, 15]
+  ])('takes %s', (_, body, expected) => {
+    expect(tokensOf(JSON.stringify(body))).toBe(expected)
+  })
+
+  it('takes the charge where the body is not JSON', () => {
+    expect(tokensOf('no JSON')).toBe(15)
+  })
+})
--- a/packages/keys/src/callerKey.ts
+++ b/packages/keys/src/callerKey.ts
@@ -3,7 +3,7 @@
  * by the operator who makes it and on each request of its caller.
  */
 
-import { createHash, randomBytes } from 'node:crypto'
+import { hash, randomBytes } from 'node:crypto'
 import { toKeyDigest } from '@cuminvale/common'
 import type { KeyDigest } from '@cuminvale/common'
 import { keyPrefix, keyRandomBytes } from './constants.js'
@@ -15,4 +15,4 @@
 export const isCallerKey = (value: string): boolean => keyPattern.test(value)
 
 export const digestCallerKey = (key: string): KeyDigest =>
-  toKeyDigest(createHash('sha256').update(key).digest('hex'))
+  toKeyDigest(hash('sha256', key, 'hex'))
