Detect failures directly, each VM watching a bounded number of others

Cause: membership came from the list and the state of links to every VM, so that links and heartbeats grew with the fleet, and a VM that stopped answering without closing its link, or that another part could not reach, was not told apart.

Change: DetectingMembership joins the VM list with pings to a bounded set, suspicion that floods over every link and that a running VM refutes by a higher version, generations that never go back, a pause detector, and a verdict on each other region from the VMs linked to it. RegionScope chooses links and pings; AllPeersScope is the rival. The list is read less often as it grows.

--- a/packages/daemon/src/administrationServer.ts
+++ b/packages/daemon/src/administrationServer.ts
@@ -21,7 +21,7 @@
 }
 
 export const isReady = (context: VmContext): boolean =>
-  context.configuration.current !== undefined && context.membership.hasList && !context.lifecycle.isDraining
+  context.configuration.current !== undefined && context.membership.hasList && !context.membership.isReplaced && !context.lifecycle.isDraining
 
 const status = (context: VmContext) => ({
   vm: context.identity.vm,
--- a/packages/daemon/src/createContext.ts
+++ b/packages/daemon/src/createContext.ts
@@ -7,7 +7,7 @@
 import { ConfigurationHolder } from '@cuminvale/configuration'
 import { UniformEntryChooser } from '@cuminvale/entries'
 import { EscrowLimiter } from '@cuminvale/limits'
-import { ListMembership } from '@cuminvale/membership'
+import { DetectingMembership, RegionScope } from '@cuminvale/membership'
 import { UsageMeter } from '@cuminvale/metering'
 import { SeenProofs, seenProofCapacity } from '@cuminvale/keys'
 import { OrderGate, OrderLedger, TicketMint, ledgerCapacity, ledgerCapacityBytes } from '@cuminvale/orders'
@@ -69,7 +69,14 @@
     vm: settings.vm.name, incarnation, region: settings.vm.region, failureDomain: settings.vm['failure-domain']
   }
   const configuration = new ConfigurationHolder()
-  const membership = new ListMembership(identity.vm)
+  const log = createLog(identity.vm)
+  const membership = new DetectingMembership({
+    self: identity,
+    clock,
+    random,
+    scope: new RegionScope(),
+    onWake: (awayMilliseconds) => log.warn('was-paused', { awayMilliseconds: Math.round(awayMilliseconds) })
+  })
   const table = new UpstreamTable(clock)
   const limiter = new EscrowLimiter({
     clock,
@@ -118,7 +125,7 @@
     requestIds: new RequestIdSource(incarnation),
     fleetSecret: new SecretFile(settings.security['fleet-secret-file']),
     administrationToken: new SecretFile(settings.security['administration-token-file']),
-    log: createLog(identity.vm),
+    log,
     metrics,
     platform: createPlatform(settings),
     configuration,
--- a/packages/daemon/src/createDaemon.ts
+++ b/packages/daemon/src/createDaemon.ts
@@ -58,13 +58,14 @@
   })
   context.configuration.onChange(() => send(spread.announce()))
   context.orderPeers.connect(send)
-  return new Map([
+  return new Map<Mechanism, ProtocolActor>([
     ['orders', spawnProtocolActor(parent, { name: 'orders', protocol: context.orderPeers.copies, send, log: context.log })],
     ['configuration', spawnProtocolActor(parent, { name: 'configuration', protocol: spread, send, log: context.log })],
     ['suspicion', spawnProtocolActor(parent, {
       name: 'suspicion', protocol: context.suspicionSpread, send, log: context.log
     })],
-    ['limits', spawnProtocolActor(parent, { name: 'limits', protocol: context.limiter, send, log: context.log })]
+    ['limits', spawnProtocolActor(parent, { name: 'limits', protocol: context.limiter, send, log: context.log })],
+    ['membership', spawnProtocolActor(parent, { name: 'membership', protocol: context.membership, send, log: context.log })]
   ])
 }
 
--- a/packages/daemon/src/limitWiring.ts
+++ b/packages/daemon/src/limitWiring.ts
@@ -7,7 +7,7 @@
 import type { Membership } from '@cuminvale/membership'
 
 /** VMs that loans can be asked of: a leaving VM may lend what it no longer needs. */
-export const reachableVms = (membership: Membership) => (): readonly LoanPeer[] => membership.members
+export const reachableVms = (membership: Membership) => (): readonly LoanPeer[] => membership.linked
   .filter(({ reachable }) => reachable)
   .map(({ vm }) => ({ vm: vm.name, region: vm.region }))
 
--- a/packages/daemon/src/orderPeers.ts
+++ b/packages/daemon/src/orderPeers.ts
@@ -18,7 +18,7 @@
 const handOverTimeoutMilliseconds = 2_000
 
 const copyPeers = (membership: Membership): readonly CopyPeer[] =>
-  membership.members.map(({ vm, reachable }) => ({
+  membership.linked.map(({ vm, reachable }) => ({
     vm: vm.name, region: vm.region, failureDomain: vm.failureDomain, reachable
   }))
 
--- a/packages/daemon/src/platformPolls.ts
+++ b/packages/daemon/src/platformPolls.ts
@@ -3,7 +3,7 @@
  * the load of the upstreams in its region.
  */
 
-import { toRevision } from '@cuminvale/common'
+import { runtimeRandom, toRevision } from '@cuminvale/common'
 import { AcceptanceKind } from '@cuminvale/configuration'
 import { formatDocumentFault } from '@cuminvale/documents'
 import { HttpLoadSource } from '@cuminvale/platform'
@@ -13,6 +13,7 @@
   configurationRetryMilliseconds, configurationWatchMilliseconds, loadPollMilliseconds, vmListPollMilliseconds
 } from './constants.js'
 import { adoptListedVms } from './limitWiring.js'
+import { vmListPause } from './vmListPace.js'
 import type { PeerLinks } from './peerLinks.js'
 import type { VmContext } from './vmContext.js'
 
@@ -43,15 +44,21 @@
   }
 }
 
-export const createVmListPoll = (context: VmContext, links: PeerLinks): () => Promise<number> => async () => {
-  const askedAt = context.clock.monotonic()
-  const listed = await context.platform.vmList.list()
-  if (listed.isOk) {
-    adoptListedVms(context.limiter, context.identity.region, { vms: listed.value, askedAt })
-    context.membership.adoptList(listed.value)
-    links.adoptMembers(context.membership.members)
+/** Reads the list at the pace that its length allows, and follows changes of the watch plan in between. */
+export const createVmListPoll = (context: VmContext, links: PeerLinks): () => Promise<number> => {
+  let readAt = 0
+  return async () => {
+    if (context.clock.monotonic() >= readAt) {
+      const askedAt = context.clock.monotonic()
+      const listed = await context.platform.vmList.list()
+      if (listed.isErr) return vmListPollMilliseconds
+      adoptListedVms(context.limiter, context.identity.region, { vms: listed.value, askedAt })
+      context.membership.adoptList(listed.value)
+      readAt = context.clock.monotonic() + vmListPause(listed.value.length, runtimeRandom)
+    }
+    links.adoptMembers(context.membership.linked)
+    return vmListPollMilliseconds
   }
-  return vmListPollMilliseconds
 }
 
 const pollUpstream = async (context: VmContext, upstream: Upstream): Promise<void> => {
--- a/packages/daemon/src/reachablePeers.ts
+++ b/packages/daemon/src/reachablePeers.ts
@@ -1,11 +1,11 @@
 /**
- * The VMs that this one can talk to and that are not leaving.
+ * The VMs that this one keeps links to, can talk to, and that are not leaving.
  */
 
 import { VmState } from '@cuminvale/common'
 import type { VmId } from '@cuminvale/common'
 import type { Membership } from '@cuminvale/membership'
 
-export const reachablePeers = (membership: Membership) => (): readonly VmId[] => membership.members
+export const reachablePeers = (membership: Membership) => (): readonly VmId[] => membership.linked
   .filter(({ vm, reachable }) => reachable && vm.state === VmState.Live)
   .map(({ vm }) => vm.name)
--- a/packages/daemon/src/vmContext.ts
+++ b/packages/daemon/src/vmContext.ts
@@ -8,7 +8,7 @@
 import type { ConfigurationHolder } from '@cuminvale/configuration'
 import type { EntryChooser } from '@cuminvale/entries'
 import type { EscrowLimiter } from '@cuminvale/limits'
-import type { Membership } from '@cuminvale/membership'
+import type { DetectingMembership } from '@cuminvale/membership'
 import type { Outbound, PeerIdentity } from '@cuminvale/messages'
 import type { OrderGate, OrderLedger, TicketMint } from '@cuminvale/orders'
 import type { SeenProofs } from '@cuminvale/keys'
@@ -42,7 +42,7 @@
   readonly metrics: Metrics
   readonly platform: Platform
   readonly configuration: ConfigurationHolder
-  readonly membership: Membership
+  readonly membership: DetectingMembership
   readonly limiter: EscrowLimiter
   readonly entries: EntryChooser
   readonly table: UpstreamTable
--- a/packages/membership/src/index.ts
+++ b/packages/membership/src/index.ts
@@ -1,2 +1,6 @@
 export * from './types.js'
+export * from './allPeersScope.js'
+export * from './constants.js'
+export * from './detectingMembership.js'
 export * from './listMembership.js'
+export * from './regionScope.js'
--- a/packages/membership/src/listMembership.ts
+++ b/packages/membership/src/listMembership.ts
@@ -19,6 +19,14 @@
     return this.listSeen
   }
 
+  get linked (): readonly Member[] {
+    return this.members
+  }
+
+  get isReplaced (): boolean {
+    return false
+  }
+
   get members (): readonly Member[] {
     this.cached ??= [...this.listed.values()].map((vm) => this.memberOf(vm))
     return this.cached
--- /dev/null
+++ b/packages/membership/src/recordTable.ts
@@ -0,0 +1,146 @@
+/**
+ * The newest record of every VM. Only a VM itself raises its generation and
+ * version; others may only suspect the version that they know.
+ */
+
+import { assertInvariant } from '@cuminvale/common'
+import { MemberState } from '@cuminvale/messages'
+import type { Clock, VmId } from '@cuminvale/common'
+import type { MemberRecord, PeerIdentity } from '@cuminvale/messages'
+import { digestBuckets, incarnationSettledMilliseconds, suspicionMilliseconds } from './constants.js'
+import { hashText } from './hash.js'
+
+interface HeldRecord {
+  readonly record: MemberRecord
+  readonly hash: number
+  /** When this VM took in a suspicion; restarted when this VM wakes from a pause. */
+  suspectedAt: number
+}
+
+const stateRank = { [MemberState.Up]: 0, [MemberState.Suspected]: 1 } as const
+
+/** Positive where the first record is the later one. */
+export const compareRecords = (first: MemberRecord, second: MemberRecord): number => {
+  if (first.generation !== second.generation) return first.generation - second.generation
+  if (first.incarnation !== second.incarnation) return first.incarnation < second.incarnation ? -1 : 1
+  return first.version - second.version || stateRank[first.state] - stateRank[second.state]
+}
+
+const hashRecord = (record: MemberRecord): number =>
+  hashText([record.vm, record.incarnation, record.generation, record.version, record.state].join(' '))
+
+export class RecordTable {
+  private readonly held = new Map<VmId, HeldRecord>()
+  private ownRecord: MemberRecord
+  private settled = false
+  private replaced = false
+  private readonly startedAt: number
+
+  constructor (self: PeerIdentity, private readonly clock: Clock) {
+    this.startedAt = clock.monotonic()
+    this.ownRecord = {
+      vm: self.vm,
+      incarnation: self.incarnation,
+      generation: Math.floor(clock.wall()),
+      version: 0,
+      state: MemberState.Up
+    }
+  }
+
+  get own (): MemberRecord {
+    return this.ownRecord
+  }
+
+  get isReplaced (): boolean {
+    return this.replaced
+  }
+
+  find (vm: VmId): MemberRecord | undefined {
+    return this.held.get(vm)?.record
+  }
+
+  /** Whether a VM is held to be running: known, and not suspected for longer than it has to refute. */
+  isHeldUp (vm: VmId): boolean {
+    const held = this.held.get(vm)
+    if (held === undefined) return false
+    if (held.record.state === MemberState.Up) return true
+    return this.clock.monotonic() - held.suspectedAt < suspicionMilliseconds
+  }
+
+  /** Takes in a record; returns what the others must hear of, or undefined. */
+  apply (record: MemberRecord): MemberRecord | undefined {
+    if (record.vm === this.ownRecord.vm) return this.applyOwn(record)
+    const before = this.held.get(record.vm)?.record
+    if (before !== undefined && compareRecords(record, before) <= 0) return undefined
+    assertInvariant(before === undefined || record.generation >= before.generation, 'incarnation-never-back',
+      () => `${record.vm} from generation ${before?.generation} to ${record.generation}`)
+    this.held.set(record.vm, { record, hash: hashRecord(record), suspectedAt: this.clock.monotonic() })
+    return record
+  }
+
+  /** Suspects the version of a VM that is known; undefined where it is suspected already. */
+  suspect (vm: VmId): MemberRecord | undefined {
+    const before = this.held.get(vm)?.record
+    return before === undefined ? undefined : this.apply({ ...before, state: MemberState.Suspected })
+  }
+
+  /** After a pause, suspicions run anew, and this incarnation can no longer be a new one. */
+  wake (): void {
+    this.settled = true
+    for (const held of this.held.values()) held.suspectedAt = this.clock.monotonic()
+  }
+
+  /** Forgets VMs that the predicate does not keep. */
+  retain (keeps: (vm: VmId) => boolean): void {
+    for (const vm of this.held.keys()) {
+      if (!keeps(vm)) this.held.delete(vm)
+    }
+  }
+
+  /** A digest for each bucket of the named VMs. */
+  digests (vms: Iterable<VmId>): readonly number[] {
+    const buckets = new Array<number>(digestBuckets).fill(0)
+    for (const vm of vms) {
+      const bucket = bucketOf(vm)
+      buckets[bucket] = ((buckets[bucket] ?? 0) ^ this.hashOf(vm)) >>> 0
+    }
+    return buckets
+  }
+
+  /** Records of the named VMs in the buckets whose digests differ. */
+  differing (vms: Iterable<VmId>, own: readonly number[], other: readonly number[]): readonly MemberRecord[] {
+    const records: MemberRecord[] = []
+    for (const vm of vms) {
+      const bucket = bucketOf(vm)
+      const record = vm === this.ownRecord.vm ? this.ownRecord : this.find(vm)
+      if (record !== undefined && own[bucket] !== other[bucket]) records.push(record)
+    }
+    return records
+  }
+
+  private hashOf (vm: VmId): number {
+    return vm === this.ownRecord.vm ? hashRecord(this.ownRecord) : this.held.get(vm)?.hash ?? 0
+  }
+
+  private applyOwn (record: MemberRecord): MemberRecord | undefined {
+    if (record.incarnation !== this.ownRecord.incarnation) return this.meetOther(record)
+    const isSuspicion = record.state === MemberState.Suspected && record.version >= this.ownRecord.version
+    if (!isSuspicion || this.replaced) return undefined
+    this.ownRecord = { ...this.ownRecord, version: record.version + 1 }
+    return this.ownRecord
+  }
+
+  /** An earlier incarnation is outbid by a new one; an old incarnation gives way. */
+  private meetOther (record: MemberRecord): MemberRecord | undefined {
+    if (record.generation < this.ownRecord.generation) return undefined
+    const age = this.clock.monotonic() - this.startedAt
+    if (this.settled || age > incarnationSettledMilliseconds) {
+      this.replaced = true
+      return undefined
+    }
+    this.ownRecord = { ...this.ownRecord, generation: record.generation + 1 }
+    return this.ownRecord
+  }
+}
+
+const bucketOf = (vm: VmId): number => hashText(vm) % digestBuckets
--- /dev/null
+++ b/packages/membership/src/regionScope.test.ts
@@ -0,0 +1,52 @@
+import { describe, expect, it } from 'vitest'
+import { toFailureDomainId, toRegionId, toVmId } from '@cuminvale/common'
+import type { ListedVm } from '@cuminvale/common'
+import { linksPerRegionPair, ownRemoteLinks, regionTargets } from './constants.js'
+import { RegionScope } from './regionScope.js'
+
+const list = (regions: number, size: number): readonly ListedVm[] =>
+  Array.from({ length: regions * size }, (_, index) => ({
+    name: toVmId(`vm-${index}`),
+    region: toRegionId(`region-${index % regions}`),
+    failureDomain: toFailureDomainId(`domain-${index % (3 * regions)}`),
+    host: '127.0.0.1',
+    callerPort: 1,
+    peerPort: 2,
+    administrationPort: 3,
+    state: 'live'
+  }))
+
+describe('RegionScope', () => {
+  it.each([[1, 1], [1, 8], [3, 1], [3, 3], [12, 4]])('links both ends alike, with %i regions of %i', (regions, size) => {
+    const vms = list(regions, size)
+    const plans = new Map(vms.map((vm) => [vm.name, new RegionScope(0).plan(vm, vms, () => true)]))
+    for (const [name, plan] of plans) {
+      for (const peer of plan.linked) expect(plans.get(peer)?.linked.has(name)).toBe(true)
+      expect(plan.regionTargets.size).toBe(Math.min(regionTargets, size - 1))
+    }
+  })
+
+  it('joins each two regions by a few links, and bounds what a VM links to', () => {
+    const vms = list(12, 4)
+    const plans = vms.map((vm) => new RegionScope(0).plan(vm, vms, () => true))
+    const remoteLinks = plans.reduce((sum, plan) => sum + [...plan.remoteTargets.values()].flat().length, 0)
+    const bound = 12 * 11 * linksPerRegionPair + vms.length * 2 * ownRemoteLinks
+    expect(remoteLinks).toBeLessThanOrEqual(bound)
+    plans.forEach((plan) => expect(plan.watchersOf.size).toBe(11))
+  })
+
+  it('links a small fleet whole', () => {
+    const vms = list(4, 4)
+    expect(new RegionScope().plan(vms[0] as ListedVm, vms, () => true).linked.size).toBe(vms.length - 1)
+  })
+
+  it('lets others watch for a VM that has stopped', () => {
+    const vms = list(2, 4)
+    const self = vms[0] as ListedVm
+    const before = new RegionScope(0).plan(self, vms, () => true).watchersOf.get(toRegionId('region-1')) ?? []
+    const stopped = before.find((name) => name !== self.name)
+    const after = new RegionScope(0).plan(self, vms, (name) => name !== stopped).watchersOf.get(toRegionId('region-1')) ?? []
+    expect(before).toContain(stopped)
+    expect(after).not.toContain(stopped)
+  })
+})
--- /dev/null
+++ b/packages/membership/src/regionScope.ts
@@ -0,0 +1,110 @@
+/**
+ * Scope that grows with the region, not the fleet. A VM links to every VM of
+ * its region and pings those that follow it on a ring. Each two regions are
+ * joined by a few links, and each VM chooses a few more to other regions; both
+ * are chosen by rendezvous hashing, so that both ends choose alike and a new VM
+ * moves few links.
+ */
+
+import type { ListedVm, RegionId, VmId } from '@cuminvale/common'
+import { defaultFullMeshVms, ownRemoteLinks, regionTargets } from './constants.js'
+import { hashPair, hashText } from './hash.js'
+import { linksBetween } from './regionLinks.js'
+import type { HashedVm } from './regionLinks.js'
+import type { WatchPlan, WatchScope } from './types.js'
+
+type RegionGroups = ReadonlyMap<RegionId, readonly HashedVm[]>
+
+const byHash = (first: HashedVm, second: HashedVm): number =>
+  first.hash - second.hash || (first.vm.name < second.vm.name ? -1 : 1)
+
+const groupByRegion = (vms: readonly HashedVm[]): RegionGroups => {
+  const groups = new Map<RegionId, HashedVm[]>()
+  for (const hashed of vms) {
+    const group = groups.get(hashed.vm.region)
+    if (group === undefined) groups.set(hashed.vm.region, [hashed])
+    else group.push(hashed)
+  }
+  return groups
+}
+
+const successorsOf = (self: VmId, region: readonly HashedVm[]): ReadonlySet<VmId> => {
+  const ring = [...region].sort(byHash)
+  const start = ring.findIndex(({ vm }) => vm.name === self)
+  const following = [...ring.slice(start + 1), ...ring.slice(0, Math.max(0, start))]
+  return new Set(following.slice(0, regionTargets).map(({ vm }) => vm.name))
+}
+
+/** The VMs of other regions that a VM ranks highest. */
+const chosenBy = (chooser: HashedVm, others: readonly HashedVm[]): readonly HashedVm[] => {
+  let best: Array<{ readonly hashed: HashedVm, readonly rank: number }> = []
+  for (const hashed of others) {
+    if (hashed.vm.region === chooser.vm.region) continue
+    const rank = hashPair(chooser.hash, hashed.hash)
+    const last = best[ownRemoteLinks - 1]
+    if (last !== undefined && last.rank >= rank) continue
+    best = [...best, { hashed, rank }].sort((first, second) => second.rank - first.rank).slice(0, ownRemoteLinks)
+  }
+  return best.map(({ hashed }) => hashed)
+}
+
+class PlanBuilder {
+  readonly linked = new Set<VmId>()
+  readonly remoteTargets = new Map<RegionId, VmId[]>()
+  readonly watchersOf = new Map<RegionId, readonly VmId[]>()
+
+  constructor (private readonly self: ListedVm) {}
+
+  addRemote ({ name, region }: ListedVm): void {
+    if (this.linked.has(name)) return
+    this.linked.add(name)
+    const targets = this.remoteTargets.get(region)
+    if (targets === undefined) this.remoteTargets.set(region, [name])
+    else targets.push(name)
+  }
+
+  /** Adds this VM's links among those between its region and another; returns all their local ends. */
+  addPair (local: readonly HashedVm[], remote: readonly HashedVm[]): readonly VmId[] {
+    const links = linksBetween(local, remote)
+    for (const link of links) {
+      if (link.local.name === this.self.name) this.addRemote(link.remote)
+    }
+    return [...new Set(links.map((link) => link.local.name))]
+  }
+}
+
+export class RegionScope implements WatchScope {
+  /** Fleets of up to so many VMs link every VM to every other; what is pinged stays the same. */
+  constructor (private readonly fullMeshVms: number = defaultFullMeshVms) {}
+
+  plan (self: ListedVm, vms: readonly ListedVm[], isRunning: (vm: VmId) => boolean): WatchPlan {
+    const hashed = vms.map((vm): HashedVm => ({ vm, hash: hashText(vm.name) }))
+    const groups = groupByRegion(hashed)
+    const running = groupByRegion(hashed.filter(({ vm }) => vm.name === self.name || isRunning(vm.name)))
+    const local = groups.get(self.region) ?? []
+    const builder = new PlanBuilder(self)
+    for (const { vm } of local) {
+      if (vm.name !== self.name) builder.linked.add(vm.name)
+    }
+    this.addOwnLinks(builder, self, hashed)
+    for (const [region, remote] of groups) {
+      if (region === self.region) continue
+      builder.addPair(local, remote)
+      const watchers = builder.addPair(running.get(self.region) ?? [], running.get(region) ?? remote)
+      builder.watchersOf.set(region, watchers)
+    }
+    if (vms.length <= this.fullMeshVms) vms.filter(({ name }) => name !== self.name).forEach(({ name }) => builder.linked.add(name))
+    return { ...builder, regionTargets: successorsOf(self.name, local) }
+  }
+
+  /** Links that this VM chose, and those by which another chose it. */
+  private addOwnLinks (builder: PlanBuilder, self: ListedVm, hashed: readonly HashedVm[]): void {
+    const own = hashed.find(({ vm }) => vm.name === self.name)
+    if (own === undefined) return
+    chosenBy(own, hashed).forEach(({ vm }) => builder.addRemote(vm))
+    for (const other of hashed) {
+      if (other.vm.region === self.region) continue
+      if (chosenBy(other, hashed).includes(own)) builder.addRemote(other.vm)
+    }
+  }
+}
--- /dev/null
+++ b/packages/simulation/src/membershipFleet.ts
@@ -0,0 +1,167 @@
+/**
+ * Simulated VMs that run the membership protocol over the faulty link, and
+ * what is true of them.
+ */
+
+import { DetectingMembership } from '@cuminvale/membership'
+import { SeededRandom, toFailureDomainId, toIncarnationId, toRegionId, toVmId } from '@cuminvale/common'
+import type { IncarnationId, ListedVm, VmId } from '@cuminvale/common'
+import type { WatchScope } from '@cuminvale/membership'
+import type { Mechanism, PeerIdentity, PeerProtocol } from '@cuminvale/messages'
+import { FakeLink } from './fakeLink.js'
+import { VirtualClock } from './virtualClock.js'
+import { VmClock } from './vmClock.js'
+import type { FakeVm } from './fakeLink.js'
+
+export interface MembershipVm extends FakeVm {
+  readonly membership: DetectingMembership
+}
+
+export interface MembershipFleetOptions {
+  readonly seed: number
+  /** VMs of each region. */
+  readonly regionSizes: readonly number[]
+  readonly scope: () => WatchScope
+}
+
+interface LinkState {
+  heardAt: number
+  isUp: boolean
+  incarnation: IncarnationId | undefined
+}
+
+const linkSilenceMilliseconds = 3_000
+const domainsPerRegion = 3
+const maximumDriftShare = 0.001
+/** Restarts of a VM are further apart than this, so that its generations rise with its wall clock. */
+const maximumWallOffsetMilliseconds = 100
+
+export const listingsOf = (regionSizes: readonly number[]): readonly ListedVm[] =>
+  regionSizes.flatMap((size, region) => Array.from({ length: size }, (_, index): ListedVm => ({
+    name: toVmId(`vm-${region}-${index}`),
+    region: toRegionId(`region-${region}`),
+    failureDomain: toFailureDomainId(`domain-${region}-${index % domainsPerRegion}`),
+    host: '127.0.0.1',
+    callerPort: 1,
+    peerPort: 2,
+    administrationPort: 3,
+    state: 'live'
+  })))
+
+export class MembershipFleet {
+  readonly clock = new VirtualClock()
+  readonly random: SeededRandom
+  readonly link: FakeLink
+  readonly listings: readonly ListedVm[]
+  readonly running = new Map<VmId, MembershipVm>()
+  private readonly paused = new Set<VmId>()
+  private side = new Map<VmId, number>()
+  private readonly links = new Map<string, LinkState>()
+  private starts = 0
+
+  constructor (private readonly options: MembershipFleetOptions) {
+    this.random = new SeededRandom(options.seed)
+    this.link = new FakeLink({
+      clock: this.clock, random: this.random, localDelayMilliseconds: 1, interRegionDelayMilliseconds: 55
+    })
+    this.listings = listingsOf(options.regionSizes)
+    this.listings.forEach((listing) => this.start(listing))
+  }
+
+  /** Starts a VM, or replaces its process; a later start has a later number in its incarnation. */
+  start (listing: ListedVm): void {
+    this.starts += 1
+    const identity: PeerIdentity = {
+      vm: listing.name,
+      region: listing.region,
+      failureDomain: listing.failureDomain,
+      incarnation: toIncarnationId(`${listing.name}#${this.starts}`)
+    }
+    const membership = new DetectingMembership({
+      self: identity, clock: this.newClock(), random: this.random, scope: this.options.scope()
+    })
+    membership.adoptList(this.listings)
+    const protocols = new Map<Mechanism, PeerProtocol<never>>([['membership', membership as PeerProtocol<never>]])
+    const vm: MembershipVm = { identity, membership, protocols }
+    this.paused.delete(listing.name)
+    this.running.set(listing.name, vm)
+    this.link.attach(vm)
+  }
+
+  stop (name: VmId): void {
+    this.running.delete(name)
+    this.paused.delete(name)
+    this.link.detach(name)
+  }
+
+  pause (name: VmId): void {
+    if (!this.running.has(name)) return
+    this.paused.add(name)
+    this.link.pause(name)
+  }
+
+  resume (name: VmId): void {
+    this.paused.delete(name)
+    this.link.resume(name)
+  }
+
+  isAwake (name: VmId): boolean {
+    return this.running.has(name) && !this.paused.has(name)
+  }
+
+  /** Divides the network: VMs reach only those that are given the same side. */
+  divide (sideOf: (listing: ListedVm) => number): void {
+    this.link.heal()
+    this.side = new Map(this.listings.map((listing) => [listing.name, sideOf(listing)]))
+    const names = this.listings.map(({ name }) => name)
+    names.forEach((first, index) => names.slice(index + 1)
+      .filter((second) => !this.isJoined(first, second))
+      .forEach((second) => this.link.cut(first, second)))
+  }
+
+  heal (): void {
+    this.divide(() => 0)
+  }
+
+  isJoined (first: VmId, second: VmId): boolean {
+    return this.side.get(first) === this.side.get(second)
+  }
+
+  /** Does what the link layer does: reports links that have been silent for long, and those that came up. */
+  watchLinks (): void {
+    const now = this.clock.monotonic()
+    for (const vm of this.running.values()) {
+      if (!this.isAwake(vm.identity.vm)) continue
+      vm.membership.linked.forEach((member) => this.watchLink(vm, member.vm.name, now))
+    }
+  }
+
+  private watchLink (vm: MembershipVm, peer: VmId, now: number): void {
+    const key = `${vm.identity.incarnation} ${peer}`
+    const state = this.links.get(key) ?? { heardAt: now, isUp: false, incarnation: undefined }
+    this.links.set(key, state)
+    const other = this.running.get(peer)?.identity.incarnation
+    const isHeard = this.isAwake(peer) && this.isJoined(vm.identity.vm, peer)
+    if (isHeard) state.heardAt = now
+    const wasReplaced = state.isUp && other !== undefined && other !== state.incarnation
+    if (state.isUp && (wasReplaced || now - state.heardAt > linkSilenceMilliseconds)) {
+      state.isUp = false
+      vm.membership.lost(peer)
+    }
+    if (isHeard && !state.isUp && other !== undefined) {
+      Object.assign(state, { isUp: true, incarnation: other })
+      vm.membership.heard(peer, other)
+    }
+  }
+
+  private newClock (): VmClock {
+    return new VmClock({
+      base: this.clock,
+      rate: 1 + maximumDriftShare * (2 * this.random.next() - 1),
+      wallOffsetMilliseconds: maximumWallOffsetMilliseconds * (2 * this.random.next() - 1)
+    })
+  }
+}
+
+/** The number of the start that an incarnation belongs to. */
+export const startNumberOf = (incarnation: string): number => Number(incarnation.slice(incarnation.indexOf('#') + 1))
--- /dev/null
+++ b/packages/simulation/src/membershipSoak.ts
@@ -0,0 +1,169 @@
+/**
+ * Soak suite: every VM holds a true view of those that it can and can't reach,
+ * within the stated bounds, and incarnations never go back.
+ */
+
+import * as fastCheck from 'fast-check'
+import { RegionScope, deadDroppedWithinMilliseconds, liveRestoredWithinMilliseconds } from '@cuminvale/membership'
+import type { ListedVm, VmId } from '@cuminvale/common'
+import { checkCommands } from './checkCommands.js'
+import { MembershipFleet, startNumberOf } from './membershipFleet.js'
+import { FaultKind } from './soakSuite.js'
+import type { MembershipVm } from './membershipFleet.js'
+import type { SoakSuite, SoakTally } from './soakSuite.js'
+
+const regionSizes = [6, 3, 2, 1]
+const runsPerBatch = 6
+const maximumCommands = 25
+const stepMilliseconds = 250
+/** Under more loss than this the bounds are not promised; incarnations are. */
+const toleratedLossPercent = 5
+
+const Truth = { Stopped: 'stopped', Cut: 'cut', Reachable: 'reachable', Unsure: 'unsure' } as const
+type Truth = typeof Truth[keyof typeof Truth]
+
+/** How long one thing has been true of a pair, and how long the view has been wrong all through. */
+interface PairWatch {
+  truth: Truth
+  wrongSince: number | undefined
+}
+
+class CheckedFleet {
+  readonly fleet: MembershipFleet
+  private readonly pairs = new Map<string, PairWatch>()
+  private readonly highestStarts = new Map<string, number>()
+
+  constructor (seed: number, readonly tally: SoakTally) {
+    this.fleet = new MembershipFleet({ seed, regionSizes, scope: () => new RegionScope(0) })
+  }
+
+  advance (milliseconds: number): void {
+    for (let left = milliseconds; left > 0; left -= stepMilliseconds) {
+      this.fleet.clock.advance(Math.min(left, stepMilliseconds))
+      this.fleet.watchLinks()
+      this.tally.operation()
+      for (const observer of this.fleet.running.values()) this.check(observer)
+    }
+  }
+
+  private check (observer: MembershipVm): void {
+    for (const { name } of this.fleet.listings) {
+      if (name !== observer.identity.vm) this.checkPair(observer, name)
+    }
+  }
+
+  private checkPair (observer: MembershipVm, name: VmId): void {
+    const key = `${observer.identity.incarnation} ${name}`
+    const member = observer.membership.find(name)
+    this.checkIncarnation(key, member?.incarnation)
+    const now = this.fleet.clock.monotonic()
+    const truth = this.truthOf(observer.identity.vm, name)
+    const watch = this.pairs.get(key) ?? { truth, wrongSince: undefined }
+    this.pairs.set(key, watch)
+    if (watch.truth !== truth) Object.assign(watch, { truth, wrongSince: undefined })
+    if (!isWrong(truth, member?.reachable === true)) watch.wrongSince = undefined
+    else watch.wrongSince ??= now
+    const bound = truth === Truth.Reachable ? liveRestoredWithinMilliseconds : deadDroppedWithinMilliseconds
+    if (watch.wrongSince !== undefined && now - watch.wrongSince > bound) {
+      throw new Error(`${observer.identity.vm} holds ${name} ${member?.reachable === true ? '' : 'un'}reachable for more than ${bound} ms while it is ${truth}`)
+    }
+  }
+
+  private truthOf (observer: VmId, other: VmId): Truth {
+    const { fleet } = this
+    if (!fleet.isAwake(observer) || fleet.link.lossShare * 100 > toleratedLossPercent) return Truth.Unsure
+    if (!fleet.running.has(other)) return Truth.Stopped
+    if (!fleet.isJoined(observer, other)) return Truth.Cut
+    return fleet.isAwake(other) ? Truth.Reachable : Truth.Unsure
+  }
+
+  private checkIncarnation (key: string, incarnation: string | undefined): void {
+    if (incarnation === undefined) return
+    const start = startNumberOf(incarnation)
+    const highest = this.highestStarts.get(key) ?? 0
+    if (start < highest) throw new Error(`${key}: incarnation went back from start ${highest} to ${start}`)
+    this.highestStarts.set(key, start)
+  }
+}
+
+const isWrong = (truth: Truth, isHeldReachable: boolean): boolean => {
+  if (truth === Truth.Unsure) return false
+  return isHeldReachable !== (truth === Truth.Reachable)
+}
+
+type Model = Record<string, never>
+
+class FleetCommand implements fastCheck.Command<Model, CheckedFleet> {
+  constructor (private readonly name: string, private readonly act: (checked: CheckedFleet) => void) {}
+
+  check (): boolean {
+    return true
+  }
+
+  run (_: Model, checked: CheckedFleet): void {
+    this.act(checked)
+    checked.advance(stepMilliseconds)
+  }
+
+  toString (): string {
+    return this.name
+  }
+}
+
+const vmCount = regionSizes.reduce((sum, size) => sum + size, 0)
+
+const onVm = (name: string, act: (checked: CheckedFleet, listing: ListedVm) => void) =>
+  fastCheck.integer({ min: 0, max: vmCount - 1 }).map((index) => new FleetCommand(`${name}(${index})`, (checked) => {
+    const listing = checked.fleet.listings[index]
+    if (listing !== undefined) act(checked, listing)
+  }))
+
+const commands = [
+  onVm('stop', ({ fleet, tally }, { name }) => {
+    tally.fault(FaultKind.Crash)
+    fleet.stop(name)
+  }),
+  onVm('restart', ({ fleet, tally }, listing) => {
+    tally.fault(FaultKind.Restart)
+    fleet.start(listing)
+  }),
+  onVm('pause', ({ fleet, tally }, { name }) => {
+    tally.fault(FaultKind.Pause)
+    fleet.pause(name)
+  }),
+  onVm('resume', ({ fleet }, { name }) => fleet.resume(name)),
+  onVm('isolateVm', ({ fleet, tally }, { name }) => {
+    tally.fault(FaultKind.Partition)
+    fleet.divide((listing) => listing.name === name ? 1 : 0)
+  }),
+  fastCheck.integer({ min: 1, max: 2 ** (regionSizes.length - 1) - 1 }).map((mask) =>
+    new FleetCommand(`divideRegions(${mask})`, ({ fleet, tally }) => {
+      tally.fault(FaultKind.Partition)
+      fleet.divide(({ region }) => (mask >> Number(region.slice('region-'.length))) & 1)
+    })),
+  fastCheck.constant(new FleetCommand('heal', ({ fleet }) => fleet.heal())),
+  fastCheck.integer({ min: 0, max: 40 }).map((percent) => new FleetCommand(`loss(${percent}%)`, ({ fleet, tally }) => {
+    tally.fault(FaultKind.Loss)
+    fleet.link.lossShare = percent / 100
+  })),
+  fastCheck.constant(new FleetCommand('loss(0%)', ({ fleet }) => { fleet.link.lossShare = 0 })),
+  fastCheck.integer({ min: 1_000, max: 20_000 }).map((span) => new FleetCommand(`wait(${span})`, (checked) => checked.advance(span)))
+]
+
+export const membershipSoak: SoakSuite = {
+  name: 'membership',
+  promise: 'A region cut off by a network partition keeps serving its callers: each part keeps a true view of the VMs it can reach.',
+  run: async (seed, tally) => await checkCommands<Model, CheckedFleet>({
+    seed,
+    runs: runsPerBatch,
+    maximumCommands,
+    commands,
+    setup: () => ({ model: {}, real: new CheckedFleet(seed, tally) }),
+    finish: (checked) => {
+      checked.fleet.link.lossShare = 0
+      checked.fleet.heal()
+      for (const { name } of checked.fleet.listings) checked.fleet.resume(name)
+      checked.advance(2 * liveRestoredWithinMilliseconds)
+    }
+  })
+}
--- a/packages/simulation/src/soakSuites.ts
+++ b/packages/simulation/src/soakSuites.ts
@@ -5,6 +5,7 @@
 import { admissionSoak } from './admissionSoak.js'
 import { configurationSoak } from './configurationSoak.js'
 import { limitsSoak } from './limitsSoak.js'
+import { membershipSoak } from './membershipSoak.js'
 import { ordersSoak } from './ordersSoak.js'
 import { suspicionSoak } from './suspicionSoak.js'
 import type { SoakSuite } from './soakSuite.js'
@@ -12,6 +13,7 @@
 export const soakSuites: readonly SoakSuite[] = [
   admissionSoak,
   configurationSoak,
+  membershipSoak,
   ordersSoak,
   suspicionSoak,
   admissionSoak,
