Refuse bad input with a problem document each, before anything goes upstream

Cause: what Node's parser rejects was answered with a bare 400 or a cut connection; a refused body broke its connection, so the refusal could be lost; a slow head was noticed after 30 s; a request without a route header needed a route called "completions". Change: clientError, checkContinue and a header count limit answer with problem documents, VM and request id; 405 with the methods that a path takes, OPTIONS and HEAD answered; the rest of a refused body is dropped for a second; the plan picks the first completion route where the caller names none.

--- a/packages/daemon/src/callerServer.ts
+++ b/packages/daemon/src/callerServer.ts
@@ -5,16 +5,32 @@
 import { createServer } from 'node:http'
 import { headerNames, RefusalReason, refuse } from '@cuminvale/common'
 import type { IncomingMessage, Server, ServerResponse } from 'node:http'
+import type { Refusal } from '@cuminvale/common'
 import { answerEntries } from './entriesEndpoint.js'
 import { Gateway } from './gateway.js'
+import { allowedMethods, checkMethod, formatAllowed } from './methodCheck.js'
 import { answerModels } from './modelsEndpoint.js'
 import { refusalForCaller } from './orderRefusal.js'
 import { sendRefusal } from './problemDocument.js'
+import { answerProtocolFaults } from './protocolFaults.js'
 import { logRefusal } from './requestAccounting.js'
 import { receiveRequest } from './receiveRequest.js'
+import { pathOf } from './requestPath.js'
 import type { VmContext } from './vmContext.js'
 
 const requestTimeoutGraceMilliseconds = 5_000
+const timeoutCheckMilliseconds = 500
+/** How long the rest of a refused body is read and dropped, so that the refusal is not lost in a reset. */
+const refusedBodyMilliseconds = 1_000
+const noContentStatus = 204
+const fieldsPerHeader = 2
+
+interface CallerExchange {
+  readonly incoming: IncomingMessage
+  readonly response: ServerResponse
+  /** Whether the caller waits for `100 Continue` before it sends the body. */
+  readonly expectsContinue: boolean
+}
 
 /** A signal that is aborted when the caller goes away before its answer is whole. */
 export const callerSignal = (response: ServerResponse): AbortSignal => {
@@ -25,28 +41,46 @@
   return controller.signal
 }
 
-const handle = async (
-  context: VmContext,
-  gateway: Gateway,
-  incoming: IncomingMessage,
-  response: ServerResponse
-): Promise<void> => {
+/** What is wrong with a request whatever its path means. */
+const checkHead = (context: VmContext, incoming: IncomingMessage): Refusal | undefined => {
+  const limit = context.settings.requests['header-count-limit']
+  if (incoming.rawHeaders.length > limit * fieldsPerHeader) {
+    return refuse(RefusalReason.HeadersTooLarge, `there are more than ${limit} headers`)
+  }
+  return checkMethod(incoming.method ?? '', incoming.url ?? '/')
+}
+
+const refuseUnread = (context: VmContext, { incoming, response }: CallerExchange, refusal: Refusal): void => {
+  context.metrics.refusals.inc({ reason: refusal.reason })
+  context.log.info('refusal', {
+    request: String(response.getHeader(headerNames.requestId)), reason: refusal.reason, detail: refusal.detail
+  })
+  sendRefusal(response, refusalForCaller(context, incoming, refusal))
+  if (incoming.complete) return
+  setTimeout(() => { if (!incoming.complete) incoming.destroy() }, refusedBodyMilliseconds).unref()
+}
+
+const answerOptions = (incoming: IncomingMessage, response: ServerResponse): void => {
+  response.writeHead(noContentStatus, { allow: formatAllowed(allowedMethods(incoming.url ?? '/')) })
+  response.end()
+}
+
+const handle = async (context: VmContext, gateway: Gateway, exchange: CallerExchange): Promise<void> => {
+  const { incoming, response } = exchange
   const id = context.requestIds.next()
   response.setHeader(headerNames.vm, context.identity.vm)
   response.setHeader(headerNames.requestId, id)
   if (context.lifecycle.isDraining) response.setHeader('connection', 'close')
-  const path = incoming.url ?? '/'
-  if (path.startsWith('/v1/entries')) return await answerEntries(context, incoming, response)
+  if (incoming.method === 'OPTIONS') return answerOptions(incoming, response)
+  const fault = checkHead(context, incoming)
+  if (fault !== undefined) return refuseUnread(context, exchange, fault)
+  const path = pathOf(incoming.url ?? '/')
+  if (path === '/v1/entries') return await answerEntries(context, incoming, response)
   if (path === '/v1/models') return answerModels(context, incoming, response)
   const signal = callerSignal(response)
-  const received = await receiveRequest(incoming, { context, id, signal })
-  if (received.isErr) {
-    context.metrics.refusals.inc({ reason: received.error.reason })
-    context.log.info('refusal', { request: id, reason: received.error.reason, detail: received.error.detail })
-    sendRefusal(response, refusalForCaller(context, incoming, received.error))
-    if (!incoming.complete) incoming.destroy()
-    return
-  }
+  const onBodyWanted = (): void => { if (exchange.expectsContinue) response.writeContinue() }
+  const received = await receiveRequest(incoming, { context, id, signal, onBodyWanted })
+  if (received.isErr) return refuseUnread(context, exchange, received.error)
   const request = received.value
   await gateway.serve(request, response)
   if (signal.aborted) logRefusal(context, request, refuse(RefusalReason.CallerGone, 'the caller went away'))
@@ -72,11 +106,18 @@
 export const createCallerServer = (context: VmContext): Server => {
   const gateway = new Gateway(context)
   const { requests } = context.settings
-  return createServer({
+  const serve = (incoming: IncomingMessage, response: ServerResponse, expectsContinue: boolean): void => {
+    guard(context, response, () => handle(context, gateway, { incoming, response, expectsContinue }))
+      .catch(() => response.destroy())
+  }
+  const server = createServer({
     maxHeaderSize: requests['header-limit-bytes'],
     requestTimeout: requests['body-timeout-milliseconds'] + requestTimeoutGraceMilliseconds,
-    headersTimeout: requests['body-timeout-milliseconds']
-  }, (incoming, response) => {
-    guard(context, response, () => handle(context, gateway, incoming, response)).catch(() => response.destroy())
-  })
+    headersTimeout: requests['body-timeout-milliseconds'],
+    connectionsCheckingInterval: timeoutCheckMilliseconds
+  }, (incoming, response) => serve(incoming, response, false))
+  server.maxHeadersCount = requests['header-count-limit'] + 1
+  server.on('checkContinue', (incoming, response) => serve(incoming, response, true))
+  answerProtocolFaults(server, context)
+  return server
 }
--- /dev/null
+++ b/packages/daemon/src/protocolFaults.ts
@@ -0,0 +1,58 @@
+/**
+ * Answers for what the HTTP parser rejects before there is a request: bad
+ * syntax, header floods, slow heads, bodies that break their own framing.
+ */
+
+import { STATUS_CODES } from 'node:http'
+import { RefusalReason, headerNames, refuse } from '@cuminvale/common'
+import type { IncomingMessage, Server } from 'node:http'
+import type { Duplex } from 'node:stream'
+import type { Refusal } from '@cuminvale/common'
+import { problemOf } from './problemDocument.js'
+import type { VmContext } from './vmContext.js'
+
+interface ParserError extends Error {
+  readonly code?: string
+}
+
+const brokenSockets = new WeakSet<Duplex>()
+
+const refusalOf = (error: ParserError): Refusal => {
+  if (error.code === 'HPE_HEADER_OVERFLOW') return refuse(RefusalReason.HeadersTooLarge, 'the headers are too long')
+  if (error.code === 'ERR_HTTP_REQUEST_TIMEOUT') return refuse(RefusalReason.BodyTimeout, 'the request took too long to arrive')
+  if (error.code === 'HPE_INVALID_EOF_STATE') return refuse(RefusalReason.BodyTruncated, 'the request ended early')
+  return refuse(RefusalReason.RequestInvalid, `the request is not valid HTTP: ${error.code ?? error.message}`)
+}
+
+const rawAnswer = (context: VmContext, refusal: Refusal): string => {
+  const problem = problemOf(refusal)
+  const body = JSON.stringify(problem)
+  return [
+    `HTTP/1.1 ${problem.status} ${STATUS_CODES[problem.status] ?? ''}`,
+    'content-type: application/problem+json',
+    `content-length: ${Buffer.byteLength(body)}`,
+    `${headerNames.vm}: ${context.identity.vm}`,
+    `${headerNames.requestId}: ${context.requestIds.next()}`,
+    `${headerNames.outcome}: ${refusal.outcome}`,
+    'connection: close',
+    '',
+    body
+  ].join('\r\n')
+}
+
+/** Whether bytes after a request broke its connection; such a request is not run. */
+export const arrivedBroken = (incoming: IncomingMessage): boolean => brokenSockets.has(incoming.socket)
+
+export const answerProtocolFaults = (server: Server, context: VmContext): void => {
+  server.on('clientError', (error: ParserError, socket: Duplex) => {
+    brokenSockets.add(socket)
+    if (error.code === 'ECONNRESET' || !socket.writable) {
+      socket.destroy()
+      return
+    }
+    const refusal = refusalOf(error)
+    context.metrics.refusals.inc({ reason: refusal.reason })
+    context.log.info('refusal', { reason: refusal.reason, detail: refusal.detail })
+    socket.end(rawAnswer(context, refusal))
+  })
+}
--- a/packages/daemon/src/readBody.ts
+++ b/packages/daemon/src/readBody.ts
@@ -10,6 +10,8 @@
 export interface BodyLimits {
   readonly limitBytes: number
   readonly timeoutMilliseconds: number
+  /** Called before the body is read, unless its declared length is refused. */
+  readonly onWanted?: () => void
 }
 
 const tooLarge = (limits: BodyLimits): Refusal =>
@@ -19,6 +21,7 @@
   if (Number(request.headers['content-length'] ?? 0) > limits.limitBytes) {
     return Promise.resolve(Result.err(tooLarge(limits)))
   }
+  limits.onWanted?.()
   return new Promise((resolve) => {
     const chunks: Buffer[] = []
     let length = 0
--- a/packages/daemon/src/receiveRequest.ts
+++ b/packages/daemon/src/receiveRequest.ts
@@ -14,8 +14,10 @@
 import type { KeyIdentity } from '@cuminvale/keys'
 import { readBody } from './readBody.js'
 import { readCompletionBody } from './completionBody.js'
-import { resolvePath } from './requestPath.js'
+import { arrivedBroken } from './protocolFaults.js'
+import { firstCompletionRoute, leavesRouteToPlan, pathOf, resolvePath } from './requestPath.js'
 import type { GatewayRequest } from './gatewayRequest.js'
+import type { RequestPath } from './requestPath.js'
 import type { VmContext } from './vmContext.js'
 
 /** Team under which requests without a key on open routes are queued. */
@@ -36,19 +38,42 @@
   return configuration === undefined ? Result.err(notReady()) : Result.ok(configuration)
 }
 
+/** What a request asks for, and who asks, before its body is read. */
+interface Classified extends RequestPath {
+  readonly caller: Caller
+}
+
+const checkCaller = (request: IncomingMessage, configuration: Configuration): Result<Required<Caller>, Refusal> =>
+  checkKey(request.headers.authorization, configuration).andThen((identity) => {
+    const plan = planOfTeam(configuration, identity.team)
+    if (plan !== undefined) return Result.ok({ identity, plan })
+    return Result.err(refuse(RefusalReason.NotInPlan, `the team "${identity.team}" has no plan`))
+  })
+
 const identify = (
   request: IncomingMessage,
   route: Route,
   configuration: Configuration
 ): Result<Caller, Refusal> => {
   if (route.open) return Result.ok({})
-  return checkKey(request.headers.authorization, configuration).andThen((identity) => {
-    const plan = planOfTeam(configuration, identity.team)
-    if (plan?.routes.includes(route.name) === true) return Result.ok({ identity, plan })
-    return Result.err(refuse(RefusalReason.NotInPlan, `the plan of team "${identity.team}" has no route "${route.name}"`))
+  return checkCaller(request, configuration).andThen((caller) => {
+    if (caller.plan.routes.includes(route.name)) return Result.ok(caller)
+    return Result.err(refuse(RefusalReason.NotInPlan, `the plan of team "${caller.identity.team}" has no route "${route.name}"`))
   })
 }
 
+/** Route, upstream path and caller; the plan picks the route where the caller names none. */
+const classify = (incoming: IncomingMessage, configuration: Configuration): Result<Classified, Refusal> => {
+  const url = incoming.url ?? '/'
+  const routeHeader = headerOf(incoming, routeHeaderName)
+  if (leavesRouteToPlan(url, routeHeader)) {
+    return checkCaller(incoming, configuration).andThen((caller) =>
+      firstCompletionRoute(configuration, caller.plan).map((route) => ({ route, upstreamPath: pathOf(url), caller })))
+  }
+  return resolvePath(url, routeHeader, configuration).andThen((path) =>
+    identify(incoming, path.route, configuration).map((caller) => ({ ...path, caller })))
+}
+
 const regionsFor = (caller: Caller, route: Route, configuration: Configuration): GatewayRequest['allowedRegions'] => {
   const team = caller.identity === undefined ? undefined : configuration.teams.get(caller.identity.team)
   if (team !== undefined && caller.plan !== undefined) return allowedRegions(team, caller.plan, route)
@@ -83,6 +108,8 @@
   readonly context: VmContext
   readonly id: RequestId
   readonly signal: AbortSignal
+  /** Called once nothing but the body can still be wrong, before it is read. */
+  readonly onBodyWanted: () => void
 }
 
 /** Builds the classified request, or says why it is refused. */
@@ -94,20 +121,19 @@
   const ready = requireConfiguration(context)
   if (ready.isErr) return Result.err(ready.error)
   const configuration = ready.value
-  const resolved = resolvePath(incoming.url ?? '/', headerOf(incoming, routeHeaderName), configuration)
-  if (resolved.isErr) return Result.err(resolved.error)
-  const { route, upstreamPath } = resolved.value
-  const identified = identify(incoming, route, configuration)
-  if (identified.isErr) return Result.err(identified.error)
+  const classified = classify(incoming, configuration)
+  if (classified.isErr) return Result.err(classified.error)
+  const { route, upstreamPath, caller } = classified.value
   const body = await readBody(incoming, {
     limitBytes: route.bodyLimitBytes,
-    timeoutMilliseconds: context.settings.requests['body-timeout-milliseconds']
+    timeoutMilliseconds: context.settings.requests['body-timeout-milliseconds'],
+    onWanted: options.onBodyWanted
   })
   if (body.isErr) return Result.err(body.error)
+  if (arrivedBroken(incoming)) return Result.err(refuse(RefusalReason.RequestInvalid, 'bytes after the body are not a request'))
   const fields = readFields(route, upstreamPath, body.value)
-    .andThen((read) => checkModel(read, identified.value, configuration))
+    .andThen((read) => checkModel(read, caller, configuration))
   if (fields.isErr) return Result.err(fields.error)
-  const caller = identified.value
   const now = context.clock.monotonic()
   const ticketText = headerOf(incoming, headerNames.ticket)
   const ticket = ticketText === undefined ? undefined : parseTicket(ticketText).unwrapOr(undefined as never)
--- a/packages/daemon/src/requestPath.ts
+++ b/packages/daemon/src/requestPath.ts
@@ -6,16 +6,21 @@
 import { RefusalReason, isIdentifier, refuse, toRouteName } from '@cuminvale/common'
 import { RouteKind } from '@cuminvale/documents'
 import type { Refusal, RouteName } from '@cuminvale/common'
-import type { Configuration, Route } from '@cuminvale/documents'
+import type { Configuration, Plan, Route } from '@cuminvale/documents'
 
 export interface RequestPath {
   readonly route: Route
   readonly upstreamPath: string
 }
 
-const completionPaths: readonly string[] = ['/v1/chat/completions', '/v1/completions']
+export const completionPaths: readonly string[] = ['/v1/chat/completions', '/v1/completions']
 const servicePattern = /^\/v1\/services\/([^/?]+)(\/[^?]*)?$/
-const routeHeaderDefault = toRouteName('completions')
+
+/** The path of a request target, without its query. */
+export const pathOf = (url: string): string => {
+  const queryStart = url.indexOf('?')
+  return queryStart < 0 ? url : url.slice(0, queryStart)
+}
 
 const findRoute = (
   configuration: Configuration,
@@ -27,21 +32,35 @@
   return Result.err(refuse(RefusalReason.RouteUnknown, `there is no ${kind} route "${name}"`))
 }
 
+/** Whether the caller left the choice of a completion route to its plan. */
+export const leavesRouteToPlan = (url: string, routeHeader: string | undefined): boolean =>
+  routeHeader === undefined && completionPaths.includes(pathOf(url))
+
+/** The first completion route of a plan. */
+export const firstCompletionRoute = (configuration: Configuration, plan: Plan): Result<Route, Refusal> => {
+  const route = plan.routes
+    .map((name) => configuration.routes.get(name))
+    .find((candidate) => candidate?.kind === RouteKind.Completion)
+  if (route !== undefined) return Result.ok(route)
+  return Result.err(refuse(RefusalReason.NotInPlan, `the plan "${plan.name}" has no completion route`))
+}
+
 /** The completion route is named by a header, since OpenAI-style paths have no place for it. */
 export const resolvePath = (
   url: string,
   routeHeader: string | undefined,
   configuration: Configuration
 ): Result<RequestPath, Refusal> => {
-  const queryStart = url.indexOf('?')
-  const path = queryStart < 0 ? url : url.slice(0, queryStart)
+  const path = pathOf(url)
   if (completionPaths.includes(path)) {
-    const name = routeHeader !== undefined && isIdentifier(routeHeader) ? toRouteName(routeHeader) : routeHeaderDefault
-    return findRoute(configuration, name, RouteKind.Completion).map((route) => ({ route, upstreamPath: path }))
+    if (routeHeader === undefined || !isIdentifier(routeHeader)) {
+      return Result.err(refuse(RefusalReason.RouteUnknown, 'the route header holds no route name'))
+    }
+    return findRoute(configuration, toRouteName(routeHeader), RouteKind.Completion).map((route) => ({ route, upstreamPath: path }))
   }
   const service = servicePattern.exec(path)
   if (service?.[1] === undefined) return Result.err(refuse(RefusalReason.RouteUnknown, 'there is no such path'))
-  const query = queryStart < 0 ? '' : url.slice(queryStart)
+  const query = url.slice(path.length)
   const upstreamPath = (service[2] ?? '/') + query
   return findRoute(configuration, toRouteName(service[1]), RouteKind.Service).map((route) => ({ route, upstreamPath }))
 }
--- a/packages/daemon/src/settings.ts
+++ b/packages/daemon/src/settings.ts
@@ -46,6 +46,7 @@
   }),
   requests: z.strictObject({
     'header-limit-bytes': integer(1_024, 1_048_576).default(16_384),
+    'header-count-limit': integer(10, 2_000).default(100),
     'body-timeout-milliseconds': integer(100, 600_000).default(10_000),
     'queue-capacity': integer(1, 1_000_000).default(2_000)
   }).prefault({}),
--- a/packages/demo/src/testFleet.ts
+++ b/packages/demo/src/testFleet.ts
@@ -20,16 +20,22 @@
   readonly daemon: Daemon
 }
 
+type RequestSettings = Readonly<Record<string, number>>
+
+const requestSection = (settings: RequestSettings): string =>
+  ['', '[requests]', ...Object.entries(settings).map(([key, value]) => `${key} = ${value}`), ''].join('\n')
+
 const readyMilliseconds = 10_000
 
 export class TestFleet {
   readonly vms: TestVm[] = []
 
-  private constructor (readonly deployment: Deployment, readonly platform: FakePlatform, readonly directory: string) {}
+  private constructor (readonly deployment: Deployment, readonly platform: FakePlatform, readonly directory: string, private readonly requestSettings: RequestSettings) {}
 
-  static async start (deployment: Deployment, vmCount: number): Promise<TestFleet> {
+  /** `requestSettings` replaces defaults of the section [requests]. */
+  static async start (deployment: Deployment, vmCount: number, requestSettings: RequestSettings = {}): Promise<TestFleet> {
     const directory = mkdtempSync(join(tmpdir(), 'cuminvale-test-'))
-    const fleet = new TestFleet(deployment, await startFakePlatform(deployment), directory)
+    const fleet = new TestFleet(deployment, await startFakePlatform(deployment), directory, requestSettings)
     for (const file of Object.values(fleet.secrets)) writeFileSync(file, 'a secret for tests\n')
     for (const vm of deployment.vms.slice(0, vmCount)) await fleet.add(vm)
     fleet.list()
@@ -39,7 +45,7 @@
 
   /** Starts a VM; `list` shows it to the others. */
   async add (vm: VmSpecification): Promise<TestVm> {
-    const text = settingsText(listedVm(vm, []), this.platform, this.secrets)
+    const text = settingsText(listedVm(vm, []), this.platform, this.secrets) + requestSection(this.requestSettings)
     const settings = parseSettings('test.ini', text)
     if (settings.isErr) throw new Error(JSON.stringify(settings.error))
     const daemon = await createDaemon(settings.value)
