Choose upstreams by predicted time to the first token, and share loads in a region

Change: PredictedChooser with prefix knowledge from own sends and cache events, slow start and a random choice among the best; LoadSharing with one watcher an upstream and digests between regions; sending away by predicted gain within a link budget replaces the constant free slot.

--- a/packages/admission/src/dispatchRate.ts
+++ b/packages/admission/src/dispatchRate.ts
@@ -30,6 +30,11 @@
     this.markedAt = now
   }
 
+  /** Time since the last dispatch, or since requests began to wait. */
+  get stalledMilliseconds (): number {
+    return this.clock.monotonic() - this.markedAt
+  }
+
   /** Milliseconds to dispatch the tokens; undefined until enough has been seen. */
   millisecondsFor (tokens: number): number | undefined {
     const stalled = this.clock.monotonic() - this.markedAt
--- a/packages/admission/src/fairQueue.ts
+++ b/packages/admission/src/fairQueue.ts
@@ -51,6 +51,10 @@
     return this.pools.get(pool)?.waitingSince(team)
   }
 
+  expectedWaitIn (pool: string): number {
+    return this.pools.get(pool)?.expectedWaitOfAll() ?? 0
+  }
+
   enqueue (request: Request): ReadonlyArray<ShedRequest<Request>> {
     const pool = this.poolOf(request.pool)
     const expectedWait = pool.expectedWait(request) ?? 0
--- a/packages/admission/src/fifoQueue.ts
+++ b/packages/admission/src/fifoQueue.ts
@@ -30,6 +30,10 @@
     return this.requests.find((request) => request.pool === pool && request.team === team)?.enqueuedAt
   }
 
+  expectedWaitIn (): number {
+    return 0
+  }
+
   enqueue (request: Request): ReadonlyArray<ShedRequest<Request>> {
     if (this.requests.length >= this.options.capacity) {
       return [{ request, refusal: refuse(RefusalReason.QueueFull, 'the queue is full', { retryAfterMilliseconds }) }]
--- a/packages/admission/src/poolQueue.ts
+++ b/packages/admission/src/poolQueue.ts
@@ -92,6 +92,12 @@
     return taken
   }
 
+  /** Until the rate is known, the time that the oldest request has waited stands for the wait. */
+  expectedWaitOfAll (): number {
+    if (this.waiting === 0) return 0
+    return this.rate.millisecondsFor(this.waitingTokens) ?? this.rate.stalledMilliseconds
+  }
+
   /** Milliseconds until a new request would be dispatched, by its team's fair share of the measured rate. */
   expectedWait (request: Request): number | undefined {
     const backlog = this.teams.get(request.team)
--- a/packages/admission/src/types.ts
+++ b/packages/admission/src/types.ts
@@ -38,5 +38,7 @@
   waitingIn (pool: string): number
   /** Monotonic time since which a team has had requests waiting in a pool without a break. */
   waitingSince (pool: string, team: TeamId): number | undefined
+  /** Milliseconds in which what waits in a pool should be dispatched, by its measured rate. */
+  expectedWaitIn (pool: string): number
   readonly length: number
 }
--- a/packages/daemon/src/constants.ts
+++ b/packages/daemon/src/constants.ts
@@ -3,6 +3,8 @@
 export const exitCodeInvalidSettings = 2
 export const vmListPollMilliseconds = 500
 export const loadPollMilliseconds = 250
+export const cacheEventsPollMilliseconds = 500
+export const prefixCapacity = 50_000
 export const configurationWatchMilliseconds = 10_000
 export const configurationRetryMilliseconds = 500
 export const queueTickMilliseconds = 20
--- a/packages/daemon/src/createContext.ts
+++ b/packages/daemon/src/createContext.ts
@@ -3,7 +3,7 @@
  */
 
 import { FairQueue, SlotReserve, defaultFairQueueBounds } from '@cuminvale/admission'
-import { RequestIdSource, VmState, newIncarnationId, runtimeClock, runtimeRandom } from '@cuminvale/common'
+import { RequestIdSource, newIncarnationId, runtimeClock, runtimeRandom } from '@cuminvale/common'
 import { ConfigurationHolder } from '@cuminvale/configuration'
 import { UniformEntryChooser } from '@cuminvale/entries'
 import { EscrowLimiter } from '@cuminvale/limits'
@@ -12,12 +12,10 @@
 import { SeenProofs, seenProofCapacity } from '@cuminvale/keys'
 import { OrderGate, OrderLedger, TicketMint, ledgerCapacity, ledgerCapacityBytes } from '@cuminvale/orders'
 import { HttpClientDirectory, HttpConfigurationService, HttpVmList, HttpWeightStore } from '@cuminvale/platform'
-import { CrashSuspects, LeastInFlightChooser, RetryBudget, SuspicionSpread, UpstreamTable } from '@cuminvale/routing'
-import type { RegionId } from '@cuminvale/common'
-import type { Membership } from '@cuminvale/membership'
-import type { RemoteRegionView, RoutingRequest } from '@cuminvale/routing'
+import { CrashSuspects, RetryBudget, SuspicionSpread, UpstreamTable, forwardBytes } from '@cuminvale/routing'
 import { crashSuspectCapacity } from './constants.js'
 import { reachableVms } from './limitWiring.js'
+import { createRouting } from './createRouting.js'
 import { createLog } from './log.js'
 import { Metrics } from './metrics.js'
 import { OrderPeers } from './orderPeers.js'
@@ -32,8 +30,6 @@
 import type { Settings } from './settings.js'
 import type { Platform, VmContext } from './vmContext.js'
 
-const interRegionLatencyMilliseconds = 55
-
 const createPlatform = (settings: Settings): Platform => ({
   configurationService: new HttpConfigurationService(settings.platform['configuration-service']),
   vmList: new HttpVmList(settings.platform['vm-list']),
@@ -41,26 +37,6 @@
   weightStore: new HttpWeightStore(settings.platform['weight-store'])
 })
 
-/** Regions other than this VM's that have reachable VMs and upstreams for the route. */
-const createRemoteRegions = (
-  configuration: ConfigurationHolder,
-  membership: Membership,
-  self: RegionId
-) => (request: RoutingRequest): readonly RemoteRegionView[] => {
-  const serving = new Set([...configuration.current?.upstreams.values() ?? []]
-    .filter((upstream) => upstream.region !== self && upstream.routes.includes(request.route) &&
-      (request.model === undefined || upstream.models.includes(request.model)))
-    .map((upstream) => upstream.region))
-  return [...serving].map((region) => ({
-    region,
-    vms: membership.inRegion(region)
-      .filter(({ vm, reachable }) => reachable && vm.state === VmState.Live)
-      .map(({ vm }) => vm.name),
-    freeSlots: 1,
-    latencyMilliseconds: interRegionLatencyMilliseconds
-  }))
-}
-
 export const createContext = (settings: Settings): VmContext => {
   const clock = runtimeClock
   const random = runtimeRandom
@@ -91,6 +67,7 @@
     table.configure(inForce)
     metrics.revision.set(inForce.revision)
   })
+  const routing = createRouting({ clock, random, settings, identity, configuration, membership, table })
   const pools = new UpstreamPools({ region: identity.region, configuration: () => configuration.current })
   const scheduler = new Scheduler({
     clock,
@@ -103,15 +80,19 @@
       agingMilliseconds: settings.policy['batch-aging-milliseconds'],
       interactiveHeadStartTokens: settings.policy['interactive-head-start-tokens']
     }),
-    chooser: new LeastInFlightChooser(random),
+    chooser: routing.chooser,
     table,
-    remoteRegions: createRemoteRegions(configuration, membership, identity.region),
+    remoteRegions: routing.remoteRegions,
+    onForward: (request, region) => {
+      routing.digests.sent(region, request)
+      routing.link.take(region, forwardBytes(request))
+    },
     poolOf: (request) => pools.poolOf(request),
     reserve: new SlotReserve({
       clock,
       reserveShare: settings.policy['reserved-slot-share'],
       weightShare: (team) => weightShare(configuration.current, team),
-      vmCount: () => membership.inRegion(identity.region).length + 1
+      vmCount: routing.vmCount
     })
   })
   const suspects = new CrashSuspects({ clock, capacity: crashSuspectCapacity })
@@ -133,6 +114,8 @@
     limiter,
     entries: new UniformEntryChooser(random),
     table,
+    loadSharing: routing.loadSharing,
+    prefixes: routing.prefixes,
     scheduler,
     retries: new RetryBudget({ clock, random }),
     suspects,
--- a/packages/daemon/src/createDaemon.ts
+++ b/packages/daemon/src/createDaemon.ts
@@ -15,8 +15,9 @@
 import { configurationRetryMilliseconds, vmListPollMilliseconds } from './constants.js'
 import { createContext } from './createContext.js'
 import { PeerLinks } from './peerLinks.js'
+import { createCacheEventsPoll, createLoadPoll } from './loadPolls.js'
 import { createPeerServer } from './peerServer.js'
-import { createConfigurationPoll, createLoadPoll, createVmListPoll, logAcceptance } from './platformPolls.js'
+import { createConfigurationPoll, createVmListPoll, logAcceptance } from './platformPolls.js'
 import { reachablePeers } from './reachablePeers.js'
 import { spawnPollingActor } from './pollingActor.js'
 import { spawnProtocolActor } from './protocolActor.js'
@@ -61,6 +62,7 @@
   return new Map<Mechanism, ProtocolActor>([
     ['orders', spawnProtocolActor(parent, { name: 'orders', protocol: context.orderPeers.copies, send, log: context.log })],
     ['configuration', spawnProtocolActor(parent, { name: 'configuration', protocol: spread, send, log: context.log })],
+    ['routing', spawnProtocolActor(parent, { name: 'routing', protocol: context.loadSharing, send, log: context.log })],
     ['suspicion', spawnProtocolActor(parent, {
       name: 'suspicion', protocol: context.suspicionSpread, send, log: context.log
     })],
@@ -80,6 +82,9 @@
   spawnPollingActor(parent, {
     name: 'upstream-load', poll: createLoadPoll(context), retryMilliseconds: vmListPollMilliseconds, log
   })
+  spawnPollingActor(parent, {
+    name: 'cache-events', poll: createCacheEventsPoll(context), retryMilliseconds: vmListPollMilliseconds, log
+  })
 }
 
 const reportViolations = (context: VmContext): void => {
--- /dev/null
+++ b/packages/daemon/src/createRouting.ts
@@ -0,0 +1,69 @@
+/**
+ * Builds the routing decisions of a VM: upstream choice, what it knows of
+ * loads and caches, and sending away.
+ */
+
+import { VmState } from '@cuminvale/common'
+import { AwayWhenFaster, BlockChainedForm, LinkBudget, LoadSharing, PredictedChooser, PrefixKnowledge, RegionDigests } from '@cuminvale/routing'
+import type { Clock, Random } from '@cuminvale/common'
+import type { ConfigurationHolder } from '@cuminvale/configuration'
+import type { Membership } from '@cuminvale/membership'
+import type { PeerIdentity } from '@cuminvale/messages'
+import type { RegionPeer, RemoteRegionView, RoutingRequest, UpstreamTable } from '@cuminvale/routing'
+import { prefixCapacity } from './constants.js'
+import type { Settings } from './settings.js'
+
+export interface RoutingOptions {
+  readonly clock: Clock
+  readonly random: Random
+  readonly settings: Settings
+  readonly identity: PeerIdentity
+  readonly configuration: ConfigurationHolder
+  readonly membership: Membership
+  readonly table: UpstreamTable
+}
+
+const interRegionLatencyMilliseconds = 55
+
+const livePeers = (membership: Membership) => (): readonly RegionPeer[] => membership.members
+  .filter(({ vm, reachable }) => reachable && vm.state === VmState.Live)
+  .map(({ vm }) => ({ vm: vm.name, region: vm.region }))
+
+/** Regions other than this VM's that have reachable VMs, with the room that they last reported. */
+const createRemoteRegions = ({ identity }: RoutingOptions, peers: () => readonly RegionPeer[], digests: RegionDigests) =>
+  (request: RoutingRequest): readonly RemoteRegionView[] => {
+    if (!request.mayCrossBorder) return []
+    const permitted = peers().filter(({ region }) => region !== identity.region && request.allowedRegions.includes(region))
+    return [...new Set(permitted.map(({ region }) => region))].map((region) => ({
+      region,
+      vms: permitted.filter((peer) => peer.region === region).map(({ vm }) => vm),
+      freeSlots: digests.freeSlots(region, request),
+      latencyMilliseconds: interRegionLatencyMilliseconds
+    }))
+  }
+
+export const createRouting = (options: RoutingOptions) => {
+  const { clock, random, settings, identity, configuration, membership, table } = options
+  const peers = livePeers(membership)
+  const vmCount = (): number => 1 + peers().filter(({ region }) => region === identity.region).length
+  const prefixes = new PrefixKnowledge({ clock, form: new BlockChainedForm(), capacity: prefixCapacity })
+  const digests = new RegionDigests({ clock, vmCount })
+  const link = new LinkBudget({
+    clock,
+    linkMegabitsPerSecond: settings.policy['region-link-megabits-per-second'],
+    share: settings.policy['region-link-share'],
+    vmCount
+  })
+  const away = new AwayWhenFaster({ random, link, gainFactor: settings.policy['sending-away-gain'] })
+  return {
+    prefixes,
+    digests,
+    link,
+    vmCount,
+    chooser: new PredictedChooser({ clock, random, failureDomain: identity.failureDomain, away, prefixes, vmCount }),
+    remoteRegions: createRemoteRegions(options, peers, digests),
+    loadSharing: new LoadSharing({
+      clock, vm: identity.vm, region: identity.region, table, digests, configuration: () => configuration.current, peers
+    })
+  }
+}
--- a/packages/daemon/src/platformPolls.ts
+++ b/packages/daemon/src/platformPolls.ts
@@ -1,16 +1,14 @@
 /**
- * The steps by which a VM follows the platform: configuration, VM list and
- * the load of the upstreams in its region.
+ * The steps by which a VM follows the platform: configuration and VM
+ * list.
  */
 
 import { runtimeRandom, toRevision } from '@cuminvale/common'
 import { AcceptanceKind } from '@cuminvale/configuration'
 import { formatDocumentFault } from '@cuminvale/documents'
-import { HttpLoadSource } from '@cuminvale/platform'
 import type { Acceptance } from '@cuminvale/configuration'
-import type { Upstream } from '@cuminvale/documents'
 import {
-  configurationRetryMilliseconds, configurationWatchMilliseconds, loadPollMilliseconds, vmListPollMilliseconds
+  configurationRetryMilliseconds, configurationWatchMilliseconds, vmListPollMilliseconds
 } from './constants.js'
 import { adoptListedVms } from './limitWiring.js'
 import { vmListPause } from './vmListPace.js'
@@ -60,16 +58,3 @@
     return vmListPollMilliseconds
   }
 }
-
-const pollUpstream = async (context: VmContext, upstream: Upstream): Promise<void> => {
-  const report = await new HttpLoadSource(upstream.address).load()
-  if (report.isOk) context.table.report(upstream.name, report.value)
-}
-
-export const createLoadPoll = (context: VmContext): () => Promise<number> => async () => {
-  const upstreams = [...context.configuration.current?.upstreams.values() ?? []]
-  const local = upstreams.filter((upstream) => upstream.region === context.identity.region)
-  await Promise.all(local.map((upstream) => pollUpstream(context, upstream)))
-  context.scheduler.pump()
-  return loadPollMilliseconds
-}
--- a/packages/daemon/src/scheduler.ts
+++ b/packages/daemon/src/scheduler.ts
@@ -30,6 +30,8 @@
   readonly remoteRegions: (request: RoutingRequest) => readonly RemoteRegionView[]
   readonly poolOf: (request: RoutingRequest) => string
   readonly reserve: SlotReserve
+  /** Called in the turn in which a request is sent to another region. */
+  readonly onForward: (request: RoutingRequest, region: RegionId) => void
 }
 
 const unavailableRetryMilliseconds = 1_000
@@ -63,7 +65,7 @@
     const pool = this.options.poolOf(routing)
     if (this.options.queue.waitingIn(pool) === 0) {
       const choice = this.chooseFor(routing, { pool })
-      if (choice.kind !== RoutingChoiceKind.Wait) return Promise.resolve(this.take(choice, { pool, team: request.team }))
+      if (choice.kind !== RoutingChoiceKind.Wait) return Promise.resolve(this.take(choice, { pool, routing }))
     }
     return new Promise((resolve) => {
       const abandon = (): void => this.abandon(request, resolve)
@@ -133,9 +135,9 @@
   }
 
   private choose (routing: RoutingRequest): RoutingChoice {
-    const { chooser, region, table, remoteRegions } = this.options
+    const { chooser, region, table, remoteRegions, queue, poolOf } = this.options
     const upstreams = table.servingViews(region, routing)
-    return chooser.choose(routing, { region, upstreams, remoteRegions: remoteRegions(routing) })
+    return chooser.choose(routing, { region, upstreams, remoteRegions: remoteRegions(routing), localWaitMilliseconds: queue.expectedWaitIn(poolOf(routing)) })
   }
 
   /** As `choose`, but a team with a lasting backlog is kept off the reserved slots. */
@@ -149,15 +151,20 @@
     return { kind: RoutingChoiceKind.Wait, reason: 'the last slots are kept for teams within their share' }
   }
 
-  private take (choice: RoutingChoice, { pool, team }: { pool: string, team: TeamId }): Result<Assignment, Refusal> {
+  private take (choice: RoutingChoice, { pool, routing }: { pool: string, routing: RoutingRequest }): Result<Assignment, Refusal> {
     if (choice.kind === RoutingChoiceKind.Run) {
       this.options.table.begin(choice.upstream)
+      this.options.chooser.sent?.(routing, choice.upstream)
+      const { team } = routing
       this.options.reserve.begin(pool, team)
       const key = `${choice.upstream} ${team}`
       this.takenFrom.set(key, [...this.takenFrom.get(key) ?? [], pool])
       return Result.ok(choice)
     }
-    if (choice.kind === RoutingChoiceKind.Forward) return Result.ok(choice)
+    if (choice.kind === RoutingChoiceKind.Forward) {
+      this.options.onForward(routing, choice.region)
+      return Result.ok(choice)
+    }
     return Result.err(refuse(RefusalReason.NoUpstream, choice.reason, {
       retryAfterMilliseconds: unavailableRetryMilliseconds
     }))
--- a/packages/daemon/src/settings.ts
+++ b/packages/daemon/src/settings.ts
@@ -54,6 +54,9 @@
     'deadline-slack': decimal(0.1, 100).default(1.5),
     'batch-aging-milliseconds': integer(0, 3_600_000).default(5_000),
     'reserved-slot-share': decimal(0, 0.9).default(0.25),
+    'sending-away-gain': decimal(1, 100).default(1.5),
+    'region-link-megabits-per-second': decimal(1, 1_000_000).default(100),
+    'region-link-share': decimal(0, 1).default(0.5),
     'interactive-head-start-tokens': integer(0, 1e9).default(20_000)
   }).prefault({})
 })
--- a/packages/daemon/src/vmContext.ts
+++ b/packages/daemon/src/vmContext.ts
@@ -13,7 +13,7 @@
 import type { OrderGate, OrderLedger, TicketMint } from '@cuminvale/orders'
 import type { SeenProofs } from '@cuminvale/keys'
 import type { ClientDirectory, ConfigurationService, VmList, WeightStore } from '@cuminvale/platform'
-import type { CrashSuspects, RetryPolicy, SuspicionSpread, UpstreamTable } from '@cuminvale/routing'
+import type { CrashSuspects, LoadSharing, PrefixKnowledge, RetryPolicy, SuspicionSpread, UpstreamTable } from '@cuminvale/routing'
 import type { UsageMeter } from '@cuminvale/metering'
 import type { Log } from './log.js'
 import type { Metrics } from './metrics.js'
@@ -46,6 +46,8 @@
   readonly limiter: EscrowLimiter
   readonly entries: EntryChooser
   readonly table: UpstreamTable
+  readonly loadSharing: LoadSharing
+  readonly prefixes: PrefixKnowledge
   readonly scheduler: Scheduler
   readonly retries: RetryPolicy
   readonly suspects: CrashSuspects
--- /dev/null
+++ b/packages/routing/src/awayWhenFaster.ts
@@ -0,0 +1,62 @@
+/**
+ * Sends a request away only where no local slot is free and the predicted
+ * gain is well above the cost: both ways of the link, the bytes of prompt and
+ * answer on it, and a prompt that the other region must prefill anew. Slots
+ * seen free in a digest are shared out between the VMs that see it.
+ */
+
+import type { Random } from '@cuminvale/common'
+import { forwardTo, permittedRegions } from './awayPolicy.js'
+import { prefillMillisecondsPerToken } from './predictedChooser.js'
+import type { AwayPolicy, LocalOffer } from './awayPolicy.js'
+import type { LinkBudget } from './linkBudget.js'
+import type { RemoteRegionView, RoutingChoice, RoutingRequest, RoutingSituation } from './types.js'
+
+export interface AwayWhenFasterOptions {
+  readonly random: Random
+  readonly link: LinkBudget
+  /** Predicted local wait over predicted remote time that makes a request leave. */
+  readonly gainFactor: number
+}
+
+const bytesPerToken = 6
+/** Answer tokens come as events of about this size. */
+const bytesPerEvent = 120
+const overheadBytes = 2_048
+const marginMilliseconds = 50
+
+export const forwardBytes = (request: RoutingRequest): number =>
+  overheadBytes + request.promptTokens * bytesPerToken + request.outputTokens * bytesPerEvent
+
+export class AwayWhenFaster implements AwayPolicy {
+  constructor (private readonly options: AwayWhenFasterOptions) {}
+
+  decide (request: RoutingRequest, situation: RoutingSituation, local: LocalOffer): RoutingChoice | undefined {
+    if (local.hasRoom) return undefined
+    const bytes = forwardBytes(request)
+    const views = permittedRegions(request, situation)
+      .filter(({ region, freeSlots }) => freeSlots > 0 && this.options.link.has(region, bytes))
+    const view = this.pickByRoom(views)
+    if (view === undefined) return undefined
+    const remote = this.remoteMilliseconds(request, view, bytes)
+    const stay = local.isServed ? situation.localWaitMilliseconds : Infinity
+    if (stay < remote * this.options.gainFactor + marginMilliseconds) return undefined
+    const reason = `${Math.round(remote)} ms in ${view.region} against ${Math.round(stay)} ms here`
+    return forwardTo(request, view, { random: this.options.random, reason })
+  }
+
+  /** Random, by free slots, so that VMs with the same digest spread their requests. */
+  private pickByRoom (views: readonly RemoteRegionView[]): RemoteRegionView | undefined {
+    const total = views.reduce((sum, { freeSlots }) => sum + freeSlots, 0)
+    let left = this.options.random.next() * total
+    return views.find(({ freeSlots }) => {
+      left -= freeSlots
+      return left < 0
+    }) ?? views[0]
+  }
+
+  private remoteMilliseconds (request: RoutingRequest, view: RemoteRegionView, bytes: number): number {
+    const transfer = bytes / this.options.link.bytesPerMillisecond
+    return 2 * view.latencyMilliseconds + transfer + request.promptTokens * prefillMillisecondsPerToken
+  }
+}
--- /dev/null
+++ b/packages/routing/src/predictedChooser.test.ts
@@ -0,0 +1,132 @@
+import { describe, expect, it } from 'vitest'
+import { SeededRandom, toFailureDomainId, toModelName, toRegionId, toRouteName, toTeamId, toUpstreamId, toVmId } from '@cuminvale/common'
+import { AwayWhenFaster } from './awayWhenFaster.js'
+import { LinkBudget } from './linkBudget.js'
+import { PredictedChooser } from './predictedChooser.js'
+import { BlockChainedForm } from './prefixForms.js'
+import { PrefixKnowledge } from './prefixKnowledge.js'
+import { RoutingChoiceKind } from './types.js'
+import type { RoutingRequest, RoutingSituation, UpstreamView } from './types.js'
+
+const region = toRegionId('veneto')
+const other = toRegionId('emilia')
+const domain = toFailureDomainId('fd-1')
+const model = toModelName('writer')
+
+const view = (name: string, changes: Partial<UpstreamView> = {}): UpstreamView => ({
+  upstream: {
+    name: toUpstreamId(name),
+    region,
+    failureDomain: domain,
+    address: 'http://127.0.0.1:1',
+    routes: [toRouteName('drafting')],
+    models: [model],
+    slots: 32,
+    checksFencing: false,
+    leaving: false
+  },
+  inFlight: 0,
+  reportedRunning: 0,
+  reportedQueued: 0,
+  reportAgeMilliseconds: 0,
+  occupancy: 0,
+  leaving: false,
+  warmingSince: undefined,
+  loaded: undefined,
+  ejected: false,
+  ...changes
+})
+
+const request = (changes: Partial<RoutingRequest> = {}): RoutingRequest => ({
+  team: toTeamId('binders'),
+  route: toRouteName('drafting'),
+  model,
+  allowedRegions: [region, other],
+  mayCrossBorder: true,
+  excluded: new Set(),
+  promptTokens: 1_024,
+  outputTokens: 100,
+  prompt: 'x'.repeat(4_096),
+  ...changes
+})
+
+const fixture = () => {
+  const clock = { now: 0, monotonic: () => clock.now, wall: () => clock.now }
+  const random = new SeededRandom(1)
+  const prefixes = new PrefixKnowledge({ clock, form: new BlockChainedForm(), capacity: 1_000 })
+  const link = new LinkBudget({ clock, linkMegabitsPerSecond: 100, share: 0.5, vmCount: () => 1 })
+  const away = new AwayWhenFaster({ random, link, gainFactor: 1.5 })
+  const chooser = new PredictedChooser({ clock, random, failureDomain: domain, away, prefixes, vmCount: () => 1 })
+  return { clock, link, prefixes, chooser }
+}
+
+const situation = (upstreams: readonly UpstreamView[], changes: Partial<RoutingSituation> = {}): RoutingSituation => ({
+  region, upstreams, remoteRegions: [], localWaitMilliseconds: 0, ...changes
+})
+
+const remote = (freeSlots: number) => [{ region: other, vms: [toVmId('gateway-9')], freeSlots, latencyMilliseconds: 55 }]
+const full = view('full', { occupancy: 32 })
+
+describe('PredictedChooser', () => {
+  it.each<[string, Partial<UpstreamView>]>([
+    ['leaves', { leaving: true }],
+    ['is ejected', { ejected: true }],
+    ['is full', { occupancy: 32 }],
+    ['has not loaded the model', { loaded: [] }],
+    ['is much busier', { occupancy: 30 }]
+  ])('passes over an upstream that %s', (_, changes) => {
+    const { chooser } = fixture()
+    for (let index = 0; index < 20; index += 1) {
+      const choice = chooser.choose(request(), situation([view('worse', changes), view('better')]))
+      expect(choice).toMatchObject({ kind: RoutingChoiceKind.Run, upstream: 'better' })
+    }
+  })
+
+  it('spreads equal upstreams at random', () => {
+    const { chooser } = fixture()
+    const chosen = Array.from({ length: 30 }, () => chooser.choose(request(), situation([view('a'), view('b')])))
+    expect(new Set(chosen.map((choice) => choice.kind === RoutingChoiceKind.Run && choice.upstream)).size).toBe(2)
+  })
+
+  it('goes where the prompt is cached, and elsewhere once the cache was cleared', () => {
+    const { chooser, prefixes } = fixture()
+    prefixes.observe(toUpstreamId('a'), new BlockChainedForm().marks(request().prompt)
+      .map(({ digest }, index) => ({ sequence: index + 1, kind: 'stored' as const, prefix: digest })))
+    expect(chooser.choose(request(), situation([view('a', { occupancy: 8 }), view('b')]))).toMatchObject({ upstream: 'a' })
+    prefixes.observe(toUpstreamId('a'), [{ sequence: 40, kind: 'cleared', prefix: '' }])
+    expect(prefixes.gaps).toBe(1)
+    expect(chooser.choose(request(), situation([view('a', { occupancy: 8 }), view('b')]))).toMatchObject({ upstream: 'b' })
+  })
+
+  it('gives a returning upstream a part of its slots', () => {
+    const { clock, chooser } = fixture()
+    const returning = view('returning', { warmingSince: 0, occupancy: 10 })
+    expect(chooser.choose(request(), situation([returning])).kind).toBe(RoutingChoiceKind.Wait)
+    clock.now = 10_000
+    expect(chooser.choose(request(), situation([returning])).kind).toBe(RoutingChoiceKind.Run)
+  })
+})
+
+describe('sending away', () => {
+  it.each<[string, Partial<RoutingRequest>, Partial<RoutingSituation>, RoutingChoice['kind']]>([
+    ['waits for little', {}, { localWaitMilliseconds: 100, remoteRegions: remote(5) }, 'wait'],
+    ['leaves before a long wait', {}, { localWaitMilliseconds: 5_000, remoteRegions: remote(5) }, 'forward'],
+    ['stays where the other region is full', {}, { localWaitMilliseconds: 5_000, remoteRegions: remote(0) }, 'wait'],
+    ['stays where its plan names only this region', { allowedRegions: [region] }, { localWaitMilliseconds: 5_000, remoteRegions: remote(5) }, 'wait'],
+    ['stays after its one crossing', { mayCrossBorder: false }, { localWaitMilliseconds: 5_000, remoteRegions: remote(5) }, 'wait']
+  ])('%s', (_, changes, around, expected) => {
+    const { chooser } = fixture()
+    expect(chooser.choose(request(changes), situation([full], around)).kind).toBe(expected)
+  })
+
+  it('stays while the budget of the link is used up', () => {
+    const { clock, link, chooser } = fixture()
+    link.take(other, 10_000_000)
+    const around = { localWaitMilliseconds: 5_000, remoteRegions: remote(5) }
+    expect(chooser.choose(request(), situation([full], around)).kind).toBe(RoutingChoiceKind.Wait)
+    clock.now = 60_000
+    expect(chooser.choose(request(), situation([full], around)).kind).toBe(RoutingChoiceKind.Forward)
+  })
+})
+
+type RoutingChoice = ReturnType<PredictedChooser['choose']>
--- /dev/null
+++ b/packages/routing/src/prefixForms.ts
@@ -0,0 +1,74 @@
+/**
+ * Ways to name the prefixes of a prompt: digests at marks along it, each of
+ * which stands for all text up to its mark.
+ */
+
+import { createHash } from 'node:crypto'
+
+export interface PrefixMark {
+  readonly digest: string
+  readonly tokens: number
+}
+
+export interface PrefixForm {
+  /** Marks of a prompt, shortest prefix first. */
+  marks (prompt: string): readonly PrefixMark[]
+}
+
+const charactersPerToken = 4
+/** Characters in one block of an engine's prefix cache. */
+export const charactersPerBlock = 256
+/** Longer prompts are named by their first blocks only. */
+const maximumMarks = 128
+
+const chain = (previous: string, text: string): string =>
+  createHash('sha256').update(previous).update(text).digest('base64url')
+
+/** Chained digests of whole blocks: the form in which engines name what they cache. */
+export class BlockChainedForm implements PrefixForm {
+  marks (prompt: string): readonly PrefixMark[] {
+    const marks: PrefixMark[] = []
+    let digest = ''
+    for (let end = charactersPerBlock; end <= prompt.length && marks.length < maximumMarks; end += charactersPerBlock) {
+      digest = chain(digest, prompt.slice(end - charactersPerBlock, end))
+      marks.push({ digest, tokens: end / charactersPerToken })
+    }
+    return marks
+  }
+}
+
+export interface ContentDefinedBounds {
+  readonly minimumCharacters: number
+  readonly maximumCharacters: number
+  /** A boundary falls where this many low bits of the rolling hash are zero. */
+  readonly boundaryBits: number
+}
+
+const defaultContentDefinedBounds: ContentDefinedBounds = { minimumCharacters: 256, maximumCharacters: 4_096, boundaryBits: 10 }
+const gearMultiplier = 0x9E3779B1
+
+/** Chained digests at boundaries that a rolling hash of the text finds. */
+export class ContentDefinedForm implements PrefixForm {
+  private readonly mask: number
+
+  constructor (private readonly bounds: ContentDefinedBounds = defaultContentDefinedBounds) {
+    this.mask = (1 << bounds.boundaryBits) - 1
+  }
+
+  marks (prompt: string): readonly PrefixMark[] {
+    const marks: PrefixMark[] = []
+    let digest = ''
+    let start = 0
+    let rolling = 0
+    for (let index = 0; index < prompt.length && marks.length < maximumMarks; index += 1) {
+      rolling = ((rolling << 1) + Math.imul(prompt.charCodeAt(index), gearMultiplier)) | 0
+      const length = index + 1 - start
+      if (length < this.bounds.minimumCharacters) continue
+      if (((rolling >>> 12) & this.mask) !== 0 && length < this.bounds.maximumCharacters) continue
+      digest = chain(digest, prompt.slice(start, index + 1))
+      start = index + 1
+      marks.push({ digest, tokens: start / charactersPerToken })
+    }
+    return marks
+  }
+}
--- /dev/null
+++ b/packages/routing/src/regionDigests.ts
@@ -0,0 +1,51 @@
+/**
+ * What other regions last said they have free, less what this VM has sent
+ * there since. A digest that has grown old counts as no room at all.
+ */
+
+import type { Clock, RegionId } from '@cuminvale/common'
+import type { RegionRoom } from '@cuminvale/messages'
+import type { RoutingRequest } from './types.js'
+
+interface HeldDigest {
+  readonly receivedAt: number
+  readonly rooms: ReadonlyMap<string, number>
+  readonly sent: Map<string, number>
+}
+
+export const staleDigestMilliseconds = 6_000
+
+const keyOf = ({ route, model }: Pick<RoutingRequest, 'route' | 'model'>): string => `${route} ${model ?? ''}`
+
+export interface RegionDigestsOptions {
+  readonly clock: Clock
+  /** VMs of this region, which see the same digests. */
+  readonly vmCount: () => number
+}
+
+export class RegionDigests {
+  private readonly held = new Map<RegionId, HeldDigest>()
+
+  constructor (private readonly options: RegionDigestsOptions) {}
+
+  receive (region: RegionId, rooms: readonly RegionRoom[]): void {
+    this.held.set(region, {
+      receivedAt: this.options.clock.monotonic(),
+      rooms: new Map(rooms.map((room) => [keyOf(room), room.freeSlots])),
+      sent: new Map()
+    })
+  }
+
+  /** This VM's part of the region's free slots. */
+  freeSlots (region: RegionId, request: Pick<RoutingRequest, 'route' | 'model'>): number {
+    const digest = this.held.get(region)
+    if (digest === undefined || this.options.clock.monotonic() - digest.receivedAt > staleDigestMilliseconds) return 0
+    const part = (digest.rooms.get(keyOf(request)) ?? 0) / Math.max(1, this.options.vmCount())
+    return Math.max(0, part - (digest.sent.get(keyOf(request)) ?? 0))
+  }
+
+  sent (region: RegionId, request: Pick<RoutingRequest, 'route' | 'model'>): void {
+    const sent = this.held.get(region)?.sent
+    sent?.set(keyOf(request), (sent.get(keyOf(request)) ?? 0) + 1)
+  }
+}
--- /dev/null
+++ b/packages/routing/src/rendezvous.ts
@@ -0,0 +1,45 @@
+/**
+ * Rendezvous hashing: every VM that knows the same VMs names the same one for
+ * a key, and the loss of a VM moves only the keys that it held.
+ */
+
+import type { VmId } from '@cuminvale/common'
+
+const fnvOffset = 0x811C9DC5
+const fnvPrime = 0x01000193
+
+const mix = (text: string): number => {
+  let hash = fnvOffset
+  for (let index = 0; index < text.length; index += 1) hash = Math.imul(hash ^ text.charCodeAt(index), fnvPrime)
+  hash = Math.imul(hash ^ (hash >>> 16), 0x85EBCA6B)
+  return (hash ^ (hash >>> 13)) >>> 0
+}
+
+export const ownerOf = (key: string, vms: readonly VmId[]): VmId | undefined => {
+  let owner: VmId | undefined
+  let highest = -1
+  for (const vm of vms) {
+    const score = mix(`${key} ${vm}`)
+    if (score < highest || (score === highest && owner !== undefined && vm > owner)) continue
+    owner = vm
+    highest = score
+  }
+  return owner
+}
+
+/** Remembers owners until the VMs change. */
+export class RendezvousOwners {
+  private readonly owners = new Map<string, VmId | undefined>()
+  private vms = ''
+
+  owner (key: string, vms: readonly VmId[]): VmId | undefined {
+    const names = vms.join()
+    if (names !== this.vms) this.owners.clear()
+    this.vms = names
+    const held = this.owners.get(key)
+    if (held !== undefined) return held
+    const owner = ownerOf(key, vms)
+    this.owners.set(key, owner)
+    return owner
+  }
+}
--- a/packages/routing/src/types.ts
+++ b/packages/routing/src/types.ts
@@ -63,8 +63,12 @@
   readonly region: RegionId
   readonly upstreams: readonly UpstreamView[]
   readonly remoteRegions: readonly RemoteRegionView[]
+  /** Time in which a queued request of the pool is expected to start. */
+  readonly localWaitMilliseconds: number
 }
 
 export interface UpstreamChooser {
   choose (request: RoutingRequest, situation: RoutingSituation): RoutingChoice
+  /** Notes that the request is sent to the upstream that was chosen for it. */
+  sent? (request: RoutingRequest, upstream: UpstreamId): void
 }
--- a/packages/routing/src/upstreamState.ts
+++ b/packages/routing/src/upstreamState.ts
@@ -40,7 +40,9 @@
   constructor (
     public upstream: Upstream,
     private readonly clock: Clock,
-    private readonly isEjected: () => boolean
+    private readonly isEjected: () => boolean,
+    /** Whether its first report finds a cold upstream, as of one added while the others run. */
+    private readonly startsCold = false
   ) {}
 
   get leaving (): boolean {
@@ -74,7 +76,8 @@
     const now = this.clock.monotonic()
     const sampledAt = now - sample.ageMilliseconds
     if (sampledAt < this.sampledAt) return
-    const isReturning = sampledAt - this.sampledAt > returningAfterMilliseconds
+    const isFirst = this.sampledAt === -Infinity
+    const isReturning = isFirst ? this.startsCold : sampledAt - this.sampledAt > returningAfterMilliseconds
     if (isReturning) this.warmingSince = now
     this.sampledAt = sampledAt
     this.reportedRunning = sample.running
--- a/packages/routing/src/upstreamTable.ts
+++ b/packages/routing/src/upstreamTable.ts
@@ -24,10 +24,11 @@
     for (const name of this.states.keys()) {
       if (!configuration.upstreams.has(name)) this.forget(name)
     }
+    const startsCold = this.states.size > 0
     for (const upstream of configuration.upstreams.values()) {
       const state = this.states.get(upstream.name)
       if (state !== undefined) state.upstream = upstream
-      else this.states.set(upstream.name, this.newState(upstream))
+      else this.states.set(upstream.name, this.newState(upstream, startsCold))
     }
     this.serving.clear()
   }
@@ -66,8 +67,8 @@
     this.states.get(name)?.report(sample)
   }
 
-  private newState (upstream: Upstream): UpstreamState {
-    return new UpstreamState(upstream, this.clock, () => this.ejection.isEjected(upstream.name))
+  private newState (upstream: Upstream, startsCold: boolean): UpstreamState {
+    return new UpstreamState(upstream, this.clock, () => this.ejection.isEjected(upstream.name), startsCold)
   }
 
   private forget (name: UpstreamId): void {
--- a/packages/simulation/src/measureScenarios.ts
+++ b/packages/simulation/src/measureScenarios.ts
@@ -4,9 +4,11 @@
 
 import { admissionMeasure } from './admissionMeasure.js'
 import { retriesMeasure } from './retriesMeasure.js'
+import { routingMeasure } from './routingMeasure.js'
 import type { MeasureScenario } from './measureScenario.js'
 
 export const measureScenarios: readonly MeasureScenario[] = [
   admissionMeasure,
-  retriesMeasure
+  retriesMeasure,
+  routingMeasure
 ]
--- /dev/null
+++ b/packages/simulation/src/routingMeasure.ts
@@ -0,0 +1,91 @@
+/**
+ * Measures upstream choice: eight VMs before eight engines, under report lag,
+ * the loss of a third of the engines, and their return with cold caches.
+ */
+
+import { toFailureDomainId } from '@cuminvale/common'
+import { BlockChainedForm, ContentDefinedForm, LeastInFlightChooser, NeverAway, PredictedChooser, PrefixKnowledge, RoundRobinChooser } from '@cuminvale/routing'
+import type { SeededRandom } from '@cuminvale/common'
+import type { PrefixForm } from '@cuminvale/routing'
+import { MeasuredDeployment } from './measureScenario.js'
+import { RoutingFleet } from './routingFleet.js'
+import { percentile } from './statistics.js'
+import type { ChoosingVm, RoutingFleetOptions } from './routingFleet.js'
+import type { VirtualClock } from './virtualClock.js'
+import type { MeasureRow, MeasureScenario } from './measureScenario.js'
+
+const prefixCapacity = 20_000
+
+type MakeChooser = RoutingFleetOptions['makeChooser']
+
+const predicted = (form?: PrefixForm) => (clock: VirtualClock, random: SeededRandom, vm: number): ChoosingVm => {
+  const prefixes = form === undefined ? undefined : new PrefixKnowledge({ clock, form, capacity: prefixCapacity })
+  const chooser = new PredictedChooser({
+    clock, random, failureDomain: toFailureDomainId(`fd-${vm % 2}`), away: new NeverAway(random), vmCount: () => vmCount, ...(prefixes === undefined ? {} : { prefixes })
+  })
+  return { chooser, ...(prefixes === undefined ? {} : { prefixes }) }
+}
+
+/** Cache events name engine blocks, so only block-chained digests can follow them. */
+const withoutEvents = (make: MakeChooser): MakeChooser => (...args) => ({ chooser: make(...args).chooser })
+
+export const routingPolicies: Readonly<Record<string, MakeChooser>> = {
+  predicted: predicted(new BlockChainedForm()),
+  'predicted, own sends only': withoutEvents(predicted(new BlockChainedForm())),
+  'predicted, content-defined, own sends only': withoutEvents(predicted(new ContentDefinedForm())),
+  'predicted, no prefixes': predicted(),
+  'least in flight': (_, random) => ({ chooser: new LeastInFlightChooser(random) }),
+  'round robin': () => ({ chooser: new RoundRobinChooser() })
+}
+
+interface Scenario {
+  readonly name: string
+  readonly reportLagMilliseconds: number
+  readonly outage?: RoutingFleetOptions['outage']
+}
+
+const scenarios: readonly Scenario[] = [
+  { name: 'lag 0.1 s', reportLagMilliseconds: 100 },
+  { name: 'lag 1 s', reportLagMilliseconds: 1_000 },
+  { name: 'lag 5 s', reportLagMilliseconds: 5_000 },
+  { name: 'a third lost, then back cold', reportLagMilliseconds: 1_000, outage: { runners: 3, fromMilliseconds: 8_000, untilMilliseconds: 18_000 } }
+]
+
+const sizes: Record<MeasuredDeployment, Pick<RoutingFleetOptions, 'runnerCount' | 'slots' | 'cacheBlocks' | 'requestsPerSecond'>> = {
+  [MeasuredDeployment.Cooperativa]: { runnerCount: 8, slots: 32, cacheBlocks: 400, requestsPerSecond: 60 },
+  [MeasuredDeployment.Talahib]: { runnerCount: 6, slots: 32, cacheBlocks: 400, requestsPerSecond: 45 }
+}
+const vmCount = 8
+const runMilliseconds = 30_000
+
+export const runRouting = (deployment: MeasuredDeployment, seed: number, policy: string, scenario: Scenario): RoutingFleet => {
+  const fleet = new RoutingFleet({
+    ...sizes[deployment],
+    seed,
+    vmCount,
+    runMilliseconds,
+    reportLagMilliseconds: scenario.reportLagMilliseconds,
+    ...(scenario.outage === undefined ? {} : { outage: scenario.outage }),
+    makeChooser: routingPolicies[policy] as MakeChooser
+  })
+  fleet.run()
+  return fleet
+}
+
+const toRow = (fleet: RoutingFleet, policy: string, scenario: string): MeasureRow => ({
+  decision: 'routing',
+  policy: `${policy} (${Math.round(100 * fleet.cachedTokens / fleet.promptTokens)}% cached)`,
+  scenario,
+  cost: fleet.computeMilliseconds / fleet.usefulTokens,
+  tailLatencyMilliseconds: percentile(fleet.firstToken, 0.99),
+  sentAwayShare: null,
+  worstTeamShare: fleet.firstToken.length / fleet.offered,
+  wrongfulRefusalShare: null,
+  overspendTokens: null
+})
+
+export const routingMeasure: MeasureScenario = {
+  decision: 'routing',
+  run: (deployment, seed) => scenarios.flatMap((scenario) => Object.keys(routingPolicies).map((policy) =>
+    toRow(runRouting(deployment, seed, policy, scenario), policy, scenario.name)))
+}
