Measure the capacity of membership, links and the VM list

Cause: the capacity runner had no probes, so that nothing was known of a node's cost at the target. Change: probes with four sizes each and the line through them; JSON rows carry samples and fits.

--- a/packages/simulation/src/capacityProbe.ts
+++ b/packages/simulation/src/capacityProbe.ts
@@ -3,6 +3,8 @@
  * three sizes or more, and work out its cost at the target's size.
  */
 
+import type { LinearFit } from './linearFit.js'
+
 export interface CapacitySample {
   /** What the size counts, for example "teams" or "vms". */
   readonly dimension: string
@@ -12,6 +14,13 @@
   readonly processorMicrosecondsPerSecond: number
 }
 
+/** The lines through the samples, by which a row is worked out. */
+export interface CapacityFits {
+  readonly stateBytes: LinearFit
+  readonly bytesPerSecond: LinearFit
+  readonly processorMicrosecondsPerSecond: LinearFit
+}
+
 export interface CapacityRow {
   readonly mechanism: string
   readonly perNodeCorePercent: number
@@ -20,6 +29,7 @@
   /** Which role of a node carries it, and by what. */
   readonly carriedBy: string
   readonly samples: readonly CapacitySample[]
+  readonly fits?: CapacityFits
 }
 
 export interface CapacityProbe {
--- a/packages/simulation/src/capacityProbes.ts
+++ b/packages/simulation/src/capacityProbes.ts
@@ -2,9 +2,14 @@
  * Every capacity probe.
  */
 
+import { heartbeatCapacity, vmListCapacity } from './linkCapacity.js'
+import { membershipCapacity } from './membershipCapacity.js'
 import { routingCapacity } from './routingCapacity.js'
 import type { CapacityProbe } from './capacityProbe.js'
 
 export const capacityProbes: readonly CapacityProbe[] = [
+  membershipCapacity,
+  heartbeatCapacity,
+  vmListCapacity,
   routingCapacity
 ]
--- /dev/null
+++ b/packages/simulation/src/linkCapacity.ts
@@ -0,0 +1,72 @@
+/**
+ * Capacity probe of the links themselves: heartbeats on every link that the
+ * watch plan of the most linked VM names, and the reads of the VM list.
+ */
+
+import { RegionScope } from '@cuminvale/membership'
+import type { ListedVm } from '@cuminvale/common'
+import { bytesOfFrame, capacityRowOf, measureHeap, processorShare } from './capacityTools.js'
+import { listingsOf } from './membershipFleet.js'
+import { regionSizesFor, target } from './target.js'
+import type { CapacityProbe, CapacitySample } from './capacityProbe.js'
+
+const sizes = [37, 111, 222, 370] as const
+const heartbeatsPerSecond = 1
+const listBytesPerSecond = 4_000
+const repetitions = 20
+
+const mostLinks = (listings: readonly ListedVm[]): number =>
+  Math.max(...listings.map((self) => new RegionScope().plan(self, listings, () => true).linked.size))
+
+const heartbeatSample = (vms: number): CapacitySample => {
+  const listings = listingsOf(regionSizesFor(vms))
+  return {
+    dimension: 'vms',
+    size: vms,
+    stateBytes: 0,
+    bytesPerSecond: mostLinks(listings) * heartbeatsPerSecond * bytesOfFrame(0),
+    processorMicrosecondsPerSecond: 0
+  }
+}
+
+/** A read of the list: its text parsed and planned from, at the pace that its length allows. */
+const listSample = (vms: number): CapacitySample => {
+  const listings = listingsOf(regionSizesFor(vms))
+  const text = JSON.stringify({ vms: listings })
+  const self = listings.at(-1) as ListedVm
+  const readsPerSecond = listBytesPerSecond / text.length
+  const readOnce = () => {
+    const parsed = JSON.parse(text) as { readonly vms: readonly ListedVm[] }
+    return new RegionScope().plan(self, parsed.vms, () => true)
+  }
+  const microseconds = processorShare(() => {
+    for (let index = 0; index < repetitions; index += 1) readOnce()
+  }) / repetitions
+  return {
+    dimension: 'vms',
+    size: vms,
+    stateBytes: measureHeap(() => JSON.parse(text) as unknown).bytes,
+    bytesPerSecond: Math.min(listBytesPerSecond, text.length * 2),
+    processorMicrosecondsPerSecond: microseconds * Math.min(2, readsPerSecond)
+  }
+}
+
+interface ProbeOptions {
+  readonly mechanism: string
+  readonly carriedBy: string
+  readonly sample: (vms: number) => CapacitySample
+}
+
+/** The first sample is dropped: it pays for compiling the code. */
+const probe = ({ mechanism, carriedBy, sample }: ProbeOptions): CapacityProbe => ({
+  mechanism,
+  measure: () => capacityRowOf({ mechanism, carriedBy, samples: [sizes[0], ...sizes].map(sample).slice(1), size: target.vms })
+})
+
+export const heartbeatCapacity = probe({
+  mechanism: 'link-heartbeats', carriedBy: 'the most linked VM: one empty frame a second on each link', sample: heartbeatSample
+})
+
+export const vmListCapacity = probe({
+  mechanism: 'vm-list', carriedBy: 'every VM: reads of the list, paced by its length', sample: listSample
+})
