Measure the fleet-wide limits against a static split and an owner VM

Cause: the escrow limiter had no rival figures and no cost at the target's size. Change: OwnerLimiter as a second rival; `limitsMeasure`, `limitsCapacity`; requests wait up to 300 ms for a loan; peers are asked after a new request only, with doubling pauses; low water is one request, not two.

--- a/packages/limits/src/chargeWaiters.ts
+++ b/packages/limits/src/chargeWaiters.ts
@@ -5,12 +5,12 @@
 import type { Refusal } from '@cuminvale/common'
 import type { Result } from 'true-myth'
 import { dryMilliseconds, loanWaitMilliseconds, maximumWaiters } from './constants.js'
-import type { Charge } from './types.js'
+import type { Charge, ChargeListener } from './types.js'
 
 interface ChargeWaiter {
   readonly tokens: number
   readonly until: number
-  readonly settle: (result: Result<Charge, Refusal>) => void
+  readonly settle: ChargeListener
 }
 
 export class ChargeWaiters {
@@ -30,8 +30,8 @@
     return now >= this.dryUntil && this.waiting.length < maximumWaiters
   }
 
-  wait (tokens: number, now: number): Promise<Result<Charge, Refusal>> {
-    return new Promise((resolve) => this.waiting.push({ tokens, until: now + loanWaitMilliseconds, settle: resolve }))
+  wait (tokens: number, now: number, settle: ChargeListener): void {
+    this.waiting.push({ tokens, until: now + loanWaitMilliseconds, settle })
   }
 
   /** Serves waiters in order while tokens last, then refuses those whose time is up. */
--- a/packages/limits/src/constants.ts
+++ b/packages/limits/src/constants.ts
@@ -18,12 +18,16 @@
 export const shareRaiseMilliseconds = 13_000
 /** Part of its own share that a VM never lends. */
 export const reserveShare = 0.03
+/** Pauses between questions to peers for one team: at first, with requests waiting, and at most. */
+export const shortestAskMilliseconds = 40
+export const awaitedAskMilliseconds = 80
+export const longestAskMilliseconds = 320
 /** Span over which demand is averaged. */
 export const demandMilliseconds = 500
 /** Longest a request waits for a loan. */
-export const loanWaitMilliseconds = 150
+export const loanWaitMilliseconds = 300
 /** After waiting in vain, requests of the team are refused at once for this long. */
-export const dryMilliseconds = 200
+export const dryMilliseconds = 100
 export const maximumWaiters = 64
 export const longestRetryAfterMilliseconds = 60_000
 /** Rounding error allowed in sums of shares. */
--- a/packages/limits/src/escrowLimiter.ts
+++ b/packages/limits/src/escrowLimiter.ts
@@ -18,7 +18,7 @@
 import { HolderSet } from './holderSet.js'
 import { LoanDesk } from './loanDesk.js'
 import type { LoanPeer } from './loanDesk.js'
-import type { Charge, TeamLimiter } from './types.js'
+import type { Charge, ChargeListener, TeamLimiter } from './types.js'
 
 export interface EscrowLimiterOptions {
   readonly clock: Clock
@@ -90,15 +90,18 @@
     return this.take(name, team, tokens)
   }
 
-  async chargeSoon (name: TeamId, tokens: number): Promise<Result<Charge, Refusal>> {
+  chargeOrWait (name: TeamId, tokens: number, settle: ChargeListener): void {
     const team = this.teams.get(name)
-    const isFirst = team === undefined || team.waiters.length === 0
     const charged = this.charge(name, tokens)
-    if (charged.isOk || team === undefined || tokens > team.amounts.burst) return charged
+    if (charged.isOk || team === undefined || tokens > team.amounts.burst) return settle(charged)
     const now = this.options.clock.monotonic()
-    if (!team.waiters.mayWait(now)) return charged
-    if (isFirst) team.askedAt = -Infinity
-    return await team.waiters.wait(tokens, now)
+    if (!team.waiters.mayWait(now)) return settle(charged)
+    if (team.waiters.length === 0) team.askSoon()
+    team.waiters.wait(tokens, now, settle)
+  }
+
+  chargeSoon (name: TeamId, tokens: number): Promise<Result<Charge, Refusal>> {
+    return new Promise((resolve) => this.chargeOrWait(name, tokens, resolve))
   }
 
   settle (charge: Charge, usedTokens: number): void {
--- a/packages/limits/src/escrowTeam.ts
+++ b/packages/limits/src/escrowTeam.ts
@@ -6,7 +6,9 @@
 import type { RegionId } from '@cuminvale/common'
 import type { Plan } from '@cuminvale/documents'
 import { regionShare } from '@cuminvale/documents'
-import { shareRaiseMilliseconds } from './constants.js'
+import {
+  awaitedAskMilliseconds, longestAskMilliseconds, shareRaiseMilliseconds, shortestAskMilliseconds
+} from './constants.js'
 import { ChargeWaiters } from './chargeWaiters.js'
 import { DemandMeter } from './demandMeter.js'
 import { TeamShare } from './teamShare.js'
@@ -27,7 +29,10 @@
   configured = true
   amounts: Amounts
   largestRequest = 0
-  askedAt = -Infinity
+  /** When to ask other VMs next, and how long to pause after that; longer while asking is in vain. */
+  askAt = -Infinity
+  askPause = shortestAskMilliseconds
+  private requested = false
   private raise: { readonly share: number, readonly at: number } | undefined
 
   constructor (plan: Plan, region: RegionId, now: number) {
@@ -54,7 +59,37 @@
     return true
   }
 
+  /** Whether loans have to be looked after, or a request has come since they last were. */
+  get isActive (): boolean {
+    return this.requested || this.waiters.length > 0 || !this.share.isIdle
+  }
+
+  /** Whether the share may be short: a request has come since peers were last asked, or waits. */
+  get mayLack (): boolean {
+    return this.requested || this.waiters.length > 0
+  }
+
+  /** Notes that the share suffices for now. */
+  sufficed (): void {
+    this.requested = false
+  }
+
+  /** Notes that peers were asked. */
+  asked (now: number): void {
+    this.requested = false
+    this.askAt = now + this.askPause
+    const longest = this.waiters.length > 0 ? awaitedAskMilliseconds : longestAskMilliseconds
+    this.askPause = Math.min(longest, this.askPause * 2)
+  }
+
+  /** Asks without a pause again, after a loan or for a request that waits. */
+  askSoon (): void {
+    this.askAt = -Infinity
+    this.askPause = shortestAskMilliseconds
+  }
+
   noteRequest (tokens: number, now: number): void {
+    this.requested = true
     this.demand.add(tokens, now)
     this.largestRequest = Math.max(tokens, this.largestRequest * largestFade)
   }
--- a/packages/limits/src/loanDesk.ts
+++ b/packages/limits/src/loanDesk.ts
@@ -6,7 +6,7 @@
 import type {
   LimitBorrow, LimitLend, LimitReturn, LoanGrant, LoanReturn, LoanWish, Outbound, PeerIdentity
 } from '@cuminvale/messages'
-import { loanMilliseconds, renewalMilliseconds, shareTolerance, withDrift, withoutDrift } from './constants.js'
+import { loanMilliseconds, renewalMilliseconds, shareTolerance, shortestAskMilliseconds, withDrift, withoutDrift } from './constants.js'
 import { isLoanNeeded, lendable, missingShare, spareShare } from './loanPolicy.js'
 import type { EscrowTeam } from './escrowTeam.js'
 import type { HolderSet } from './holderSet.js'
@@ -40,7 +40,6 @@
 
 const localAsked = 3
 const remoteAsked = 2
-const askMilliseconds = 40
 const smallestGrant = 0.0005
 const shortestLoanMilliseconds = 200
 const makeRoomMilliseconds = 1_000
@@ -95,6 +94,7 @@
     for (const { loan, team, share, tokens } of message.grants) {
       const entry = this.options.teams.get(team)
       if (entry === undefined) continue
+      entry.askPause = shortestAskMilliseconds
       entry.share.advance(now, ownUntil)
       entry.share.borrow({ id: loan, share, lender: from.vm, lenderIncarnation: from.incarnation, endsAt }, tokens)
     }
@@ -116,6 +116,7 @@
     if (this.room !== undefined && moment.now >= this.room.until) this.room = undefined
     const batches = new Map<VmId, Batch>()
     for (const [name, team] of this.options.teams) {
+      if (!team.isActive) continue
       team.share.advance(moment.now, moment.ownUntil)
       this.tend(team, moment, batches)
       this.ask(name, team, moment, batches)
@@ -187,13 +188,12 @@
   }
 
   private ask (name: TeamId, team: EscrowTeam, { now }: Moment, batches: Map<VmId, Batch>): void {
-    if (!team.configured || now - team.askedAt < askMilliseconds) return
+    if (!team.configured || !team.mayLack || now < team.askAt) return
     const need = team.need(now)
     const missing = missingShare(need, team.share.held, team.share.tokens - team.waiters.tokens)
-    if (missing === 0) return
-    team.askedAt = now
-    const lenders = this.lenders()
-    for (const { vm } of lenders) {
+    if (missing === 0) return team.sufficed()
+    team.asked(now)
+    for (const { vm } of this.lenders()) {
       batchFor(batches, vm).wishes.push({
         team: name, share: missing, held: team.share.held, demand: need.demandPerSecond
       })
--- a/packages/limits/src/loanPolicy.ts
+++ b/packages/limits/src/loanPolicy.ts
@@ -33,7 +33,7 @@
 
 /** Tokens below which the VM asks for more before it must refuse. */
 export const lowWaterTokens = ({ demandPerSecond, largestRequest }: ShareNeed): number =>
-  Math.max(largestRequest * requestsHeld, demandPerSecond * lowWaterMilliseconds / millisecondsPerSecond)
+  Math.max(largestRequest, demandPerSecond * lowWaterMilliseconds / millisecondsPerSecond)
 
 /** Share to ask for; 0 where nothing is missing. */
 export const missingShare = (need: ShareNeed, held: number, tokens: number): number => {
--- a/packages/limits/src/staticSplitLimiter.ts
+++ b/packages/limits/src/staticSplitLimiter.ts
@@ -12,7 +12,7 @@
 import { longestRetryAfterMilliseconds } from './constants.js'
 import { TokenBucket } from './tokenBucket.js'
 import type { BucketShape } from './tokenBucket.js'
-import type { Charge, TeamLimiter } from './types.js'
+import type { Charge, ChargeListener, TeamLimiter } from './types.js'
 
 export interface StaticSplitOptions {
   readonly clock: Clock
@@ -51,6 +51,10 @@
     }))
   }
 
+  chargeOrWait (team: TeamId, tokens: number, settle: ChargeListener): void {
+    settle(this.charge(team, tokens))
+  }
+
   chargeSoon (team: TeamId, tokens: number): Promise<Result<Charge, Refusal>> {
     return Promise.resolve(this.charge(team, tokens))
   }
--- a/packages/simulation/src/capacityProbes.ts
+++ b/packages/simulation/src/capacityProbes.ts
@@ -2,6 +2,7 @@
  * Every capacity probe.
  */
 
+import { limitsCapacity } from './limitsCapacity.js'
 import { heartbeatCapacity, vmListCapacity } from './linkCapacity.js'
 import { membershipCapacity } from './membershipCapacity.js'
 import { routingCapacity } from './routingCapacity.js'
@@ -11,5 +12,6 @@
   membershipCapacity,
   heartbeatCapacity,
   vmListCapacity,
-  routingCapacity
+  routingCapacity,
+  limitsCapacity
 ]
--- /dev/null
+++ b/packages/simulation/src/limitsCapacity.ts
@@ -0,0 +1,107 @@
+/**
+ * Cost of the fleet-wide limits for one VM, by VMs of its region and by teams
+ * whose demand shifts between VMs.
+ */
+
+import { SeededRandom } from '@cuminvale/common'
+import { EscrowLimiter } from '@cuminvale/limits'
+import { LimitsFleet, configurationOf, teamName } from './limitsFleet.js'
+import { fitLine, valueAt } from './linearFit.js'
+import { target } from './target.js'
+import type { CapacityProbe, CapacityRow, CapacitySample } from './capacityProbe.js'
+
+const vmSizes = [4, 7, 10]
+const teamSizes = [60, 120, 240]
+const fixedVms = 4
+const fixedTeams = 60
+/** One region's part of a team's rate, at the target's mean demand over 0.8. */
+const ratePerSecond = target.tokensPerSecond / target.teams / target.regions / 0.8
+const plan = { ratePerSecond, burst: ratePerSecond * 10 }
+const requestTokens = 430
+const vmsPerTeam = 2
+const shiftMilliseconds = 5_000
+const warmUpMilliseconds = 6_000
+const measuredMilliseconds = 4_000
+
+interface Load {
+  readonly vms: number
+  readonly teams: number
+}
+
+/** Keeps each team's requests on a few VMs, which change at each shift. */
+const drive = (fleet: LimitsFleet, { vms, teams }: Load, random: SeededRandom): void => {
+  const gap = requestTokens / (target.tokensPerSecond / target.teams / target.regions) * 1_000
+  for (let team = 0; team < teams; team += 1) {
+    const arrive = (): void => {
+      const turn = Math.floor(fleet.clock.monotonic() / shiftMilliseconds)
+      const vm = (team + turn + Math.floor(random.next() * vmsPerTeam)) % vms
+      fleet.vms[vm]?.limiter.charge(teamName(team), requestTokens)
+      fleet.clock.schedule(gap * 2 * random.next(), arrive)
+    }
+    fleet.clock.schedule(gap * random.next(), arrive)
+  }
+}
+
+const heapBytes = (): number => {
+  globalThis.gc?.()
+  return process.memoryUsage().heapUsed
+}
+
+const sampleOf = (dimension: string, size: number, load: Load): CapacitySample => {
+  const random = new SeededRandom(1)
+  const regions = Array.from({ length: load.vms }, () => 'veneto')
+  const before = heapBytes()
+  const fleet = new LimitsFleet({
+    random,
+    regions,
+    configuration: configurationOf(1, regions, Array.from({ length: load.teams }, () => plan)),
+    createLimiter: (parts) => new EscrowLimiter(parts),
+    listLagMilliseconds: 500,
+    clockDriftShare: 0
+  })
+  fleet.list([...regions.keys()])
+  fleet.clock.advance(500)
+  regions.forEach((_, index) => fleet.start(index))
+  drive(fleet, load, random)
+  fleet.clock.advance(warmUpMilliseconds)
+  const stateBytes = (heapBytes() - before) / load.vms
+  const bytesBefore = fleet.link.counters.bytes
+  const startedAt = process.cpuUsage()
+  fleet.clock.advance(measuredMilliseconds)
+  const used = process.cpuUsage(startedAt)
+  const seconds = measuredMilliseconds / 1_000
+  return {
+    dimension,
+    size,
+    stateBytes,
+    bytesPerSecond: (fleet.link.counters.bytes - bytesBefore) / load.vms / seconds,
+    processorMicrosecondsPerSecond: (used.user + used.system) / load.vms / seconds
+  }
+}
+
+type Cost = 'stateBytes' | 'bytesPerSecond' | 'processorMicrosecondsPerSecond'
+
+/** Adds what the target has more of than the common base of both series. */
+const atTarget = (byVms: readonly CapacitySample[], byTeams: readonly CapacitySample[], cost: Cost): number => {
+  const vmsFit = fitLine(byVms.map((sample) => ({ x: sample.size, y: sample[cost] })))
+  const teamsFit = fitLine(byTeams.map((sample) => ({ x: sample.size, y: sample[cost] })))
+  const vmsPerRegion = target.vms / target.regions
+  const base = valueAt(teamsFit, target.teams)
+  return Math.max(0, base * Math.max(0, valueAt(vmsFit, vmsPerRegion) / Math.max(1, valueAt(vmsFit, fixedVms))))
+}
+
+export const limitsCapacity: CapacityProbe = {
+  mechanism: 'limits',
+  measure: (): CapacityRow => {
+    const byVms = vmSizes.map((vms) => sampleOf('vms in the region', vms, { vms, teams: fixedTeams }))
+    const byTeams = teamSizes.map((teams) => sampleOf('teams', teams, { vms: fixedVms, teams }))
+    return {
+      mechanism: 'limits',
+      perNodeCorePercent: atTarget(byVms, byTeams, 'processorMicrosecondsPerSecond') / 10_000,
+      perNodeMegabytes: atTarget(byVms, byTeams, 'stateBytes') / 1_048_576,
+      perNodeKilobytesPerSecond: atTarget(byVms, byTeams, 'bytesPerSecond') / 1_024,
+      carriedBy: 'every VM: recognition and loans inside its region, and a few loans from others',
+      samples: [...byVms, ...byTeams]
+    }
+  }
+}
--- /dev/null
+++ b/packages/simulation/src/limitsMeasure.ts
@@ -0,0 +1,195 @@
+/**
+ * Fleet-wide limits compared: a static split, an owner VM a team, and escrow,
+ * under the same arrivals at 0.9 of each team's rate. A refusal is wrongful
+ * where one bucket for the whole fleet would have admitted the request.
+ */
+
+import { SeededRandom } from '@cuminvale/common'
+import { EscrowLimiter, OwnerLimiter, StaticSplitLimiter, TokenBucket } from '@cuminvale/limits'
+import type { VmId } from '@cuminvale/common'
+import { LimitsFleet, configurationOf, teamName } from './limitsFleet.js'
+import type { MeasuredDeployment, MeasureRow, MeasureScenario } from './measureScenario.js'
+import { quantile } from './quantile.js'
+import { SpendingLedger } from './spendingLedger.js'
+import type { FleetLimiter, LimiterParts, SimulatedPlan } from './limitsFleet.js'
+
+const regionsOf: Record<MeasuredDeployment, readonly string[]> = {
+  cooperativa: ['lombardia', 'lombardia', 'lombardia', 'veneto', 'veneto', 'veneto', 'emilia', 'emilia'],
+  talahib: ['luzon', 'luzon', 'luzon', 'visayas', 'visayas', 'visayas', 'mindanao', 'mindanao']
+}
+
+const plans: readonly SimulatedPlan[] = [
+  { ratePerSecond: 40_000, burst: 80_000 },
+  { ratePerSecond: 10_000, burst: 20_000 },
+  { ratePerSecond: 5_000, burst: 10_000 }
+]
+const offeredShare = 0.9
+const smallestRequest = 100
+const largestRequest = 700
+const warmUpMilliseconds = 15_000
+const measuredMilliseconds = 60_000
+const shiftMilliseconds = 5_000
+const deadVm = 1
+/** Lag of the VM list in showing the death. */
+const listRemovalMilliseconds = 2_000
+const tailShare = 0.99
+
+/** Adds to a limiter without messages what the simulated fleet asks of one. */
+class StaticFleetLimiter extends StaticSplitLimiter implements FleetLimiter {
+  readonly tickMilliseconds = 1_000
+
+  adoptList (names: ReadonlySet<VmId>): void {
+    if (names.size === 0) return
+    this.listed = names.size
+    this.rebalance()
+  }
+
+  receive (): [] {
+    return []
+  }
+
+  tick (): [] {
+    return []
+  }
+
+  private listed = 1
+
+  constructor ({ clock, self }: LimiterParts) {
+    super({ clock, region: self.region, vmsInRegion: () => this.listed })
+  }
+}
+
+interface Policy {
+  readonly name: string
+  readonly create: (parts: LimiterParts) => FleetLimiter
+}
+
+const policies: readonly Policy[] = [
+  { name: 'static split', create: (parts) => new StaticFleetLimiter(parts) },
+  { name: 'owner VM', create: (parts) => new OwnerLimiter(parts) },
+  { name: 'escrow', create: (parts) => new EscrowLimiter(parts) }
+]
+
+interface Scenario {
+  readonly name: string
+  /** VMs through which a team's requests come at once. */
+  readonly spread: number
+  readonly kills: boolean
+}
+
+const scenarios: readonly Scenario[] = [
+  { name: 'through one VM', spread: 1, kills: false },
+  { name: 'through some VMs', spread: 3, kills: false },
+  { name: 'through all VMs', spread: 8, kills: false },
+  { name: 'one VM just dead, through some VMs', spread: 3, kills: true },
+  { name: 'one VM just dead, through all VMs', spread: 8, kills: true }
+]
+
+interface Counts {
+  withinRate: number
+  wrongful: number
+  readonly waits: number[]
+  readonly ledger: SpendingLedger
+}
+
+class LimitsRun {
+  private readonly random: SeededRandom
+  private readonly fleet: LimitsFleet
+  private readonly counts: Counts[] = plans.map(() => ({ withinRate: 0, wrongful: 0, waits: [], ledger: new SpendingLedger() }))
+  private readonly ideal: TokenBucket[]
+  private readonly skew: number[]
+  private measuring = false
+
+  constructor (policy: Policy, private readonly scenario: Scenario, regions: readonly string[], seed: number) {
+    this.random = new SeededRandom(seed)
+    this.fleet = new LimitsFleet({
+      random: new SeededRandom(seed + 1),
+      regions,
+      configuration: configurationOf(1, regions, plans),
+      createLimiter: policy.create,
+      listLagMilliseconds: 1_000,
+      clockDriftShare: 0.0005
+    })
+    this.ideal = plans.map(({ ratePerSecond, burst }) => new TokenBucket({ ratePerSecond, capacity: burst }, 0))
+    this.skew = plans.map(() => 0)
+    this.fleet.list([...regions.keys()])
+    this.fleet.clock.advance(1_000)
+    for (const index of regions.keys()) this.fleet.start(index)
+  }
+
+  run (): Pick<MeasureRow, 'tailLatencyMilliseconds' | 'worstTeamShare' | 'wrongfulRefusalShare' | 'overspendTokens'> {
+    plans.forEach((_, team) => this.arrive(team))
+    this.shift()
+    this.fleet.clock.advance(warmUpMilliseconds)
+    this.measuring = true
+    if (this.scenario.kills) this.kill()
+    this.fleet.clock.advance(measuredMilliseconds)
+    const served = this.counts.map(({ withinRate, wrongful }) => 1 - wrongful / Math.max(1, withinRate))
+    const waits = this.counts.flatMap(({ waits: all }) => all)
+    const total = (field: 'withinRate' | 'wrongful'): number => this.counts.reduce((sum, counts) => sum + counts[field], 0)
+    return {
+      tailLatencyMilliseconds: quantile(waits, tailShare),
+      worstTeamShare: Math.min(...served),
+      wrongfulRefusalShare: total('wrongful') / Math.max(1, total('withinRate')),
+      overspendTokens: Math.max(0, ...this.counts.map(({ ledger }, team) => ledger.overspend(plans[team] as SimulatedPlan)))
+    }
+  }
+
+  private kill (): void {
+    this.fleet.crash(deadVm)
+    const alive = [...this.fleet.options.regions.keys()].filter((index) => index !== deadVm)
+    this.fleet.clock.schedule(listRemovalMilliseconds, () => this.fleet.list(alive))
+  }
+
+  private shift (): void {
+    plans.forEach((_, team) => { this.skew[team] = Math.floor(this.random.next() * this.fleet.options.regions.length) })
+    if (this.scenario.kills && !this.measuring) this.skew.fill(deadVm)
+    this.fleet.clock.schedule(shiftMilliseconds, () => this.shift())
+  }
+
+  private arrive (team: number): void {
+    const { ratePerSecond } = plans[team] as SimulatedPlan
+    const perMillisecond = ratePerSecond * offeredShare / 1_000 / ((smallestRequest + largestRequest) / 2)
+    const gap = -Math.log(1 - this.random.next()) / perMillisecond
+    this.fleet.clock.schedule(gap, () => {
+      this.request(team)
+      this.arrive(team)
+    })
+  }
+
+  private request (team: number): void {
+    const tokens = Math.round(smallestRequest + this.random.next() * (largestRequest - smallestRequest))
+    const vm = this.pickVm(team)
+    const arrivedAt = this.fleet.clock.monotonic()
+    const isWithin = this.ideal[team]?.take(tokens, arrivedAt) === true
+    const counts = this.counts[team] as Counts
+    const isMeasured = this.measuring
+    if (isMeasured && isWithin) counts.withinRate += 1
+    this.fleet.vms[vm]?.limiter.chargeOrWait(teamName(team), tokens, (result) => {
+      const now = this.fleet.clock.monotonic()
+      if (result.isOk) counts.ledger.spend(now, tokens)
+      if (!isMeasured) return
+      if (result.isOk) counts.waits.push(now - arrivedAt)
+      else if (isWithin) counts.wrongful += 1
+    })
+  }
+
+  private pickVm (team: number): number {
+    const { length } = this.fleet.options.regions
+    const first = this.skew[team] ?? 0
+    const vm = (first + Math.floor(this.random.next() * this.scenario.spread)) % length
+    return this.fleet.isRunning(vm) ? vm : (vm + 1) % length
+  }
+}
+
+export const limitsMeasure: MeasureScenario = {
+  decision: 'limits',
+  run: (deployment, seed) => scenarios.flatMap((scenario) => policies.map((policy): MeasureRow => ({
+    decision: 'limits',
+    policy: policy.name,
+    scenario: scenario.name,
+    cost: null,
+    sentAwayShare: null,
+    ...new LimitsRun(policy, scenario, regionsOf[deployment], seed).run()
+  })))
+}
--- a/packages/simulation/src/limitsSoak.ts
+++ b/packages/simulation/src/limitsSoak.ts
@@ -100,7 +100,7 @@
   /** Brings most of the team's shares to one VM, and fills its bucket. */
   drawAllTo (index: number): void {
     this.flooded = new Set([index])
-    this.fleet.clock.advance(600)
+    this.fleet.clock.advance(1_500)
     this.flooded = new Set()
     this.fleet.clock.advance(300)
   }
--- a/packages/simulation/src/measureScenarios.ts
+++ b/packages/simulation/src/measureScenarios.ts
@@ -3,6 +3,7 @@
  */
 
 import { admissionMeasure } from './admissionMeasure.js'
+import { limitsMeasure } from './limitsMeasure.js'
 import { retriesMeasure } from './retriesMeasure.js'
 import { routingMeasure } from './routingMeasure.js'
 import type { MeasureScenario } from './measureScenario.js'
@@ -10,5 +11,6 @@
 export const measureScenarios: readonly MeasureScenario[] = [
   admissionMeasure,
   retriesMeasure,
-  routingMeasure
+  routingMeasure,
+  limitsMeasure
 ]
