Add a chaos run over real processes, with faults in pairs

Cause: kills, freezes, platform outages and edits had been proved on decision objects only. Change: 'npm run chaos': eight daemons as processes under load of every kind of request while two fault loops strike; what upstreams saw is checked against what callers were told. A first form started a VM twice when two faults met on it, which left a process behind; a VM now has one fault at a time.

--- /dev/null
+++ b/packages/demo/src/chaosChecks.ts
@@ -0,0 +1,56 @@
+/**
+ * What must hold after a chaos run, judged by what the upstreams saw and what
+ * the callers were told.
+ */
+
+import { Outcome } from '@cuminvale/common'
+import { RequestKind } from './chaosLoad.js'
+import type { SentRequest } from './chaosLoad.js'
+import type { FakePlatform } from './fakePlatform.js'
+
+export interface ChaosViolation {
+  readonly promise: string
+  readonly detail: string
+}
+
+/** How often each order ran, by the id in its body. */
+const countRuns = (platform: FakePlatform): ReadonlyMap<string, number> => {
+  const runs = new Map<string, number>()
+  for (const { body } of [...platform.services.values()].flatMap(({ calls }) => calls)) {
+    const id = /"id":"([^"]+)"/.exec(body)?.[1]
+    if (id !== undefined) runs.set(id, (runs.get(id) ?? 0) + 1)
+  }
+  return runs
+}
+
+const orderViolations = (sent: readonly SentRequest[], runs: ReadonlyMap<string, number>): ChaosViolation[] => {
+  const orders = sent.filter(({ kind }) => kind === RequestKind.Order)
+  const doubled = [...runs].filter(([, count]) => count > 1)
+  const ranAfterAll = orders.filter(({ id, outcome }) => outcome === Outcome.NotRun && (runs.get(id) ?? 0) > 0)
+  const lost = orders.filter(({ id, outcome, status }) => outcome === Outcome.Done && status === 200 && runs.get(id) !== 1)
+  return [
+    ...doubled.map(([id, count]) => ({ promise: 'an order runs at most once', detail: `${id} ran ${count} times` })),
+    ...ranAfterAll.map(({ id }) => ({ promise: 'a refusal saying "not run" is true', detail: `${id} ran` })),
+    ...lost.map(({ id }) => ({ promise: 'a done order ran', detail: `${id} ran ${runs.get(id) ?? 0} times` }))
+  ]
+}
+
+const keyViolations = (platform: FakePlatform): ChaosViolation[] => {
+  const headers = [
+    ...[...platform.engines.values()].flatMap(({ headersSeen }) => headersSeen),
+    ...[...platform.services.values()].flatMap(({ calls }) => calls.map((call) => call.headers))
+  ]
+  return headers
+    .filter((seen) => JSON.stringify(seen).includes('cmv_'))
+    .map(() => ({ promise: 'no upstream sees a key', detail: 'an upstream was shown a key' }))
+}
+
+const answerViolations = (sent: readonly SentRequest[]): ChaosViolation[] => sent
+  .filter(({ isOwn }) => !isOwn)
+  .map(({ id, kind, outcome }) => ({ promise: 'every caller receives its own whole answer', detail: `${kind} ${id} ended ${outcome}` }))
+
+export const chaosViolations = (sent: readonly SentRequest[], platform: FakePlatform): readonly ChaosViolation[] => [
+  ...orderViolations(sent, countRuns(platform)),
+  ...keyViolations(platform),
+  ...answerViolations(sent)
+]
--- /dev/null
+++ b/packages/demo/src/chaosFaults.ts
@@ -0,0 +1,118 @@
+/**
+ * Faults on a fleet of processes: kills, freezes, platform outages, deaths of
+ * upstreams and edits by operators. Each undoes itself after a while.
+ */
+
+import type { SeededRandom } from '@cuminvale/common'
+import { keysDocument } from './deployments.js'
+import type { DemoFleet } from './demoFleet.js'
+
+export interface ChaosFault {
+  readonly name: string
+  readonly inject: (fleet: DemoFleet, random: SeededRandom) => Promise<void>
+}
+
+const pause = async (milliseconds: number): Promise<void> => {
+  await new Promise((resolve) => setTimeout(resolve, milliseconds))
+}
+
+const between = (random: SeededRandom, minimum: number, maximum: number): number =>
+  minimum + (maximum - minimum) * random.next()
+
+const pickIndex = (random: SeededRandom, length: number): number => Math.floor(random.next() * length)
+
+const endProcess = async (fleet: DemoFleet, index: number, signal: 'SIGKILL' | 'SIGTERM'): Promise<void> => {
+  const child = fleet.daemons[index]?.process
+  if (child === undefined || child.exitCode !== null || child.signalCode !== null) return
+  const exited = new Promise((resolve) => child.once('exit', resolve))
+  child.kill(signal)
+  await exited
+}
+
+const faultyVms = new Set<number>()
+
+/** Strikes one VM that no other fault has in hand, so that no process is started twice. */
+const onOneVm = async (
+  fleet: DemoFleet,
+  random: SeededRandom,
+  strike: (index: number) => Promise<void>
+): Promise<void> => {
+  const index = pickIndex(random, fleet.daemons.length)
+  if (faultyVms.has(index)) return
+  faultyVms.add(index)
+  await strike(index)
+  faultyVms.delete(index)
+}
+
+const killVm: ChaosFault = {
+  name: 'VM killed and restarted',
+  inject: async (fleet, random) => await onOneVm(fleet, random, async (index) => {
+    await endProcess(fleet, index, 'SIGKILL')
+    await pause(between(random, 200, 3_000))
+    fleet.restart(index)
+  })
+}
+
+const freezeVm: ChaosFault = {
+  name: 'VM frozen and woken',
+  inject: async (fleet, random) => await onOneVm(fleet, random, async (index) => {
+    fleet.daemons[index]?.process.kill('SIGSTOP')
+    await pause(between(random, 300, 4_000))
+    fleet.daemons[index]?.process.kill('SIGCONT')
+  })
+}
+
+const replaceVm: ChaosFault = {
+  name: 'VM shut down in order and replaced',
+  inject: async (fleet, random) => await onOneVm(fleet, random, async (index) => {
+    await endProcess(fleet, index, 'SIGTERM')
+    fleet.restart(index)
+  })
+}
+
+const serviceOutage: ChaosFault = {
+  name: 'configuration service down',
+  inject: async (fleet, random) => {
+    fleet.platform.configuration.setDown(true)
+    await pause(between(random, 500, 4_000))
+    fleet.platform.configuration.setDown(false)
+  }
+}
+
+const killUpstream: ChaosFault = {
+  name: 'upstream killed and restarted',
+  inject: async (fleet, random) => {
+    const upstreams = [...fleet.platform.engines.values(), ...fleet.platform.services.values()]
+    const server = upstreams[pickIndex(random, upstreams.length)]?.server
+    if (server === undefined) return
+    const port = Number(new URL(server.address).port)
+    await server.stop()
+    await pause(between(random, 300, 3_000))
+    await server.start(port)
+  }
+}
+
+const editPlan: ChaosFault = {
+  name: 'plan edited',
+  inject: async (fleet, random) => {
+    const burst = Math.round(between(random, 10_000, 20_000))
+    const plans = fleet.platform.configuration.text('plans').replace(/"burstTokens": 1\d{4}\b/, `"burstTokens": ${burst}`)
+    fleet.platform.configuration.publish({ plans })
+    await pause(0)
+  }
+}
+
+const withdrawKey: ChaosFault = {
+  name: 'key withdrawn and given again',
+  inject: async (fleet, random) => {
+    const { configuration, keys } = fleet.platform
+    const withdrawn = pickIndex(random, keys.length)
+    configuration.publish({ keys: keysDocument(keys.filter((_, index) => index !== withdrawn)) })
+    await pause(between(random, 500, 2_000))
+    configuration.publish({ keys: keysDocument(keys) })
+  }
+}
+
+export const chaosFaults: readonly ChaosFault[] = [
+  killVm, freezeVm, replaceVm, serviceOutage, killUpstream, editPlan, withdrawKey
+]
--- a/packages/demo/src/demoFleet.ts
+++ b/packages/demo/src/demoFleet.ts
@@ -28,7 +28,7 @@
   private constructor (
     readonly options: DemoFleetOptions,
     readonly platform: FakePlatform,
-    readonly daemons: readonly DaemonProcess[]
+    readonly daemons: DaemonProcess[]
   ) {}
 
   static async start (options: DemoFleetOptions): Promise<DemoFleet> {
@@ -73,6 +73,14 @@
     daemon.process.kill('SIGKILL')
   }
 
+  /** Starts the VM again at its old address, as a new incarnation. */
+  restart (index: number): void {
+    const { vm } = this.daemons[index] ?? {}
+    if (vm === undefined) return
+    const { directory, secrets } = this.options
+    this.daemons[index] = startDaemonProcess(vm, settingsText(vm, this.platform, secrets), directory)
+  }
+
   async stop (): Promise<void> {
     await Promise.all(this.running().map(async ({ process: child }) => {
       const exited = once(child, 'exit')
--- a/packages/demo/src/main.ts
+++ b/packages/demo/src/main.ts
@@ -3,22 +3,14 @@
  * requests while an operator edits and a VM dies.
  */
 
-import { mkdtempSync, rmSync, writeFileSync } from 'node:fs'
+import { mkdtempSync, rmSync } from 'node:fs'
 import { tmpdir } from 'node:os'
 import { join } from 'node:path'
 import { parseArgs } from 'node:util'
-import { randomBytes } from 'node:crypto'
 import { cooperativa, deployments } from './deployments.js'
 import { DemoFleet } from './demoFleet.js'
 import { runScenario } from './scenario.js'
-
-const secretBytes = 32
-
-const writeSecrets = (directory: string) => {
-  const secrets = { fleetSecret: join(directory, 'fleet-secret'), administrationToken: join(directory, 'administration-token') }
-  for (const file of Object.values(secrets)) writeFileSync(file, randomBytes(secretBytes).toString('hex') + '\n', { mode: 0o600 })
-  return secrets
-}
+import { writeSecrets } from './writeSecrets.js'
 
 const run = async (): Promise<void> => {
   const { values } = parseArgs({ options: { deployment: { type: 'string', default: cooperativa.name } } })
