Steer each team's callers to a few VMs by load that is really known

Cause: callers were told any VM of their region, load of others unknown (0), so a team's prefixes and shares of its rate were spread over all VMs.

--- a/packages/daemon/src/createContext.ts
+++ b/packages/daemon/src/createContext.ts
@@ -5,7 +5,6 @@
 import { FairQueue, SlotReserve, defaultFairQueueBounds } from '@cuminvale/admission'
 import { RequestIdSource, newIncarnationId, runtimeClock, runtimeRandom } from '@cuminvale/common'
 import { ConfigurationHolder } from '@cuminvale/configuration'
-import { UniformEntryChooser } from '@cuminvale/entries'
 import { EscrowLimiter } from '@cuminvale/limits'
 import { DetectingMembership, RegionScope } from '@cuminvale/membership'
 import { UsageMeter } from '@cuminvale/metering'
@@ -14,6 +13,7 @@
 import { HttpClientDirectory, HttpConfigurationService, HttpVmList, HttpWeightStore } from '@cuminvale/platform'
 import { CrashSuspects, RetryBudget, SuspicionSpread, UpstreamTable, forwardBytes } from '@cuminvale/routing'
 import { crashSuspectCapacity } from './constants.js'
+import { createEntryChooser, createEntryLoads } from './entryWiring.js'
 import { reachableVms } from './limitWiring.js'
 import { createRouting } from './createRouting.js'
 import { createLog } from './log.js'
@@ -54,6 +54,7 @@
     onWake: (awayMilliseconds) => log.warn('was-paused', { awayMilliseconds: Math.round(awayMilliseconds) })
   })
   const table = new UpstreamTable(clock)
+  const lifecycle = new Lifecycle()
   const limiter = new EscrowLimiter({
     clock,
     random,
@@ -112,7 +113,8 @@
     configuration,
     membership,
     limiter,
-    entries: new UniformEntryChooser(random),
+    entries: createEntryChooser(settings, random),
+    entryLoads: createEntryLoads({ settings, clock, random, membership, lifecycle }),
     table,
     loadSharing: routing.loadSharing,
     prefixes: routing.prefixes,
@@ -127,7 +129,7 @@
     seenProofs: new SeenProofs(seenProofCapacity),
     meter: new UsageMeter(),
     upstreamClient: new UpstreamClient(),
-    lifecycle: new Lifecycle(),
+    lifecycle,
     ports: { caller: 0, peer: 0, administration: 0 },
     sendToPeers: () => {}
   }
--- a/packages/daemon/src/createDaemon.ts
+++ b/packages/daemon/src/createDaemon.ts
@@ -66,6 +66,7 @@
     ['suspicion', spawnProtocolActor(parent, {
       name: 'suspicion', protocol: context.suspicionSpread, send, log: context.log
     })],
+    ['entries', spawnProtocolActor(parent, { name: 'entries', protocol: context.entryLoads, send, log: context.log })],
     ['limits', spawnProtocolActor(parent, { name: 'limits', protocol: context.limiter, send, log: context.log })],
     ['membership', spawnProtocolActor(parent, { name: 'membership', protocol: context.membership, send, log: context.log })]
   ])
--- a/packages/daemon/src/entriesEndpoint.ts
+++ b/packages/daemon/src/entriesEndpoint.ts
@@ -10,6 +10,7 @@
 import type { ListedVm, RegionId } from '@cuminvale/common'
 import type { EntryCandidate } from '@cuminvale/entries'
 import { entryCount } from './constants.js'
+import { otherCandidates, ownLoad } from './entryWiring.js'
 import { sendRefusal } from './problemDocument.js'
 import { requireConfiguration } from './receiveRequest.js'
 import { sendJson } from './sendJson.js'
@@ -30,8 +31,8 @@
 }
 
 const candidates = (context: VmContext): readonly EntryCandidate[] => [
-  { vm: ownListing(context), reachable: true, load: context.lifecycle.activeRequests },
-  ...context.membership.members.map((member) => ({ vm: member.vm, reachable: member.reachable, load: 0 }))
+  { vm: ownListing(context), reachable: true, load: ownLoad(context.settings, context.lifecycle) },
+  ...otherCandidates(context.membership, context.entryLoads)
 ]
 
 const callerRegion = async (context: VmContext, incoming: IncomingMessage): Promise<RegionId> => {
@@ -51,12 +52,14 @@
     return sendRefusal(response, checked.isErr ? checked.error : ready.isErr ? ready.error : (undefined as never))
   }
   const { team } = checked.value
+  const plan = planOfTeam(ready.value, team)
   const all = candidates(context)
   const answer = context.entries.choose({
     team,
     callerRegion: await callerRegion(context, incoming),
-    allowedRegions: planOfTeam(ready.value, team)?.regions ?? [],
-    count: entryCount
+    allowedRegions: plan?.regions ?? [],
+    count: entryCount,
+    rateTokensPerSecond: plan?.rateTokensPerSecond ?? 0
   }, all)
   const listings = new Map(all.map(({ vm }) => [vm.name, vm]))
   const entries = answer.vms.flatMap((name) => {
--- a/packages/daemon/src/settings.ts
+++ b/packages/daemon/src/settings.ts
@@ -51,6 +51,10 @@
     'queue-capacity': integer(1, 1_000_000).default(2_000)
   }).prefault({}),
   policy: z.strictObject({
+    'tail-latency-weight': decimal(0.1, 10).default(1),
+    'wrongful-refusals-weight': decimal(0.1, 10).default(1),
+    'tokens-per-vm': integer(1, 1e9).default(10_000),
+    'requests-per-vm': integer(1, 1e6).default(200),
     'deadline-slack': decimal(0.1, 100).default(1.5),
     'batch-aging-milliseconds': integer(0, 3_600_000).default(5_000),
     'reserved-slot-share': decimal(0, 0.9).default(0.25),
--- a/packages/daemon/src/vmContext.ts
+++ b/packages/daemon/src/vmContext.ts
@@ -6,7 +6,7 @@
 
 import type { Clock, IncarnationId, RequestIdSource } from '@cuminvale/common'
 import type { ConfigurationHolder } from '@cuminvale/configuration'
-import type { EntryChooser } from '@cuminvale/entries'
+import type { EntryChooser, EntryLoads } from '@cuminvale/entries'
 import type { EscrowLimiter } from '@cuminvale/limits'
 import type { DetectingMembership } from '@cuminvale/membership'
 import type { Outbound, PeerIdentity } from '@cuminvale/messages'
@@ -45,6 +45,7 @@
   readonly membership: DetectingMembership
   readonly limiter: EscrowLimiter
   readonly entries: EntryChooser
+  readonly entryLoads: EntryLoads
   readonly table: UpstreamTable
   readonly loadSharing: LoadSharing
   readonly prefixes: PrefixKnowledge
--- /dev/null
+++ b/packages/entries/src/entryLoads.ts
@@ -0,0 +1,70 @@
+/**
+ * Spreads each VM's load: to every VM of its region, and to one VM of each
+ * other region, drawn anew each time, so that messages follow the regions and
+ * not the fleet.
+ */
+
+import { pickOne } from '@cuminvale/common'
+import type { Clock, Random, RegionId, VmId } from '@cuminvale/common'
+import type { EntryMessage, Outbound, PeerIdentity, PeerProtocol } from '@cuminvale/messages'
+
+export interface EntryPeer {
+  readonly vm: VmId
+  readonly region: RegionId
+}
+
+export interface EntryLoadsOptions {
+  readonly clock: Clock
+  readonly random: Random
+  readonly region: RegionId
+  readonly peers: () => readonly EntryPeer[]
+  readonly ownLoad: () => number
+}
+
+interface HeardLoad {
+  readonly load: number
+  readonly at: number
+}
+
+const spreadMilliseconds = 1_000
+const longestAgeMilliseconds = 10_000
+
+export class EntryLoads implements PeerProtocol<EntryMessage> {
+  readonly tickMilliseconds = spreadMilliseconds
+  private readonly heard = new Map<VmId, HeardLoad>()
+
+  constructor (private readonly options: EntryLoadsOptions) {}
+
+  /** The last load heard of a VM; undefined where none was heard lately. */
+  loadOf (vm: VmId): number | undefined {
+    const heard = this.heard.get(vm)
+    if (heard === undefined || this.options.clock.monotonic() - heard.at > longestAgeMilliseconds) return undefined
+    return heard.load
+  }
+
+  receive (from: PeerIdentity, message: EntryMessage): readonly Outbound[] {
+    this.heard.set(from.vm, { load: message.load, at: this.options.clock.monotonic() })
+    return []
+  }
+
+  tick (): readonly Outbound[] {
+    const { peers, region, ownLoad } = this.options
+    this.forgetOld()
+    const all = peers()
+    const local = all.filter((peer) => peer.region === region)
+    const remote = this.oneOfEachRegion(all.filter((peer) => peer.region !== region))
+    const message: EntryMessage = { kind: 'entries.load', load: ownLoad() }
+    return [...local, ...remote].map(({ vm }) => ({ to: vm, message }))
+  }
+
+  private oneOfEachRegion (peers: readonly EntryPeer[]): readonly EntryPeer[] {
+    const regions = new Map<RegionId, EntryPeer[]>()
+    for (const peer of peers) regions.set(peer.region, [...regions.get(peer.region) ?? [], peer])
+    return [...regions.values()].flatMap((members) => pickOne(members, this.options.random) ?? [])
+  }
+
+  private forgetOld (): void {
+    const now = this.options.clock.monotonic()
+    for (const [vm, { at }] of this.heard) if (now - at > longestAgeMilliseconds) this.heard.delete(vm)
+  }
+}
--- a/packages/entries/src/index.ts
+++ b/packages/entries/src/index.ts
@@ -1,2 +1,4 @@
 export * from './types.js'
 export * from './uniformEntryChooser.js'
+export * from './steeredEntryChooser.js'
+export * from './entryLoads.js'
--- a/packages/entries/src/types.ts
+++ b/packages/entries/src/types.ts
@@ -17,6 +17,8 @@
   readonly callerRegion: RegionId
   readonly allowedRegions: readonly RegionId[]
   readonly count: number
+  /** The team's rate, fleet-wide. */
+  readonly rateTokensPerSecond: number
 }
 
 export interface EntryAnswer {
--- a/packages/entries/src/uniformEntryChooser.test.ts
+++ b/packages/entries/src/uniformEntryChooser.test.ts
@@ -23,7 +23,7 @@
   it('puts the caller\'s region first and leaves out VMs that are unreachable or leaving', () => {
     const leaving = candidate('vm-4', 'veneto')
     const answer = new UniformEntryChooser(new SeededRandom(1)).choose(
-      { team: toTeamId('binders'), callerRegion: toRegionId('veneto'), allowedRegions: [], count: 3 },
+      { team: toTeamId('binders'), callerRegion: toRegionId('veneto'), allowedRegions: [], count: 3, rateTokensPerSecond: 1 },
       [
         candidate('vm-1', 'lombardia'),
         candidate('vm-2', 'veneto'),
--- a/packages/messages/src/index.ts
+++ b/packages/messages/src/index.ts
@@ -1,6 +1,7 @@
 export * from './peerIdentity.js'
 export * from './peerMessage.js'
 export * from './configurationMessages.js'
+export * from './entryMessages.js'
 export * from './limitMessages.js'
 export * from './membershipMessages.js'
 export * from './meteringMessages.js'
--- a/packages/messages/src/peerMessage.ts
+++ b/packages/messages/src/peerMessage.ts
@@ -4,6 +4,7 @@
  */
 
 import type { ConfigurationMessage } from './configurationMessages.js'
+import type { EntryMessage } from './entryMessages.js'
 import type { LimitMessage } from './limitMessages.js'
 import type { MembershipMessage } from './membershipMessages.js'
 import type { MeteringMessage } from './meteringMessages.js'
@@ -13,6 +14,7 @@
 
 export type PeerMessage =
   | ConfigurationMessage
+  | EntryMessage
   | LimitMessage
   | MembershipMessage
   | MeteringMessage
@@ -22,6 +24,7 @@
 
 export const Mechanism = {
   Configuration: 'configuration',
+  Entries: 'entries',
   Limits: 'limits',
   Membership: 'membership',
   Metering: 'metering',
--- a/packages/simulation/src/measureScenarios.ts
+++ b/packages/simulation/src/measureScenarios.ts
@@ -3,6 +3,7 @@
  */
 
 import { admissionMeasure } from './admissionMeasure.js'
+import { entriesMeasure } from './entriesMeasure.js'
 import { limitsMeasure } from './limitsMeasure.js'
 import { retriesMeasure } from './retriesMeasure.js'
 import { routingMeasure } from './routingMeasure.js'
@@ -12,5 +13,6 @@
   admissionMeasure,
   retriesMeasure,
   routingMeasure,
-  limitsMeasure
+  limitsMeasure,
+  entriesMeasure
 ]
