--- a/packages/simulation/src/measureMain.ts
+++ b/packages/simulation/src/measureMain.ts
@@ -9,12 +9,13 @@
 
 const columns: ReadonlyArray<keyof MeasureRow> = [
   'decision', 'policy', 'scenario', 'cost', 'tailLatencyMilliseconds', 'sentAwayShare', 'worstTeamShare',
-  'wrongfulRefusalShare', 'overspendTokens'
+  'wrongfulRefusalShare', 'overspendTokens',
+  'unknownOutcomeShare'
 ]
 const significantDigits = 4
 
 const cell = (value: MeasureRow[keyof MeasureRow]): string => {
-  if (value === null) return '-'
+  if (value === null || value === undefined) return '-'
   return typeof value === 'number' ? String(Number(value.toPrecision(significantDigits))) : value
 }
 
@@ -26,7 +27,7 @@
   }
 }
 
-const run = (): void => {
+const run = async (): Promise<void> => {
   const { values } = parseArgs({
     options: {
       deployment: { type: 'string', default: MeasuredDeployment.Cooperativa },
@@ -42,9 +43,13 @@
     return
   }
   const chosen = measureScenarios.filter(({ decision }) => values.decision === undefined || values.decision.includes(decision))
-  const rows = chosen.flatMap((scenario) => scenario.run(deployment, Number(values.seed)))
+  const rows: MeasureRow[] = []
+  for (const scenario of chosen) rows.push(...await scenario.run(deployment, Number(values.seed)))
   if (values.json) process.stdout.write(JSON.stringify(rows, null, 2) + '\n')
   else printTable(rows)
 }
 
-run()
+run().catch((error: unknown) => {
+  process.stderr.write(`measure failed: ${error instanceof Error ? error.stack ?? error.message : String(error)}\n`)
+  process.exitCode = 1
+})
--- a/packages/simulation/src/measureScenario.ts
+++ b/packages/simulation/src/measureScenario.ts
@@ -23,9 +23,11 @@
   readonly wrongfulRefusalShare: number | null
   /** Tokens spent over burst + rate x window, at the worst window; 0 where never over. */
   readonly overspendTokens: number | null
+  /** Share of orders whose caller ends with the outcome unknown; only where orders are measured. */
+  readonly unknownOutcomeShare?: number | null
 }
 
 export interface MeasureScenario {
   readonly decision: string
-  readonly run: (deployment: MeasuredDeployment, seed: number) => readonly MeasureRow[]
+  readonly run: (deployment: MeasuredDeployment, seed: number) => readonly MeasureRow[] | Promise<readonly MeasureRow[]>
 }
--- a/packages/simulation/src/measureScenarios.ts
+++ b/packages/simulation/src/measureScenarios.ts
@@ -5,6 +5,7 @@
 import { admissionMeasure } from './admissionMeasure.js'
 import { entriesMeasure } from './entriesMeasure.js'
 import { limitsMeasure } from './limitsMeasure.js'
+import { ordersMeasure } from './ordersMeasure.js'
 import { retriesMeasure } from './retriesMeasure.js'
 import { routingMeasure } from './routingMeasure.js'
 import type { MeasureScenario } from './measureScenario.js'
@@ -14,5 +15,6 @@
   retriesMeasure,
   routingMeasure,
   limitsMeasure,
-  entriesMeasure
+  entriesMeasure,
+  ordersMeasure
 ]
--- /dev/null
+++ b/packages/simulation/src/ordersMeasure.ts
@@ -0,0 +1,100 @@
+/**
+ * Measured scenario: the share of orders whose caller ends with the outcome
+ * unknown, by fault at the VM that minted the ticket and by number of copies.
+ */
+
+import { Outcome, SeededRandom, toVmId } from '@cuminvale/common'
+import { OrdersFleet } from './ordersFleet.js'
+import type { MeasureRow, MeasureScenario } from './measureScenario.js'
+import type { OrderStatement } from './orderWitness.js'
+
+interface OrderFault {
+  readonly name: string
+  readonly strike: (fleet: OrdersFleet) => void
+}
+
+const vmCount = 8
+const ordersPerFault = 100
+const ledgerCapacity = 100
+const latestFaultMilliseconds = 1_000
+const patienceMilliseconds = 1_200
+const retries = 3
+const drainNoticeMilliseconds = 1_500
+const lostFirstAnswerShare = 0.3
+const minter = 0
+const minterName = toVmId('vm-0')
+
+/** A VM finishes what it has before it hands over and ends. */
+const leaveAfterNotice = (fleet: OrdersFleet): void => {
+  fleet.clock.schedule(drainNoticeMilliseconds, () => { fleet.leave(minter).catch(() => {}) })
+}
+
+const faults: readonly OrderFault[] = [
+  { name: 'none', strike: () => {} },
+  { name: 'minting VM crashes', strike: (fleet) => fleet.crash(minter) },
+  { name: 'minting VM restarts', strike: (fleet) => fleet.start(minter) },
+  { name: 'minting VM leaves in order', strike: leaveAfterNotice },
+  { name: 'minting VM is cut off', strike: (fleet) => fleet.link.isolate([minterName]) },
+  { name: 'minting VM pauses', strike: (fleet) => fleet.link.pause(minterName) }
+]
+
+const policies = [
+  { policy: 'no copies', copyCount: 0 },
+  { policy: 'one copy', copyCount: 1 },
+  { policy: 'two copies', copyCount: 2 }
+] as const
+
+/** What the caller hears within its patience; undefined where nothing came. */
+const ask = async (fleet: OrdersFleet, vm: number, ticket: string): Promise<OrderStatement | undefined> => {
+  let heard: OrderStatement | undefined
+  fleet.present(vm, ticket).then((statement) => { heard = statement }, () => {})
+  await fleet.advance(patienceMilliseconds)
+  return heard
+}
+
+/** One order: its first answer may be lost, and the caller asks again through other VMs. */
+const runOrder = async (fault: OrderFault, copyCount: number, random: SeededRandom): Promise<Outcome> => {
+  const fleet = new OrdersFleet({ seed: Math.floor(random.next() * 2 ** 31), vmCount, copyCount, ledgerCapacity })
+  await fleet.advance(1)
+  const ticket = fleet.mint(minter)
+  const isFirstLost = random.next() < lostFirstAnswerShare
+  fleet.clock.schedule(random.next() * latestFaultMilliseconds, () => fault.strike(fleet))
+  const first = await ask(fleet, minter, ticket)
+  if (!isFirstLost && first !== undefined && first.outcome !== Outcome.Unknown) return first.outcome
+  for (let retry = 1; retry <= retries; retry += 1) {
+    const answer = await ask(fleet, retry * 2 - 1, ticket)
+    if (answer !== undefined && answer.outcome !== Outcome.Unknown) return answer.outcome
+  }
+  return Outcome.Unknown
+}
+
+const measure = async (fault: OrderFault, { policy, copyCount }: typeof policies[number], seed: number): Promise<MeasureRow> => {
+  const random = new SeededRandom(seed)
+  let unknown = 0
+  for (let order = 0; order < ordersPerFault; order += 1) {
+    if (await runOrder(fault, copyCount, random) === Outcome.Unknown) unknown += 1
+  }
+  return {
+    decision: 'orders',
+    policy,
+    scenario: fault.name,
+    cost: null,
+    tailLatencyMilliseconds: null,
+    sentAwayShare: null,
+    worstTeamShare: null,
+    wrongfulRefusalShare: null,
+    overspendTokens: null,
+    unknownOutcomeShare: unknown / ordersPerFault
+  }
+}
+
+export const ordersMeasure: MeasureScenario = {
+  decision: 'orders',
+  run: async (_, seed) => {
+    const rows: MeasureRow[] = []
+    for (const fault of faults) {
+      for (const policy of policies) rows.push(await measure(fault, policy, seed))
+    }
+    return rows
+  }
+}
