Stop what a withdrawn key has in progress, and authenticate forwards, answers and frames

Cause: a stream or queued request outlived its key; a forward could be taken twice; nothing after a link's opening was authenticated; a queued request whose caller left was never settled, so a shutdown or a retry could hang. Change: requests in progress are held by key and stopped with the revision that withdraws it; answers to forwards prove themselves; every frame carries a code under a key of its session; secrets reload safely and cut old links. Soak suite `keys`. Mutual TLS weighed in docs/decisions/011, not built.

--- a/packages/daemon/src/callerServer.ts
+++ b/packages/daemon/src/callerServer.ts
@@ -9,6 +9,7 @@
 import { answerEntries } from './entriesEndpoint.js'
 import { Gateway } from './gateway.js'
 import { allowedMethods, checkMethod, formatAllowed } from './methodCheck.js'
+import { serveWhileWanted } from './keyWithdrawal.js'
 import { answerModels } from './modelsEndpoint.js'
 import { refusalForCaller } from './orderRefusal.js'
 import { sendRefusal } from './problemDocument.js'
@@ -82,7 +83,7 @@
   const received = await receiveRequest(incoming, { context, id, signal, onBodyWanted })
   if (received.isErr) return refuseUnread(context, exchange, received.error)
   const request = received.value
-  await gateway.serve(request, response)
+  await serveWhileWanted(context, request, async (wanted) => await gateway.serve(wanted, response))
   if (signal.aborted) logRefusal(context, request, refuse(RefusalReason.CallerGone, 'the caller went away'))
 }
 
--- a/packages/daemon/src/createContext.ts
+++ b/packages/daemon/src/createContext.ts
@@ -8,7 +8,7 @@
 import { EscrowLimiter } from '@cuminvale/limits'
 import { DetectingMembership, RegionScope } from '@cuminvale/membership'
 import { UsageMeter } from '@cuminvale/metering'
-import { SeenProofs, seenProofCapacity } from '@cuminvale/keys'
+import { KeyedRequests, SeenProofs, seenProofCapacity } from '@cuminvale/keys'
 import { OrderGate, OrderLedger, TicketMint, ledgerCapacity, ledgerCapacityBytes } from '@cuminvale/orders'
 import { HttpClientDirectory, HttpConfigurationService, HttpVmList, HttpWeightStore } from '@cuminvale/platform'
 import { CrashSuspects, RetryBudget, SuspicionSpread, UpstreamTable, forwardBytes } from '@cuminvale/routing'
@@ -63,7 +63,9 @@
     listLagMilliseconds: settings.platform['vm-list-lag-milliseconds']
   })
   const metrics = new Metrics()
+  const keyedRequests = new KeyedRequests()
   configuration.onChange((inForce) => {
+    keyedRequests.configure(inForce)
     limiter.configure(inForce)
     table.configure(inForce)
     metrics.revision.set(inForce.revision)
@@ -127,6 +129,7 @@
     orderGate: new OrderGate({ mint, ledger, peer: (vm) => membership.find(vm) }),
     orderPeers: new OrderPeers({ clock, identity, membership }),
     seenProofs: new SeenProofs(seenProofCapacity),
+    keyedRequests,
     meter: new UsageMeter(),
     upstreamClient: new UpstreamClient(),
     lifecycle,
--- a/packages/daemon/src/errors.ts
+++ b/packages/daemon/src/errors.ts
@@ -13,6 +13,13 @@
 export const formatSettingFault = (fault: SettingFault): string =>
   `${fault.file}: [${fault.section}] ${fault.key}: read ${fault.read}, allowed: ${fault.allowed}`
 
+export class SecretFileError extends Error {
+  constructor (file: string, detail: string) {
+    super(`${file}: ${detail}`)
+    this.name = 'SecretFileError'
+  }
+}
+
 export const UpstreamErrorKind = {
   /** No byte of the request left this VM. */
   NotSent: 'not-sent',
--- a/packages/daemon/src/execution.ts
+++ b/packages/daemon/src/execution.ts
@@ -11,6 +11,7 @@
 import { collectAnswer, isEventStream } from './answer.js'
 import { UpstreamErrorKind } from './errors.js'
 import { forwardRequest } from './forwardRequest.js'
+import { refusalOfAbort } from './keyWithdrawal.js'
 import { attemptOnUpstream, requestDigestOf } from './upstreamAttempt.js'
 import type { UpstreamError } from './errors.js'
 import type { GatewayRequest } from './gatewayRequest.js'
@@ -65,11 +66,11 @@
   })
 }
 
-const refusalOf = (request: GatewayRequest, error: UpstreamError): Refusal => {
+const refusalOf = (context: VmContext, request: GatewayRequest, error: UpstreamError): Refusal => {
   const detail = `${request.route.name}: ${error.message}`
   if (error.kind === UpstreamErrorKind.NotSent) return refuse(RefusalReason.UpstreamFailed, detail)
-  const reason = error.kind === UpstreamErrorKind.Aborted ? RefusalReason.CallerGone : RefusalReason.UpstreamFailed
-  return refuse(reason, detail, { outcome: Outcome.Unknown })
+  if (error.kind === UpstreamErrorKind.Aborted) return refusalOfAbort(context, request, Outcome.Unknown)
+  return refuse(RefusalReason.UpstreamFailed, detail, { outcome: Outcome.Unknown })
 }
 
 const send = async (
@@ -124,7 +125,7 @@
 
 /** Checks that must hold in the turn in which the request is sent. */
 const confirmSend = (context: VmContext, request: GatewayRequest): Result<undefined, Refusal> => {
-  if (request.signal.aborted) return Result.err(refuse(RefusalReason.CallerGone, 'the caller went away'))
+  if (request.signal.aborted) return Result.err(refusalOfAbort(context, request, Outcome.NotRun))
   return confirmKey(context, request)
 }
 
@@ -145,7 +146,10 @@
     const spared = checkSuspicion(context, request)
     if (spared.isErr) return Result.err(worse(last, spared.error))
     const acquired = await context.scheduler.acquire(request, new Set([...failed, ...spared.value]))
-    if (acquired.isErr) return Result.err(worse(last, acquired.error))
+    if (acquired.isErr) {
+      const { aborted } = request.signal
+      return Result.err(worse(last, aborted ? refusalOfAbort(context, request, Outcome.NotRun) : acquired.error))
+    }
     const assignment = acquired.value
     const confirmed = confirmSend(context, request)
     if (confirmed.isErr) {
@@ -157,7 +161,7 @@
     const result = await attempt(context, request, assignment)
     if (result.isOk) return Result.ok(result.value)
     if (result.error.kind === UpstreamErrorKind.NotSent) observer.onNotSent()
-    last = worse(last, refusalOf(request, result.error))
+    last = worse(last, refusalOf(context, request, result.error))
     if (!isRepeatable(request, result.error) || !await awaitRetry(context, request, attempts)) return Result.err(last)
     if (assignment.kind === RoutingChoiceKind.Run) failed.add(assignment.upstream)
   }
--- a/packages/daemon/src/forwardRequest.ts
+++ b/packages/daemon/src/forwardRequest.ts
@@ -6,19 +6,34 @@
 import { randomUUID } from 'node:crypto'
 import { Result } from 'true-myth'
 import { assertInvariant, headerNames } from '@cuminvale/common'
-import { digestBody, forwardProofLifetimeMilliseconds, signForward } from '@cuminvale/keys'
+import { digestBody, isAnswerProven, forwardProofLifetimeMilliseconds, signForward } from '@cuminvale/keys'
 import type { IncarnationId, VmId } from '@cuminvale/common'
 import type { ForwardClaims } from '@cuminvale/keys'
 import type { Member } from '@cuminvale/membership'
+import { discardAnswer } from './answer.js'
 import { attemptLimits } from './attemptLimits.js'
 import { maximumBorderCrossings, maximumHops } from './constants.js'
 import { UpstreamError, UpstreamErrorKind } from './errors.js'
 import { requestTokens } from './gatewayRequest.js'
 import type { RunningExchange } from './upstreamAttempt.js'
+import type { Exchange } from './upstreamClient.js'
 import type { GatewayRequest } from './gatewayRequest.js'
 import type { VmContext } from './vmContext.js'
 
 export const forwardPath = '/forward'
+export const answerProofHeader = 'cuminvale-answer-proof'
+
+/** An answer that does not prove itself says nothing of what became of the request. */
+const requireProof = (
+  context: VmContext,
+  nonce: string,
+  exchange: Exchange
+): Result<Exchange, UpstreamError> => {
+  const proof = exchange.headers[answerProofHeader]
+  if (typeof proof === 'string' && isAnswerProven(nonce, proof, context.fleetSecret.accepted)) return Result.ok(exchange)
+  discardAnswer(exchange)
+  return Result.err(new UpstreamError(UpstreamErrorKind.Broken, 'the answer was not given by a VM of the fleet'))
+}
 
 /** A VM that forwards an order under its own ticket hands it over to be run. */
 const runsOrder = (context: VmContext, request: GatewayRequest): boolean =>
@@ -86,5 +101,5 @@
     ...attemptLimits(request, context.clock.monotonic()),
     freshConnection: !request.route.idempotent
   })
-  return result.map((exchange) => ({ exchange, servedBy: vm, forwarded: true, finish: async () => {} }))
+  return result.andThen((exchange) => requireProof(context, claims.nonce, exchange)).map((exchange) => ({ exchange, servedBy: vm, forwarded: true, finish: async () => {} }))
 }
--- a/packages/daemon/src/gateway.ts
+++ b/packages/daemon/src/gateway.ts
@@ -10,7 +10,9 @@
 import { contentTypeOf } from './answer.js'
 import { endWithBody } from './endWithBody.js'
 import { execute } from './execution.js'
+import { UpstreamErrorKind } from './errors.js'
 import { requestTokens } from './gatewayRequest.js'
+import { refusalOfAbort } from './keyWithdrawal.js'
 import { problemOf, sendRefusal } from './problemDocument.js'
 import { chargeRequest, copyOutcome, countCompleted, logRefusal, settleCharge } from './requestAccounting.js'
 import { serveOrder } from './serveOrder.js'
@@ -103,7 +105,9 @@
 
   /** Ends a broken stream with an error event and a broken connection, never a clean end. */
   private breakStream (request: GatewayRequest, response: ServerResponse, error: UpstreamError): void {
-    const refusal = refuse(RefusalReason.UpstreamFailed, error.message, { outcome: Outcome.Unknown })
+    const refusal = error.kind === UpstreamErrorKind.Aborted
+      ? refusalOfAbort(this.context, request, Outcome.Unknown)
+      : refuse(RefusalReason.UpstreamFailed, error.message, { outcome: Outcome.Unknown })
     logRefusal(this.context, request, refusal)
     if (response.destroyed) return
     response.write(`event: error\ndata: ${JSON.stringify({ error: problemOf(refusal) })}\n\n`, () => response.destroy())
--- /dev/null
+++ b/packages/daemon/src/keyWithdrawal.ts
@@ -0,0 +1,49 @@
+/**
+ * Ends what a withdrawn key has in progress: a queued request is refused at
+ * once, one that runs is cancelled, and a stream breaks off with an error
+ * event. An order that was sent runs to its end, since it cannot be undone.
+ */
+
+import { RefusalReason, refuse } from '@cuminvale/common'
+import { isKeyInForce } from '@cuminvale/keys'
+import type { Outcome, Refusal } from '@cuminvale/common'
+import type { GatewayRequest } from './gatewayRequest.js'
+import type { VmContext } from './vmContext.js'
+
+export interface KeyWatch {
+  readonly signal: AbortSignal
+  readonly forget: () => void
+}
+
+const holdsKey = (context: VmContext, { identity }: GatewayRequest): boolean => {
+  const configuration = context.configuration.current
+  return identity === undefined || (configuration !== undefined && isKeyInForce(identity, configuration))
+}
+
+/** Why a request was given up before or while it ran. */
+export const refusalOfAbort = (context: VmContext, request: GatewayRequest, outcome: Outcome): Refusal =>
+  holdsKey(context, request)
+    ? refuse(RefusalReason.CallerGone, 'the caller went away', { outcome })
+    : refuse(RefusalReason.KeyUnknown, 'the key was withdrawn', { outcome })
+
+/** A signal that is aborted when the request's key is withdrawn, until the returned function is called. */
+export const watchKey = (context: VmContext, { identity }: GatewayRequest): KeyWatch => {
+  const withdrawn = new AbortController()
+  if (identity === undefined) return { signal: withdrawn.signal, forget: () => {} }
+  return { signal: withdrawn.signal, forget: context.keyedRequests.watch(identity, () => withdrawn.abort()) }
+}
+
+/** Serves a request until its caller goes away or its key is withdrawn. */
+export const serveWhileWanted = async (
+  context: VmContext,
+  request: GatewayRequest,
+  serve: (request: GatewayRequest) => Promise<void>
+): Promise<void> => {
+  const { signal: withdrawn, forget } = watchKey(context, request)
+  const signal = AbortSignal.any([request.signal, withdrawn])
+  try {
+    await serve({ ...request, signal })
+  } finally {
+    forget()
+  }
+}
--- a/packages/daemon/src/main.ts
+++ b/packages/daemon/src/main.ts
@@ -28,8 +28,10 @@
   process.once('SIGTERM', stop)
   process.once('SIGINT', stop)
   process.on('SIGHUP', () => {
-    daemon.context.fleetSecret.reload()
-    daemon.context.administrationToken.reload()
+    for (const secrets of [daemon.context.fleetSecret, daemon.context.administrationToken]) {
+      const read = secrets.reload()
+      if (read.isErr) daemon.context.log.error('secret-not-reloaded', { detail: read.error.message })
+    }
   })
 }
 
--- a/packages/daemon/src/peerHandshake.ts
+++ b/packages/daemon/src/peerHandshake.ts
@@ -1,12 +1,14 @@
 /**
  * The keyed handshake that opens a link between two VMs. Both sides prove that
  * they hold the fleet's secret over fresh nonces and both identities, so that
- * nobody without it can pose as a VM or replay an old opening.
+ * nobody without it can pose as a VM or replay an old opening. Every later
+ * frame is sealed under a key of that one session.
  */
 
 import { createHmac, randomBytes, timingSafeEqual } from 'node:crypto'
 import { z } from 'zod'
 import { isIdentifier, toFailureDomainId, toIncarnationId, toRegionId, toVmId } from '@cuminvale/common'
+import { FrameOpener, FrameSealer, deriveSessionKey } from '@cuminvale/keys'
 import type { PeerIdentity } from '@cuminvale/messages'
 
 const identifier = z.string().refine(isIdentifier)
@@ -42,11 +44,23 @@
 const identityText = (identity: PeerIdentity): string =>
   [identity.vm, identity.incarnation, identity.region, identity.failureDomain].join('~')
 
-export const proveHandshake = (role: HandshakeRole, transcript: Transcript, secret: Uint8Array): string => {
-  const parts = [
-    role, identityText(transcript.dialer), transcript.dialerNonce, identityText(transcript.listener), transcript.listenerNonce
-  ]
-  return createHmac('sha256', secret).update(parts.join('\n')).digest('base64url')
+const transcriptText = ({ dialer, dialerNonce, listener, listenerNonce }: Transcript): string =>
+  [identityText(dialer), dialerNonce, identityText(listener), listenerNonce].join('\n')
+
+export const proveHandshake = (role: HandshakeRole, transcript: Transcript, secret: Uint8Array): string =>
+  createHmac('sha256', secret).update(`${role}\n${transcriptText(transcript)}`).digest('base64url')
+
+/** Seals and opens the frames of one link, as seen from one of its ends. */
+export interface FrameSeals {
+  readonly sealer: FrameSealer
+  readonly opener: FrameOpener
+}
+
+/** Derives the seals from the secret that the listener proved itself by. */
+export const createSeals = (role: HandshakeRole, transcript: Transcript, secret: Uint8Array): FrameSeals => {
+  const sessionKey = deriveSessionKey(secret, transcriptText(transcript))
+  const other = role === HandshakeRole.Dialer ? HandshakeRole.Listener : HandshakeRole.Dialer
+  return { sealer: new FrameSealer(sessionKey, role), opener: new FrameOpener(sessionKey, other) }
 }
 
 export interface HandshakeCheck {
@@ -56,9 +70,10 @@
   readonly secrets: readonly Uint8Array[]
 }
 
-export const isHandshakeProven = ({ role, transcript, proof, secrets }: HandshakeCheck): boolean => {
+/** The accepted secret under which a proof holds, if any. */
+export const provingSecret = ({ role, transcript, proof, secrets }: HandshakeCheck): Uint8Array | undefined => {
   const given = Buffer.from(proof)
-  return secrets.some((secret) => {
+  return secrets.find((secret) => {
     const expected = Buffer.from(proveHandshake(role, transcript, secret))
     return expected.length === given.length && timingSafeEqual(expected, given)
   })
--- a/packages/daemon/src/peerLinks.ts
+++ b/packages/daemon/src/peerLinks.ts
@@ -13,9 +13,9 @@
   linkHandshakeMilliseconds, linkHeartbeatMilliseconds, linkRetryMilliseconds, linkSilenceMilliseconds
 } from './constants.js'
 import {
-  HandshakeRole, helloSchema, isHandshakeProven, newNonce, parseFrame, proofSchema, proveHandshake, welcomeSchema
+  HandshakeRole, createSeals, helloSchema, newNonce, parseFrame, proofSchema, proveHandshake, provingSecret, welcomeSchema
 } from './peerHandshake.js'
-import type { Transcript } from './peerHandshake.js'
+import type { FrameSeals, Transcript } from './peerHandshake.js'
 import type { SecretFile } from './secrets.js'
 
 export interface PeerLinksOptions {
@@ -29,6 +29,9 @@
 interface Link {
   readonly peer: PeerIdentity
   readonly socket: WebSocket
+  readonly seals: FrameSeals
+  /** The link ends when this secret is withdrawn. */
+  readonly secret: Uint8Array
   heardAt: number
 }
 
@@ -36,6 +39,10 @@
 const maximumMessageBytes = 8 * 1024 * 1024
 const heartbeat = Buffer.alloc(0)
 
+const sendSealed = ({ socket, seals }: Link, payload: Uint8Array): void => {
+  if (socket.readyState === WebSocket.OPEN) socket.send(seals.sealer.seal(payload))
+}
+
 export class PeerLinks {
   private readonly links = new Map<VmId, Link>()
   private readonly dialing = new Set<VmId>()
@@ -73,14 +80,15 @@
   /** Sends a message, or drops it where no link is up. */
   send (to: VmId, message: PeerMessage): void {
     const link = this.links.get(to)
-    if (link?.socket.readyState === WebSocket.OPEN) link.socket.send(encodePeerMessage(message))
+    if (link !== undefined) sendSealed(link, encodePeerMessage(message))
   }
 
   private beat (): void {
     const now = performance.now()
     for (const link of this.links.values()) {
-      if (now - link.heardAt > linkSilenceMilliseconds) link.socket.terminate()
-      else link.socket.send(heartbeat)
+      const isSilent = now - link.heardAt > linkSilenceMilliseconds
+      if (isSilent || !this.options.secret.isAccepted(link.secret)) link.socket.terminate()
+      else sendSealed(link, heartbeat)
     }
   }
 
@@ -109,10 +117,11 @@
       const welcome = parseFrame(data.toString(), welcomeSchema)
       if (welcome === undefined || welcome.identity.vm !== name) return socket.terminate()
       const transcript = { dialer: self, dialerNonce: nonce, listener: welcome.identity, listenerNonce: welcome.nonce }
-      if (!this.isProven(HandshakeRole.Listener, transcript, welcome.proof)) return socket.terminate()
-      socket.send(JSON.stringify({ proof: this.prove(HandshakeRole.Dialer, transcript) }))
+      const secret = this.provingSecret(HandshakeRole.Listener, transcript, welcome.proof)
+      if (secret === undefined) return socket.terminate()
+      socket.send(JSON.stringify({ proof: proveHandshake(HandshakeRole.Dialer, transcript, this.options.secret.signing) }))
       clearTimeout(timer)
-      this.adopt(welcome.identity, socket)
+      this.adopt({ peer: welcome.identity, socket, secret, seals: createSeals(HandshakeRole.Dialer, transcript, secret) })
     })
   }
 
@@ -125,21 +134,23 @@
       const hello = parseFrame(first.toString(), helloSchema)
       if (hello === undefined) return socket.terminate()
       const transcript = { dialer: hello.identity, dialerNonce: hello.nonce, listener: self, listenerNonce: newNonce() }
+      const secret = this.options.secret.signing
       socket.send(JSON.stringify({
-        identity: self, nonce: transcript.listenerNonce, proof: this.prove(HandshakeRole.Listener, transcript)
+        identity: self, nonce: transcript.listenerNonce, proof: proveHandshake(HandshakeRole.Listener, transcript, secret)
       }))
       socket.once('message', (second) => {
         const proof = parseFrame(second.toString(), proofSchema)?.proof ?? ''
-        if (!this.isProven(HandshakeRole.Dialer, transcript, proof)) return socket.terminate()
+        if (this.provingSecret(HandshakeRole.Dialer, transcript, proof) === undefined) return socket.terminate()
         clearTimeout(timer)
-        this.adopt(hello.identity, socket)
+        this.adopt({ peer: hello.identity, socket, secret, seals: createSeals(HandshakeRole.Listener, transcript, secret) })
       })
     })
   }
 
-  private adopt (peer: PeerIdentity, socket: WebSocket): void {
+  private adopt (opened: Omit<Link, 'heardAt'>): void {
+    const { peer, socket } = opened
     this.links.get(peer.vm)?.socket.terminate()
-    const link: Link = { peer, socket, heardAt: performance.now() }
+    const link: Link = { ...opened, heardAt: performance.now() }
     this.links.set(peer.vm, link)
     socket.on('message', (data: Buffer) => this.receive(link, data))
     socket.on('close', () => this.remove(link))
@@ -147,9 +158,11 @@
   }
 
   private receive (link: Link, data: Buffer): void {
+    const payload = link.seals.opener.open(data)
+    if (payload === undefined) return link.socket.terminate()
     link.heardAt = performance.now()
-    if (data.length === 0) return
-    const decoded = decodePeerMessage(data)
+    if (payload.length === 0) return
+    const decoded = decodePeerMessage(payload)
     if (decoded.isErr) return link.socket.terminate()
     this.options.onMessage(link.peer, decoded.value)
   }
@@ -160,11 +173,7 @@
     this.options.onDown(link.peer)
   }
 
-  private prove (role: HandshakeRole, transcript: Transcript): string {
-    return proveHandshake(role, transcript, this.options.secret.signing)
-  }
-
-  private isProven (role: HandshakeRole, transcript: Transcript, proof: string): boolean {
-    return isHandshakeProven({ role, transcript, proof, secrets: this.options.secret.accepted })
+  private provingSecret (role: HandshakeRole, transcript: Transcript, proof: string): Uint8Array | undefined {
+    return provingSecret({ role, transcript, proof, secrets: this.options.secret.accepted })
   }
 }
--- a/packages/daemon/src/peerServer.ts
+++ b/packages/daemon/src/peerServer.ts
@@ -4,10 +4,12 @@
 
 import { createServer } from 'node:http'
 import { headerNames, RefusalReason, refuse } from '@cuminvale/common'
+import { signAnswer, unverifiedNonce } from '@cuminvale/keys'
 import type { IncomingMessage, Server, ServerResponse } from 'node:http'
 import { callerSignal, guard } from './callerServer.js'
-import { forwardPath } from './forwardRequest.js'
+import { answerProofHeader, forwardPath } from './forwardRequest.js'
 import { Gateway } from './gateway.js'
+import { serveWhileWanted } from './keyWithdrawal.js'
 import { sendRefusal } from './problemDocument.js'
 import { receiveForward } from './receiveForward.js'
 import type { VmContext } from './vmContext.js'
@@ -22,13 +24,15 @@
 ): Promise<void> => {
   response.setHeader(headerNames.vm, context.identity.vm)
   if (incoming.url !== forwardPath) return sendRefusal(response, refuse(RefusalReason.RouteUnknown, 'no such path'))
+  const nonce = unverifiedNonce(String(incoming.headers[headerNames.forwarded] ?? ''))
+  if (nonce !== undefined) response.setHeader(answerProofHeader, signAnswer(nonce, context.fleetSecret.signing))
   const signal = callerSignal(response)
   const received = await receiveForward(incoming, context, signal)
   if (received.isErr) {
     context.metrics.refusals.inc({ reason: received.error.reason })
     return sendRefusal(response, received.error)
   }
-  await gateway.serve(received.value, response)
+  await serveWhileWanted(context, received.value, async (request) => await gateway.serve(request, response))
 }
 
 export const createPeerServer = (context: VmContext): Server => {
--- a/packages/daemon/src/secrets.ts
+++ b/packages/daemon/src/secrets.ts
@@ -5,31 +5,45 @@
  */
 
 import { readFileSync } from 'node:fs'
+import { Result } from 'true-myth'
+import { SecretFileError } from './errors.js'
 
 export class SecretFile {
   private secrets: readonly Uint8Array[]
 
+  /** Throws where the file cannot be used at start. */
   constructor (private readonly file: string) {
-    this.secrets = this.read()
+    const read = readSecrets(file)
+    if (read.isErr) throw read.error
+    this.secrets = read.value
   }
 
   get signing (): Uint8Array {
-    const first = this.secrets[0]
-    if (first === undefined) throw new Error(`${this.file}: holds no secret`)
-    return first
+    return this.secrets[0] as Uint8Array
   }
 
   get accepted (): readonly Uint8Array[] {
     return this.secrets
   }
 
-  reload (): void {
-    this.secrets = this.read()
+  isAccepted (secret: Uint8Array): boolean {
+    return this.secrets.some((accepted) => Buffer.compare(accepted, secret) === 0)
   }
 
-  private read (): readonly Uint8Array[] {
-    const lines = readFileSync(this.file, 'utf8').split('\n').map((line) => line.trim()).filter((line) => line !== '')
-    if (lines.length === 0) throw new Error(`${this.file}: holds no secret`)
-    return lines.map((line) => Buffer.from(line))
+  /** Reads the file again; where it cannot be used, the secrets in use stay. */
+  reload (): Result<readonly Uint8Array[], SecretFileError> {
+    const read = readSecrets(this.file)
+    if (read.isOk) this.secrets = read.value
+    return read
+  }
+}
+
+const readSecrets = (file: string): Result<readonly Uint8Array[], SecretFileError> => {
+  try {
+    const lines = readFileSync(file, 'utf8').split('\n').map((line) => line.trim()).filter((line) => line !== '')
+    if (lines.length === 0) return Result.err(new SecretFileError(file, 'holds no secret'))
+    return Result.ok(lines.map((line) => Buffer.from(line)))
+  } catch (error) {
+    return Result.err(new SecretFileError(file, error instanceof Error ? error.message : String(error)))
   }
 }
--- a/packages/daemon/src/serveOrder.ts
+++ b/packages/daemon/src/serveOrder.ts
@@ -18,6 +18,7 @@
 import { forwardRequest } from './forwardRequest.js'
 import { chargeRequest, copyOutcome, countCompleted, logRefusal, settleCharge, writeAnswerHead } from './requestAccounting.js'
 import { requestTokens } from './gatewayRequest.js'
+import { watchKey } from './keyWithdrawal.js'
 import { sendRefusal } from './problemDocument.js'
 import type { CollectedAnswer } from './answer.js'
 import type { GatewayRequest } from './gatewayRequest.js'
@@ -99,19 +100,24 @@
   return Result.err(refuse(RefusalReason.NoUpstream, detail))
 }
 
-/** An order goes on when its caller leaves: the caller will ask again under its ticket. */
-const detached = (request: GatewayRequest): GatewayRequest =>
-  ({ ...request, signal: new AbortController().signal })
+/** An order goes on when its caller leaves, who will ask again under its ticket. */
+const detached = (request: GatewayRequest, signal: AbortSignal = new AbortController().signal): GatewayRequest =>
+  ({ ...request, signal })
 
 const runOnce = async (call: OrderCall): Promise<OrderResult> => {
   const { context, ticket } = call
-  const request = detached(call.request)
+  const key = watchKey(context, call.request)
+  const request = detached(call.request, key.signal)
   const charge = await chargeRequest(context, request)
   if (charge.isErr) return Result.err(charge.error)
   const running = await execute(context, request, {
-    onSend: () => context.ledger.markSent(ticket.ticket),
+    onSend: () => {
+      key.forget()
+      context.ledger.markSent(ticket.ticket)
+    },
     onNotSent: () => context.ledger.retractSend(ticket.ticket)
   })
+  key.forget()
   if (running.isErr) {
     const neverRan = running.error.outcome === Outcome.NotRun
     settleCharge(context, charge.value, neverRan ? 0 : requestTokens(request))
--- a/packages/daemon/src/vmContext.ts
+++ b/packages/daemon/src/vmContext.ts
@@ -11,7 +11,7 @@
 import type { DetectingMembership } from '@cuminvale/membership'
 import type { Outbound, PeerIdentity } from '@cuminvale/messages'
 import type { OrderGate, OrderLedger, TicketMint } from '@cuminvale/orders'
-import type { SeenProofs } from '@cuminvale/keys'
+import type { KeyedRequests, SeenProofs } from '@cuminvale/keys'
 import type { ClientDirectory, ConfigurationService, VmList, WeightStore } from '@cuminvale/platform'
 import type { CrashSuspects, LoadSharing, PrefixKnowledge, RetryPolicy, SuspicionSpread, UpstreamTable } from '@cuminvale/routing'
 import type { UsageMeter } from '@cuminvale/metering'
@@ -58,6 +58,7 @@
   readonly orderGate: OrderGate
   readonly orderPeers: OrderPeers
   readonly seenProofs: SeenProofs
+  readonly keyedRequests: KeyedRequests
   readonly meter: UsageMeter
   readonly upstreamClient: UpstreamClient
   readonly lifecycle: Lifecycle
--- a/packages/keys/src/forwardProof.ts
+++ b/packages/keys/src/forwardProof.ts
@@ -93,14 +93,24 @@
   return admission === ProofAdmission.Accepted ? Result.ok(claims) : Result.err(new ForwardProofError(admission, admission === ProofAdmission.Replayed))
 }
 
-/** What a proof says of an order, read without verifying the proof. */
-export type StatedOrder = Partial<Pick<ForwardClaims, 'ticket' | 'runsOrder'>>
-
-export const unverifiedOrder = (header: string): StatedOrder => {
+const readUnverified = (header: string): Partial<ForwardClaims> => {
   try {
-    const claims = JSON.parse(Buffer.from(header.split('.')[0] ?? '', 'base64url').toString()) as StatedOrder
-    return typeof claims.ticket === 'string' ? { ticket: claims.ticket, runsOrder: claims.runsOrder === true } : {}
+    return JSON.parse(Buffer.from(header.split('.')[0] ?? '', 'base64url').toString()) as Partial<ForwardClaims>
   } catch {
     return {}
   }
 }
+
+/** The nonce that a proof names, read without verifying the proof. */
+export const unverifiedNonce = (header: string): string | undefined => {
+  const { nonce } = readUnverified(header)
+  return typeof nonce === 'string' ? nonce : undefined
+}
+
+/** What a proof says of an order, read without verifying the proof. */
+export type StatedOrder = Partial<Pick<ForwardClaims, 'ticket' | 'runsOrder'>>
+
+export const unverifiedOrder = (header: string): StatedOrder => {
+  const { ticket, runsOrder } = readUnverified(header)
+  return typeof ticket === 'string' ? { ticket, runsOrder: runsOrder === true } : {}
+}
--- a/packages/simulation/src/checkCommands.ts
+++ b/packages/simulation/src/checkCommands.ts
@@ -10,6 +10,8 @@
   readonly runs: number
   readonly commands: Parameters<typeof fastCheck.commands<Model, Real>>[0]
   readonly maximumCommands: number
+  /** How far sequences grow towards the maximum; fast-check's default where absent. */
+  readonly size?: 'max'
   /** Makes a fresh model and system; `finish` runs after the commands and checks what must hold at the end. */
   readonly setup: () => { model: Model, real: Real }
   readonly finish?: (real: Real, model: Model) => void
@@ -19,7 +21,9 @@
   check: CommandCheck<Model, Real>
 ): Promise<SoakViolation | undefined> => {
   const property = fastCheck.asyncProperty(
-    fastCheck.commands(check.commands, { maxCommands: check.maximumCommands }),
+    fastCheck.commands(check.commands, {
+      maxCommands: check.maximumCommands, ...(check.size === undefined ? {} : { size: check.size })
+    }),
     async (commands) => {
       let made: { model: Model, real: Real } | undefined
       fastCheck.modelRun(() => {
--- a/packages/simulation/src/soakSuites.ts
+++ b/packages/simulation/src/soakSuites.ts
@@ -4,6 +4,7 @@
 
 import { admissionSoak } from './admissionSoak.js'
 import { configurationSoak } from './configurationSoak.js'
+import { keysSoak } from './keysSoak.js'
 import { limitsSoak } from './limitsSoak.js'
 import { membershipSoak } from './membershipSoak.js'
 import { ordersSoak } from './ordersSoak.js'
@@ -13,6 +14,7 @@
 export const soakSuites: readonly SoakSuite[] = [
   admissionSoak,
   configurationSoak,
+  keysSoak,
   membershipSoak,
   ordersSoak,
   suspicionSoak,
