Send requests away by predicted gain, and prove residency by a soak suite

Change: prefill on both sides, the rate of waiting requests only; regionFleet and sendingAwayMeasure against "never" and "always when full"; soak suite residency; the demo's deployments state their weights in [policy].

--- a/packages/admission/src/dispatchRate.ts
+++ b/packages/admission/src/dispatchRate.ts
@@ -30,11 +30,6 @@
     this.markedAt = now
   }
 
-  /** Time since the last dispatch, or since requests began to wait. */
-  get stalledMilliseconds (): number {
-    return this.clock.monotonic() - this.markedAt
-  }
-
   /** Milliseconds to dispatch the tokens; undefined until enough has been seen. */
   millisecondsFor (tokens: number): number | undefined {
     const stalled = this.clock.monotonic() - this.markedAt
@@ -42,4 +37,10 @@
     if (observed < dispatchRateWarmupMilliseconds || this.tokens === 0) return undefined
     return tokens * observed / this.tokens
   }
+
+  /** As `millisecondsFor`, from however little has been seen; before any dispatch the time without one. */
+  roughMillisecondsFor (tokens: number): number {
+    const stalled = this.clock.monotonic() - this.markedAt
+    return this.tokens === 0 ? stalled : tokens * (this.milliseconds + stalled) / this.tokens
+  }
 }
--- a/packages/admission/src/poolQueue.ts
+++ b/packages/admission/src/poolQueue.ts
@@ -92,10 +92,9 @@
     return taken
   }
 
-  /** Until the rate is known, the time that the oldest request has waited stands for the wait. */
+  /** Milliseconds until all that waits now would be dispatched, by the rate seen so far. */
   expectedWaitOfAll (): number {
-    if (this.waiting === 0) return 0
-    return this.rate.millisecondsFor(this.waitingTokens) ?? this.rate.stalledMilliseconds
+    return this.waiting === 0 ? 0 : this.rate.roughMillisecondsFor(this.waitingTokens)
   }
 
   /** Milliseconds until a new request would be dispatched, by its team's fair share of the measured rate. */
--- a/packages/demo/src/demoFleet.ts
+++ b/packages/demo/src/demoFleet.ts
@@ -6,6 +6,7 @@
 import { request } from 'undici'
 import type { ListedVm } from '@cuminvale/common'
 import { freePorts, listedVm, settingsText, startDaemonProcess } from './daemonProcess.js'
+import { policySection } from './policySection.js'
 import { startFakePlatform } from './fakePlatform.js'
 import { waitFor } from './waitFor.js'
 import type { DaemonProcess, SecretFiles } from './daemonProcess.js'
@@ -38,7 +39,7 @@
     const vms = deployment.vms.map((vm, index) =>
       listedVm(vm, ports.slice(index * portsPerVm, (index + 1) * portsPerVm)))
     platform.vmList.set(vms)
-    const daemons = vms.map((vm) => startDaemonProcess(vm, settingsText(vm, platform, secrets), directory))
+    const daemons = vms.map((vm) => startDaemonProcess(vm, settingsText(vm, platform, secrets) + policySection(deployment), directory))
     return new DemoFleet(options, platform, daemons)
   }
 
--- a/packages/demo/src/deployments.ts
+++ b/packages/demo/src/deployments.ts
@@ -37,6 +37,8 @@
   readonly model: ModelName
   readonly teams: ReadonlyArray<{ readonly name: string, readonly plan: string, readonly home: string }>
   readonly routes: DemoRoutes
+  /** Weights of the deployment's measures, as settings of the daemon. */
+  readonly policy: Readonly<Record<string, number>>
 }
 
 const region = (name: string, index: number, domain: string) => ({
@@ -80,7 +82,8 @@
     { name: 'rilegature-emilia', plan: 'medium', home: 'emilia' },
     { name: 'bottega-piccola', plan: 'small', home: 'veneto' }
   ],
-  routes: { streamed: 'drafting', counter: 'counter', order: 'orders', status: 'order-status' }
+  routes: { streamed: 'drafting', counter: 'counter', order: 'orders', status: 'order-status' },
+  policy: { 'deadline-slack': 1, 'sending-away-gain': 1.2, 'region-link-megabits-per-second': 100 }
 }
 
 export const talahib: Deployment = {
@@ -98,7 +101,8 @@
     { name: 'mower-guild', plan: 'medium', home: 'luzon' },
     { name: 'verge-contractors', plan: 'small', home: 'visayas' }
   ],
-  routes: { streamed: 'route-history', counter: 'schedule', order: 'dispatch', status: 'dispatch-status' }
+  routes: { streamed: 'route-history', counter: 'schedule', order: 'dispatch', status: 'dispatch-status' },
+  policy: { 'deadline-slack': 2, 'sending-away-gain': 2, 'region-link-megabits-per-second': 1_400 }
 }
 
 export const deployments: readonly Deployment[] = [cooperativa, talahib]
--- a/packages/demo/src/testFleet.ts
+++ b/packages/demo/src/testFleet.ts
@@ -10,6 +10,7 @@
 import type { Daemon } from '@cuminvale/daemon'
 import type { ListedVm } from '@cuminvale/common'
 import { listedVm, settingsText } from './daemonProcess.js'
+import { policySection } from './policySection.js'
 import { startFakePlatform } from './fakePlatform.js'
 import { waitFor } from './waitFor.js'
 import type { Deployment, VmSpecification } from './deployments.js'
@@ -45,7 +46,7 @@
 
   /** Starts a VM; `list` shows it to the others. */
   async add (vm: VmSpecification): Promise<TestVm> {
-    const text = settingsText(listedVm(vm, []), this.platform, this.secrets) + requestSection(this.requestSettings)
+    const text = settingsText(listedVm(vm, []), this.platform, this.secrets) + policySection(this.deployment) + requestSection(this.requestSettings)
     const settings = parseSettings('test.ini', text)
     if (settings.isErr) throw new Error(JSON.stringify(settings.error))
     const daemon = await createDaemon(settings.value)
--- a/packages/routing/src/awayWhenFaster.ts
+++ b/packages/routing/src/awayWhenFaster.ts
@@ -38,8 +38,9 @@
       .filter(({ region, freeSlots }) => freeSlots > 0 && this.options.link.has(region, bytes))
     const view = this.pickByRoom(views)
     if (view === undefined) return undefined
-    const remote = this.remoteMilliseconds(request, view, bytes)
-    const stay = local.isServed ? situation.localWaitMilliseconds : Infinity
+    const prefill = request.promptTokens * prefillMillisecondsPerToken
+    const remote = this.travelMilliseconds(view, bytes) + prefill
+    const stay = local.isServed ? situation.localWaitMilliseconds + prefill : Infinity
     if (stay < remote * this.options.gainFactor + marginMilliseconds) return undefined
     const reason = `${Math.round(remote)} ms in ${view.region} against ${Math.round(stay)} ms here`
     return forwardTo(request, view, { random: this.options.random, reason })
@@ -55,8 +56,7 @@
     }) ?? views[0]
   }
 
-  private remoteMilliseconds (request: RoutingRequest, view: RemoteRegionView, bytes: number): number {
-    const transfer = bytes / this.options.link.bytesPerMillisecond
-    return 2 * view.latencyMilliseconds + transfer + request.promptTokens * prefillMillisecondsPerToken
+  private travelMilliseconds (view: RemoteRegionView, bytes: number): number {
+    return 2 * view.latencyMilliseconds + bytes / this.options.link.bytesPerMillisecond
   }
 }
--- a/packages/simulation/src/measureScenarios.ts
+++ b/packages/simulation/src/measureScenarios.ts
@@ -8,13 +8,15 @@
 import { ordersMeasure } from './ordersMeasure.js'
 import { retriesMeasure } from './retriesMeasure.js'
 import { routingMeasure } from './routingMeasure.js'
+import { sendingAwayMeasure } from './sendingAwayMeasure.js'
 import type { MeasureScenario } from './measureScenario.js'
 
 export const measureScenarios: readonly MeasureScenario[] = [
   admissionMeasure,
+  entriesMeasure,
+  limitsMeasure,
+  ordersMeasure,
   retriesMeasure,
   routingMeasure,
-  limitsMeasure,
-  entriesMeasure,
-  ordersMeasure
+  sendingAwayMeasure
 ]
--- /dev/null
+++ b/packages/simulation/src/regionFleet.ts
@@ -0,0 +1,291 @@
+/**
+ * Regions of unequal size with a VM each, for measurements and soak runs of
+ * sending away: a shared link between every two regions, digests that lag,
+ * and daily peaks at different hours.
+ */
+
+import {
+  SeededRandom, toFailureDomainId, toModelName, toRegionId, toRequestId, toRevision, toRouteName, toTeamId, toUpstreamId, toVmId, PriorityClass
+} from '@cuminvale/common'
+import { FairQueue, defaultFairQueueBounds } from '@cuminvale/admission'
+import { LinkBudget, PredictedChooser, RegionDigests, RoutingChoiceKind, UpstreamTable, forwardBytes } from '@cuminvale/routing'
+import type { QueuedRequest } from '@cuminvale/admission'
+import type { RegionId, UpstreamId } from '@cuminvale/common'
+import type { Upstream } from '@cuminvale/documents'
+import type { AwayPolicy, RoutingChoice, RoutingRequest } from '@cuminvale/routing'
+import { BatchRunner } from './batchRunner.js'
+import { exponential } from './statistics.js'
+import { VirtualClock } from './virtualClock.js'
+
+export interface RegionFleetOptions {
+  readonly seed: number
+  /** Slots of each region. */
+  readonly slots: readonly number[]
+  readonly linkMegabitsPerSecond: number
+  readonly runMilliseconds: number
+  /** Load of each region over its slots, on average over the run. */
+  readonly meanLoad: number
+  readonly makeAway: (random: SeededRandom, link: LinkBudget) => AwayPolicy
+}
+
+interface Job extends QueuedRequest {
+  readonly arrivedAt: number
+  readonly home: number
+  readonly isHomeBound: boolean
+  readonly routing: RoutingRequest
+  crossings: number
+}
+
+interface Region {
+  readonly index: number
+  readonly name: RegionId
+  readonly table: UpstreamTable
+  readonly slots: number
+  readonly engines: ReadonlyMap<UpstreamId, BatchRunner>
+  readonly queue: FairQueue<Job>
+  readonly digests: RegionDigests
+  readonly link: LinkBudget
+  readonly chooser: PredictedChooser
+  readonly random: SeededRandom
+}
+
+/** A region has one engine for so many of its slots. */
+const slotsPerEngine = 16
+const route = toRouteName('drafting')
+const model = toModelName('writer')
+const team = toTeamId('binders')
+const domain = toFailureDomainId('fd-1')
+const latencyMilliseconds = 55
+const digestMilliseconds = 2_000
+const tickMilliseconds = 20
+const deadlineMilliseconds = 10_000
+const homeBoundShare = 0.18
+const promptTokens = 1_000
+const outputTokens = 100
+/** Time of a request in a full engine, for the offered load. */
+const serviceMilliseconds = 2_900
+/** Half the distance between peak and trough, over the mean. */
+const peakShare = 0.8
+const bytesPerMegabit = 125_000
+
+const nameOf = (index: number): RegionId => toRegionId(`region-${index}`)
+
+export class RegionFleet {
+  readonly clock = new VirtualClock()
+  readonly firstToken: number[] = []
+  readonly servedByRegion: number[]
+  readonly offeredByRegion: number[]
+  offered = 0
+  sentAway = 0
+  refused = 0
+  linkBytes = 0
+  usefulTokens = 0
+  readonly violations: string[] = []
+  private readonly regions: readonly Region[]
+  private readonly linkFreeAt = new Map<string, number>()
+
+  constructor (private readonly options: RegionFleetOptions) {
+    this.regions = options.slots.map((slots, index) => this.makeRegion(index, slots))
+    this.servedByRegion = options.slots.map(() => 0)
+    this.offeredByRegion = options.slots.map(() => 0)
+  }
+
+  get computeMilliseconds (): number {
+    return this.regions.flatMap(({ engines }) => [...engines.values()])
+      .reduce((sum, { computeMilliseconds }) => sum + computeMilliseconds, 0)
+  }
+
+  run (): void {
+    this.regions.forEach((region) => this.arrive(region))
+    this.every(digestMilliseconds, () => this.shareDigests())
+    this.every(tickMilliseconds, () => this.regions.forEach((region) => this.tick(region)))
+    this.clock.advance(this.options.runMilliseconds + 2 * deadlineMilliseconds)
+  }
+
+  private every (milliseconds: number, act: () => void): void {
+    this.clock.schedule(milliseconds, () => {
+      act()
+      this.every(milliseconds, act)
+    })
+  }
+
+  /** Arrivals follow a day that lasts as long as the run, each region at another hour. */
+  private loadAt (region: Region): number {
+    const hour = this.clock.monotonic() / this.options.runMilliseconds + region.index / this.regions.length
+    return this.options.meanLoad * (1 + peakShare * Math.sin(2 * Math.PI * hour))
+  }
+
+  private arrive (region: Region): void {
+    const perMillisecond = Math.max(0.05, this.loadAt(region)) * region.slots / serviceMilliseconds
+    this.clock.schedule(exponential(region.random, 1 / perMillisecond), () => {
+      if (this.clock.monotonic() > this.options.runMilliseconds) return
+      this.offer(region)
+      this.arrive(region)
+    })
+  }
+
+  private offer (region: Region): void {
+    const now = this.clock.monotonic()
+    const isHomeBound = region.random.next() < homeBoundShare
+    this.offered += 1
+    this.offeredByRegion[region.index] = (this.offeredByRegion[region.index] ?? 0) + 1
+    this.enter(region, {
+      id: toRequestId(`r-${this.offered}`),
+      team,
+      pool: 'pool',
+      priority: PriorityClass.Interactive,
+      weight: 1,
+      cost: promptTokens + outputTokens,
+      enqueuedAt: now,
+      arrivedAt: now,
+      deadlineAt: now + deadlineMilliseconds,
+      home: region.index,
+      isHomeBound,
+      crossings: 0,
+      routing: {
+        team,
+        route,
+        model,
+        mayCrossBorder: true,
+        excluded: new Set(),
+        promptTokens,
+        outputTokens,
+        prompt: '',
+        allowedRegions: isHomeBound ? [region.name] : this.regions.map(({ name }) => name)
+      }
+    })
+  }
+
+  private enter (region: Region, job: Job): void {
+    const choice = region.queue.length === 0 ? this.choose(region, job) : undefined
+    if (choice !== undefined && this.act(region, job, choice)) return
+    this.refused += region.queue.enqueue(job).length
+    this.pump(region)
+  }
+
+  private tick (region: Region): void {
+    this.refused += region.queue.expire().length
+    this.pump(region)
+  }
+
+  private pump (region: Region): void {
+    for (;;) {
+      let choice: RoutingChoice | undefined
+      const job = region.queue.dequeue((candidate) => {
+        choice = this.choose(region, candidate)
+        return choice.kind === RoutingChoiceKind.Run || choice.kind === RoutingChoiceKind.Forward
+      })
+      if (job === undefined || choice === undefined) return
+      this.act(region, job, choice)
+    }
+  }
+
+  private choose (region: Region, { routing }: Job): RoutingChoice {
+    return region.chooser.choose(routing, {
+      region: region.name,
+      upstreams: region.table.servingViews(region.name, routing),
+      remoteRegions: this.remoteRegions(region, routing),
+      localWaitMilliseconds: region.queue.expectedWaitIn('pool')
+    })
+  }
+
+  /** Carries out a choice; false where the request must wait. */
+  private act (region: Region, job: Job, choice: RoutingChoice): boolean {
+    if (choice.kind === RoutingChoiceKind.Forward) this.forward(region, job, choice.region)
+    else if (choice.kind === RoutingChoiceKind.Run) this.start(region, job, choice.upstream)
+    else return false
+    return true
+  }
+
+  private remoteRegions (region: Region, request: RoutingRequest) {
+    return this.regions.filter(({ index }) => index !== region.index).map(({ name }) => ({
+      region: name, vms: [toVmId(`vm-${name}`)], freeSlots: region.digests.freeSlots(name, request), latencyMilliseconds
+    }))
+  }
+
+  private forward (from: Region, job: Job, to: RegionId): void {
+    const target = this.regions.find(({ name }) => name === to) as Region
+    const bytes = forwardBytes(job.routing)
+    job.crossings += 1
+    this.sentAway += 1
+    this.linkBytes += bytes
+    if (job.isHomeBound || job.crossings > 1) this.violations.push(`${job.id} crossed ${job.crossings} borders, home bound ${job.isHomeBound}`)
+    from.digests.sent(to, job.routing)
+    from.link.take(to, bytes)
+    const routing = { ...job.routing, mayCrossBorder: false, allowedRegions: [to] }
+    this.clock.schedule(this.transferMilliseconds(from, target, bytes), () => this.enter(target, { ...job, routing }))
+  }
+
+  /** One way over the shared link; transfers queue behind each other. */
+  private transferMilliseconds (from: Region, to: Region, bytes: number): number {
+    const key = `${from.index}-${to.index}`
+    const now = this.clock.monotonic()
+    const takes = bytes / (this.options.linkMegabitsPerSecond * bytesPerMegabit / 1_000)
+    const free = Math.max(now, this.linkFreeAt.get(key) ?? 0) + takes
+    this.linkFreeAt.set(key, free)
+    return free - now + latencyMilliseconds
+  }
+
+  private start (region: Region, job: Job, upstream: UpstreamId): void {
+    region.table.begin(upstream)
+    region.chooser.sent(job.routing, upstream)
+    region.engines.get(upstream)?.submit({
+      priority: job.priority,
+      promptTokens,
+      outputTokens,
+      blocks: [],
+      onFirstToken: () => this.firstToken.push(this.clock.monotonic() - job.arrivedAt + job.crossings * latencyMilliseconds),
+      onEnd: () => {
+        region.table.end(upstream, true)
+        this.usefulTokens += job.cost
+        this.servedByRegion[job.home] = (this.servedByRegion[job.home] ?? 0) + 1
+        this.pump(region)
+      }
+    })
+  }
+
+  private shareDigests (): void {
+    for (const from of this.regions) {
+      const occupancy = from.table.servingViews(from.name, { route, model }).reduce((sum, view) => sum + view.occupancy, 0)
+      const freeSlots = Math.max(0, from.slots - occupancy - from.queue.length)
+      for (const to of this.regions) {
+        if (to === from) continue
+        this.clock.schedule(latencyMilliseconds, () => to.digests.receive(from.name, [{ route, model, freeSlots }]))
+      }
+    }
+  }
+
+  private makeRegion (index: number, slots: number): Region {
+    const { clock, options } = this
+    const name = nameOf(index)
+    const random = new SeededRandom(options.seed * 1_000 + index)
+    const upstreams = Array.from({ length: slots / slotsPerEngine }, (_, engine): Upstream => ({
+      name: toUpstreamId(`u-${index}-${engine}`),
+      region: name,
+      failureDomain: domain,
+      address: 'http://127.0.0.1:1',
+      routes: [route],
+      models: [model],
+      slots: slotsPerEngine,
+      checksFencing: false,
+      leaving: false
+    }))
+    const table = new UpstreamTable(clock)
+    table.configure({
+      revision: toRevision(1), teams: new Map(), plans: new Map(), keys: new Map(), routes: new Map(), upstreams: new Map(upstreams.map((upstream) => [upstream.name, upstream]))
+    })
+    const link = new LinkBudget({ clock, linkMegabitsPerSecond: options.linkMegabitsPerSecond, share: 0.5, vmCount: () => 1 })
+    return {
+      index,
+      name,
+      table,
+      slots,
+      random,
+      link,
+      engines: new Map(upstreams.map((upstream) => [upstream.name, new BatchRunner({ clock, slots: slotsPerEngine, cacheBlocks: 1 })])),
+      queue: new FairQueue({ ...defaultFairQueueBounds, clock, teamShare: 1 }),
+      digests: new RegionDigests({ clock, vmCount: () => 1 }),
+      chooser: new PredictedChooser({ clock, random, failureDomain: domain, away: options.makeAway(random, link), vmCount: () => 1 })
+    }
+  }
+}
--- /dev/null
+++ b/packages/simulation/src/residencySoak.ts
@@ -0,0 +1,207 @@
+/**
+ * Soak suite: a request runs only in regions that its plan allows, crosses one
+ * border at most and never loops, whatever the VMs believe of each other's
+ * load and whichever away policy they follow.
+ */
+
+import * as fastCheck from 'fast-check'
+import {
+  SeededRandom, toFailureDomainId, toModelName, toRegionId, toRevision, toRouteName, toTeamId, toUpstreamId, toVmId
+} from '@cuminvale/common'
+import {
+  AwayWhenFaster, AwayWhenFull, LeastInFlightChooser, LinkBudget, NeverAway, PredictedChooser, RegionDigests, RoutingChoiceKind, UpstreamTable
+} from '@cuminvale/routing'
+import type { RegionId, VmId } from '@cuminvale/common'
+import type { Configuration, Upstream } from '@cuminvale/documents'
+import type { AwayPolicy, RemoteRegionView, RoutingRequest, UpstreamChooser } from '@cuminvale/routing'
+import { checkCommands } from './checkCommands.js'
+import { FaultKind } from './soakSuite.js'
+import { VirtualClock } from './virtualClock.js'
+import type { SoakSuite, SoakTally } from './soakSuite.js'
+
+const regions = ['lombardia', 'veneto', 'emilia'].map(toRegionId)
+const vmsPerRegion = 2
+const upstreamsPerRegion = 2
+const slots = 3
+const maximumHops = 2
+const runsPerBatch = 120
+const maximumCommands = 60
+const route = toRouteName('drafting')
+const model = toModelName('writer')
+const domain = toFailureDomainId('fd-1')
+
+interface RoutingVm {
+  readonly name: VmId
+  readonly region: RegionId
+  readonly table: UpstreamTable
+  readonly digests: RegionDigests
+  readonly chooser: UpstreamChooser
+}
+
+const upstreams: readonly Upstream[] = regions.flatMap((region) => Array.from({ length: upstreamsPerRegion }, (_, index) => ({
+  name: toUpstreamId(`${region}-${index}`),
+  region,
+  failureDomain: domain,
+  address: 'http://127.0.0.1:1',
+  routes: [route],
+  models: [model],
+  slots,
+  checksFencing: false,
+  leaving: false
+})))
+
+const configuration: Configuration = {
+  revision: toRevision(1),
+  teams: new Map(),
+  plans: new Map(),
+  keys: new Map(),
+  routes: new Map(),
+  upstreams: new Map(upstreams.map((upstream) => [upstream.name, upstream]))
+}
+
+export class ResidencyFleet {
+  readonly clock = new VirtualClock()
+  readonly random: SeededRandom
+  readonly vms: readonly RoutingVm[]
+  private readonly policies: ReadonlyArray<(random: SeededRandom, link: LinkBudget) => AwayPolicy> = [
+    (random, link) => new AwayWhenFaster({ random, link, gainFactor: 1 }),
+    (random) => new AwayWhenFull(random),
+    (random) => new NeverAway(random)
+  ]
+
+  constructor (seed: number, readonly tally: SoakTally) {
+    this.random = new SeededRandom(seed)
+    this.vms = regions.flatMap((region) => Array.from({ length: vmsPerRegion }, (_, index) => this.makeVm(region, index)))
+  }
+
+  /**
+   * Sends a request to a VM and follows it to where it runs, is refused or
+   * waits. Half of the receivers don't narrow the allowed regions to their
+   * own, so that the bound on crossings must hold without it.
+   */
+  send (vm: number, allowed: readonly RegionId[], allowedAtReceiver: readonly RegionId[]): void {
+    this.tally.operation()
+    let at = this.vms[vm % this.vms.length] as RoutingVm
+    let permitted = allowed
+    let crossings = 0
+    for (let hop = 0; hop <= maximumHops; hop += 1) {
+      const choice = this.chooseAt(at, permitted, crossings)
+      if (choice.kind === RoutingChoiceKind.Run) return this.runOn(at, choice.upstream, permitted)
+      if (choice.kind !== RoutingChoiceKind.Forward) return
+      if (!permitted.includes(choice.region)) throw new Error(`a request allowed in ${permitted.join()} was sent to ${choice.region}`)
+      const next = this.vms.find(({ name }) => name === choice.vm)
+      if (next === undefined || next.region !== choice.region) throw new Error(`${choice.vm} is no VM of ${choice.region}`)
+      crossings += next.region === at.region ? 0 : 1
+      if (crossings > 1) throw new Error(`a request crossed ${crossings} borders`)
+      permitted = this.random.next() < 0.5 ? allowedAtReceiver : allowedAtReceiver.filter((region) => region === next.region)
+      at = next
+    }
+    throw new Error(`a request was forwarded more than ${maximumHops} times`)
+  }
+
+  /** A load report of a VM's belief, true or not. */
+  report (vm: number, upstream: number, running: number): void {
+    this.tally.fault(FaultKind.Stale)
+    this.vms[vm % this.vms.length]?.table.report(upstreams[upstream % upstreams.length]?.name ?? toUpstreamId('none'), {
+      running, queued: 0, ageMilliseconds: Math.floor(this.random.next() * 5_000), leaving: running > 2 * slots
+    })
+  }
+
+  digest (vm: number, about: number, freeSlots: number): void {
+    this.tally.fault(FaultKind.Reorder)
+    this.vms[vm % this.vms.length]?.digests.receive(regions[about % regions.length] as RegionId, [{ route, model, freeSlots }])
+  }
+
+  private runOn (vm: RoutingVm, name: Upstream['name'], permitted: readonly RegionId[]): void {
+    const upstream = configuration.upstreams.get(name)
+    if (upstream === undefined || upstream.region !== vm.region) throw new Error(`${vm.name} ran a request on ${name} of another region`)
+    if (!permitted.includes(upstream.region)) throw new Error(`a request allowed in ${permitted.join()} ran in ${upstream.region}`)
+    vm.table.begin(name)
+  }
+
+  private chooseAt (vm: RoutingVm, allowedRegions: readonly RegionId[], crossings: number) {
+    const request: RoutingRequest = {
+      team: toTeamId('binders'),
+      route,
+      model,
+      allowedRegions,
+      mayCrossBorder: crossings === 0,
+      excluded: new Set(),
+      promptTokens: 100,
+      outputTokens: 50,
+      prompt: ''
+    }
+    const remoteRegions = regions.map((region): RemoteRegionView => ({
+      region,
+      vms: this.vms.filter((other) => other.region === region).map(({ name }) => name),
+      freeSlots: vm.digests.freeSlots(region, request),
+      latencyMilliseconds: 55
+    }))
+    return vm.chooser.choose(request, {
+      region: vm.region, upstreams: vm.table.views(), remoteRegions, localWaitMilliseconds: this.random.next() * 5_000
+    })
+  }
+
+  private makeVm (region: RegionId, index: number): RoutingVm {
+    const { clock, random } = this
+    const table = new UpstreamTable(clock)
+    table.configure(configuration)
+    const link = new LinkBudget({ clock, linkMegabitsPerSecond: 100, share: 0.5, vmCount: () => vmsPerRegion })
+    const makeAway = this.policies[Math.floor(random.next() * this.policies.length)]
+    const away = makeAway?.(random, link) ?? new NeverAway(random)
+    const predicted = new PredictedChooser({ clock, random, failureDomain: domain, away, vmCount: () => vmsPerRegion })
+    return {
+      name: toVmId(`vm-${region}-${index}`),
+      region,
+      table,
+      digests: new RegionDigests({ clock, vmCount: () => vmsPerRegion }),
+      chooser: random.next() < 0.2 ? new LeastInFlightChooser(random) : predicted
+    }
+  }
+}
+
+type Model = Record<string, never>
+
+class ResidencyCommand implements fastCheck.Command<Model, ResidencyFleet> {
+  constructor (private readonly name: string, private readonly act: (fleet: ResidencyFleet) => void) {}
+
+  check (): boolean {
+    return true
+  }
+
+  run (_: Model, fleet: ResidencyFleet): void {
+    this.act(fleet)
+  }
+
+  toString (): string {
+    return this.name
+  }
+}
+
+const vmIndex = fastCheck.integer({ min: 0, max: regions.length * vmsPerRegion - 1 })
+const someRegions = fastCheck.subarray(regions)
+
+const commands = [
+  fastCheck.tuple(vmIndex, someRegions, someRegions, fastCheck.integer({ min: 1, max: 8 })).map(([vm, allowed, atReceiver, count]) =>
+    new ResidencyCommand(`send(${vm},[${allowed.join()}],[${atReceiver.join()}],${count})`, (fleet) => {
+      for (let index = 0; index < count; index += 1) fleet.send(vm, allowed, atReceiver)
+    })),
+  fastCheck.tuple(vmIndex, fastCheck.nat(5), fastCheck.nat(8)).map(([vm, upstream, running]) =>
+    new ResidencyCommand(`report(${vm},${upstream},${running})`, (fleet) => fleet.report(vm, upstream, running))),
+  fastCheck.tuple(vmIndex, fastCheck.nat(2), fastCheck.nat(20)).map(([vm, about, freeSlots]) =>
+    new ResidencyCommand(`digest(${vm},${about},${freeSlots})`, (fleet) => fleet.digest(vm, about, freeSlots))),
+  fastCheck.integer({ min: 1, max: 8_000 }).map((span) =>
+    new ResidencyCommand(`wait(${span})`, (fleet) => fleet.clock.advance(span)))
+]
+
+export const residencySoak: SoakSuite = {
+  name: 'residency',
+  promise: "A team's requests never leave the regions its plan allows; no request loops.",
+  run: async (seed, tally) => await checkCommands<Model, ResidencyFleet>({
+    seed,
+    runs: runsPerBatch,
+    maximumCommands,
+    commands,
+    setup: () => ({ model: {}, real: new ResidencyFleet(seed, tally) })
+  })
+}
--- a/packages/simulation/src/soakSuites.ts
+++ b/packages/simulation/src/soakSuites.ts
@@ -9,6 +9,7 @@
 import { membershipSoak } from './membershipSoak.js'
 import { ordersSoak } from './ordersSoak.js'
 import { suspicionSoak } from './suspicionSoak.js'
+import { residencySoak } from './residencySoak.js'
 import type { SoakSuite } from './soakSuite.js'
 
 export const soakSuites: readonly SoakSuite[] = [
@@ -18,5 +19,6 @@
   membershipSoak,
   ordersSoak,
   suspicionSoak,
-  limitsSoak
+  limitsSoak,
+  residencySoak
 ]
