--- a/packages/demo/src/demoFleet.ts
+++ b/packages/demo/src/demoFleet.ts
@@ -93,7 +93,7 @@
     await this.platform.stop()
   }
 
-  private running (): readonly DaemonProcess[] {
+  running (): readonly DaemonProcess[] {
     return this.daemons.filter(({ process: child }) => child.exitCode === null && child.signalCode === null)
   }
 
--- a/packages/demo/src/scenario.ts
+++ b/packages/demo/src/scenario.ts
@@ -2,7 +2,8 @@
  * The requests and events of the demo, each printed with what came of it.
  */
 
-import { Outcome } from '@cuminvale/common'
+import { request } from 'undici'
+import { Outcome, headerNames } from '@cuminvale/common'
 import { Client } from '@cuminvale/caller'
 import { keysDocument } from './deployments.js'
 import { waitFor } from './waitFor.js'
@@ -90,12 +91,53 @@
   report.expect('key withdrawn', true, `refused after ${Math.round(took)} ms`)
 }
 
+interface PlacedOrder {
+  readonly ticket: string
+  readonly outcome: string
+}
+
+const orderWhen = 'before the kill'
+
+const postOrder = async (fleet: DemoFleet, address: string, ticket: string): Promise<string> => {
+  const { statusCode, headers, body } = await request(`${address}/v1/services/${fleet.options.deployment.routes.order}/place`, {
+    method: 'POST',
+    headers: {
+      authorization: `Bearer ${fleet.platform.keys[0]?.key ?? ''}`,
+      'content-type': 'application/json',
+      [headerNames.ticket]: ticket
+    },
+    body: JSON.stringify({ item: 'ledger', when: orderWhen })
+  })
+  await body.dump()
+  return `${statusCode} ${String(headers[headerNames.outcome])}`
+}
+
+/** Places an order under a ticket of the VM at an address. */
+const placeOrder = async (fleet: DemoFleet, address: string): Promise<PlacedOrder> => {
+  const { body } = await request(`${address}/v1/entries`, {
+    headers: { authorization: `Bearer ${fleet.platform.keys[0]?.key ?? ''}` }
+  })
+  const ticket = (await body.json() as { tickets: string[] }).tickets[0] ?? ''
+  return { ticket, outcome: await postOrder(fleet, address, ticket) }
+}
+
+/** Repeats the order through another VM after the one that ran it is gone. */
+const repeatOrder = async (fleet: DemoFleet, order: PlacedOrder, report: Report): Promise<void> => {
+  const other = fleet.running()[0]?.vm
+  const repeated = await postOrder(fleet, `http://${other?.host}:${other?.callerPort}`, order.ticket)
+  const runs = timesRun(fleet, orderWhen)
+  const isHonest = repeated.endsWith(Outcome.Done) || repeated.endsWith(Outcome.Unknown)
+  report.expect('order repeated after the kill', runs === 1 && isHonest, `before: ${order.outcome}; now: ${repeated}, by ${other?.name}; ran ${runs} time(s)`)
+}
+
 const killVm = async (fleet: DemoFleet, client: Client, report: Report): Promise<void> => {
   const first = (await client.addresses())[0]
   const victim = fleet.daemons.find(({ vm }) => first === `http://${vm.host}:${vm.callerPort}`)
-  if (victim === undefined) return report.expect('VM killed', false, 'the client uses no known VM')
+  if (first === undefined || victim === undefined) return report.expect('VM killed', false, 'the client uses no known VM')
+  const order = await placeOrder(fleet, first)
   fleet.kill(victim)
   report.line('VM killed', `${victim.vm.name}, which the caller was using`)
+  await repeatOrder(fleet, order, report)
   await sendAll(fleet, client, report, 'after the kill')
 }
 
--- a/packages/fakes/src/fakeClientDirectory.ts
+++ b/packages/fakes/src/fakeClientDirectory.ts
@@ -1,12 +1,14 @@
 /**
- * Stand-in for the client directory.
+ * Stand-in for the client directory, in memory and over HTTP.
  */
 
+import { Maybe, Result } from 'true-myth'
 import type { IncomingMessage, ServerResponse } from 'node:http'
 import type { RegionId } from '@cuminvale/common'
+import type { ClientDirectory, PlatformError } from '@cuminvale/platform'
 import { HttpFake, pathOf, sendJson } from './httpFake.js'
 
-export class FakeClientDirectory {
+export class FakeClientDirectory implements ClientDirectory {
   readonly server = new HttpFake((request, response) => this.handle(request, response))
   private readonly regions = new Map<string, RegionId>()
 
@@ -14,6 +16,10 @@
     this.regions.set(address, region)
   }
 
+  regionOf (address: string): Promise<Result<Maybe<RegionId>, PlatformError>> {
+    return Promise.resolve(Result.ok(Maybe.of(this.regions.get(address))))
+  }
+
   private handle (request: IncomingMessage, response: ServerResponse): void {
     const address = decodeURIComponent(pathOf(request).pathname.replace('/v1/clients/', ''))
     sendJson(response, 200, { region: this.regions.get(address) ?? null })
--- a/packages/fakes/src/fakeVmList.ts
+++ b/packages/fakes/src/fakeVmList.ts
@@ -1,27 +1,36 @@
 /**
- * Stand-in for the VM list; changes show after a lag.
+ * Stand-in for the VM list, in memory and over HTTP; changes show after a lag.
  */
 
+import { Result } from 'true-myth'
+import { runtimeClock } from '@cuminvale/common'
 import type { IncomingMessage, ServerResponse } from 'node:http'
-import type { ListedVm } from '@cuminvale/common'
+import type { Clock, ListedVm } from '@cuminvale/common'
+import type { PlatformError, VmList } from '@cuminvale/platform'
 import { HttpFake, pathOf, sendJson } from './httpFake.js'
 
-export class FakeVmList {
+interface Version {
+  readonly visibleAt: number
+  readonly vms: readonly ListedVm[]
+}
+
+export class FakeVmList implements VmList {
   readonly server = new HttpFake((request, response) => this.handle(request, response))
-  private shown: readonly ListedVm[] = []
+  private readonly versions: Version[] = []
 
-  constructor (private readonly lagMilliseconds = 0) {}
+  constructor (private readonly lagMilliseconds = 0, private readonly clock: Clock = runtimeClock) {}
 
   set (vms: readonly ListedVm[]): void {
-    if (this.lagMilliseconds === 0) {
-      this.shown = vms
-      return
-    }
-    setTimeout(() => { this.shown = vms }, this.lagMilliseconds).unref()
+    this.versions.push({ visibleAt: this.clock.monotonic() + this.lagMilliseconds, vms })
+  }
+
+  list (): Promise<Result<readonly ListedVm[], PlatformError>> {
+    const now = this.clock.monotonic()
+    return Promise.resolve(Result.ok(this.versions.findLast(({ visibleAt }) => visibleAt <= now)?.vms ?? []))
   }
 
-  private handle (request: IncomingMessage, response: ServerResponse): void {
+  private async handle (request: IncomingMessage, response: ServerResponse): Promise<void> {
     if (pathOf(request).pathname !== '/v1/vms') return sendJson(response, 404, { error: 'no such path' })
-    sendJson(response, 200, { vms: this.shown })
+    sendJson(response, 200, { vms: (await this.list()).unwrapOr([]) })
   }
 }
--- /dev/null
+++ b/packages/fakes/src/platformContract.test.ts
@@ -0,0 +1,177 @@
+import { afterEach, describe, expect, it } from 'vitest'
+import { Maybe } from 'true-myth'
+import { toFailureDomainId, toModelName, toRegionId, toRevision, toVmId } from '@cuminvale/common'
+import { documentNames } from '@cuminvale/documents'
+import { HttpClientDirectory, HttpConfigurationService, HttpLoadSource, HttpVmList, HttpWeightStore } from '@cuminvale/platform'
+import type { Clock, ListedVm } from '@cuminvale/common'
+import type { DocumentTexts } from '@cuminvale/documents'
+import { FakeClientDirectory } from './fakeClientDirectory.js'
+import { FakeConfigurationService } from './fakeConfigurationService.js'
+import { FakeService } from './fakeService.js'
+import { FakeVmList } from './fakeVmList.js'
+import { FakeWeightStore } from './fakeWeightStore.js'
+import type { HttpFake } from './httpFake.js'
+
+class SteppedClock implements Clock {
+  now = 0
+  monotonic = (): number => this.now
+  wall = (): number => this.now
+}
+
+const started: HttpFake[] = []
+
+afterEach(async () => {
+  await Promise.all(started.splice(0).map(async (server) => await server.stop()))
+})
+
+const addressOf = async (server: HttpFake): Promise<string> => {
+  await server.start()
+  started.push(server)
+  return server.address
+}
+
+/** Each contract runs against the fake itself and against the HTTP adapter in front of it. */
+const forms = ['in memory', 'over HTTP'] as const
+type Form = typeof forms[number]
+
+const texts: DocumentTexts = { teams: 't1', plans: 'p1', keys: 'k1', routes: 'r1', upstreams: 'u1' }
+
+const startConfiguration = async (form: Form) => {
+  const fake = new FakeConfigurationService(texts)
+  return { fake, service: form === 'in memory' ? fake : new HttpConfigurationService(await addressOf(fake.server)) }
+}
+
+const waiting = async (fake: FakeConfigurationService): Promise<void> => {
+  while (fake.waitingWatches === 0) await new Promise((resolve) => setTimeout(resolve, 1))
+}
+
+const longWatchMilliseconds = 10_000
+
+describe.each(forms)('the configuration service %s', (form) => {
+  it('reads all documents, under the highest revision among them', async () => {
+    const { fake, service } = await startConfiguration(form)
+    fake.publish({ plans: 'p2' })
+    const read = await service.read()
+    expect(read.unwrapOr(undefined)).toEqual({ revision: 2, texts: { ...texts, plans: 'p2' } })
+  })
+
+  it('answers a watch at once when it has moved, else when it moves', async () => {
+    const { fake, service } = await startConfiguration(form)
+    expect((await service.watch(toRevision(0), longWatchMilliseconds)).unwrapOr(toRevision(-1))).toBe(1)
+    const pending = service.watch(toRevision(1), longWatchMilliseconds)
+    await waiting(fake)
+    fake.publish({ plans: 'p2' })
+    expect((await pending).unwrapOr(toRevision(-1))).toBe(2)
+  })
+
+  it('answers a watch with the revision that has not moved when its time is over', async () => {
+    const { service } = await startConfiguration(form)
+    expect((await service.watch(toRevision(1), 5)).unwrapOr(toRevision(-1))).toBe(1)
+  })
+
+  it('counts each value read, and a waiting watch as one', async () => {
+    const { fake, service } = await startConfiguration(form)
+    await service.read()
+    const pending = service.watch(toRevision(1), longWatchMilliseconds)
+    await waiting(fake)
+    expect(fake.calls).toBe(documentNames.length + 1)
+    fake.setDown(true)
+    await pending
+  })
+
+  it('fails every call while it is down, and breaks waiting watches off', async () => {
+    const { fake, service } = await startConfiguration(form)
+    const pending = service.watch(toRevision(1), longWatchMilliseconds)
+    await waiting(fake)
+    fake.setDown(true)
+    expect((await pending).isErr).toBe(true)
+    expect((await service.read()).isErr).toBe(true)
+    fake.setDown(false)
+    expect((await service.read()).isOk).toBe(true)
+  })
+
+  it('shows the past while it is stale', async () => {
+    const { fake, service } = await startConfiguration(form)
+    fake.setStale(true)
+    fake.publish({ plans: 'p2' })
+    expect((await service.read()).unwrapOr(undefined)?.texts.plans).toBe('p1')
+    expect((await service.watch(toRevision(1), 5)).unwrapOr(toRevision(-1))).toBe(1)
+    fake.setStale(false)
+    expect((await service.read()).unwrapOr(undefined)?.texts.plans).toBe('p2')
+  })
+
+  it('takes no value over a megabyte', async () => {
+    const { fake, service } = await startConfiguration(form)
+    expect(() => fake.publish({ plans: 'x'.repeat(1_048_577) })).toThrow('over a megabyte')
+    expect((await service.read()).unwrapOr(undefined)?.revision).toBe(1)
+  })
+})
+
+const vm: ListedVm = {
+  name: toVmId('gateway-1'),
+  region: toRegionId('veneto'),
+  failureDomain: toFailureDomainId('veneto-fd1'),
+  host: '127.0.0.1',
+  callerPort: 1,
+  peerPort: 2,
+  administrationPort: 3,
+  state: 'live'
+}
+
+describe.each(forms)('the VM list %s', (form) => {
+  it('shows changes after its lag', async () => {
+    const clock = new SteppedClock()
+    const fake = new FakeVmList(100, clock)
+    const list = form === 'in memory' ? fake : new HttpVmList(await addressOf(fake.server))
+    fake.set([vm])
+    clock.now = 99
+    expect((await list.list()).unwrapOr([vm])).toEqual([])
+    clock.now = 100
+    fake.set([{ ...vm, state: 'leaving' }])
+    expect((await list.list()).unwrapOr([])).toEqual([vm])
+    clock.now = 200
+    expect((await list.list()).unwrapOr([]).map(({ state }) => state)).toEqual(['leaving'])
+  })
+})
+
+describe.each(forms)('the weight store %s', (form) => {
+  it('describes weights, refuses unknown ones, and refuses calls above its rate', async () => {
+    const clock = new SteppedClock()
+    const weights = { model: toModelName('writer'), version: '1', bytes: 8, region: toRegionId('lombardia'), rateBytesPerSecond: 4 }
+    const fake = new FakeWeightStore([weights], 2, clock)
+    const store = form === 'in memory' ? fake : new HttpWeightStore(await addressOf(fake.server))
+    expect((await store.describe(toModelName('writer'))).unwrapOr(undefined)).toEqual(weights)
+    expect((await store.describe(toModelName('other'))).isErr).toBe(true)
+    expect((await store.describe(toModelName('writer'))).isErr).toBe(true)
+    clock.now = 1_000
+    expect((await store.describe(toModelName('writer'))).isOk).toBe(true)
+  })
+})
+
+describe.each(forms)('the client directory %s', (form) => {
+  it('knows the region of an address, or says that it does not', async () => {
+    const fake = new FakeClientDirectory()
+    const directory = form === 'in memory' ? fake : new HttpClientDirectory(await addressOf(fake.server))
+    fake.set('2001:db8::1', toRegionId('emilia'))
+    expect((await directory.regionOf('2001:db8::1')).unwrapOr(Maybe.nothing())).toEqual(Maybe.just('emilia'))
+    expect((await directory.regionOf('10.0.0.1')).unwrapOr(Maybe.just(toRegionId('x')))).toEqual(Maybe.nothing())
+  })
+})
+
+describe('a plain service over HTTP', () => {
+  it('reports whether it is leaving', async () => {
+    const fake = new FakeService()
+    const source = new HttpLoadSource(await addressOf(fake.server))
+    fake.leaving = true
+    expect((await source.load()).unwrapOr(undefined)).toEqual({ running: 0, queued: 0, ageMilliseconds: 0, leaving: true })
+  })
+})
+
+describe('an adapter', () => {
+  it('turns an unreachable platform into an error', async () => {
+    const fake = new FakeVmList()
+    const address = await addressOf(fake.server)
+    await fake.server.stop()
+    expect((await new HttpVmList(address).list()).isErr).toBe(true)
+  })
+})
