Ask a VM that lives for the repeated order, and keep demo ports out of the outgoing range

Cause: the repeat could go to the VM just killed, whose exit was not yet seen (read ECONNRESET); and one run in four failed with EADDRINUSE, since ports from the system's range for outgoing connections were freed before the daemons took them. Change: the repeat goes to any VM but the killed one; ports come from below that range.

--- a/packages/demo/src/daemonProcess.ts
+++ b/packages/demo/src/daemonProcess.ts
@@ -4,13 +4,11 @@
  */
 
 import { spawn } from 'node:child_process'
-import { once } from 'node:events'
 import { createWriteStream, writeFileSync } from 'node:fs'
 import { createServer } from 'node:net'
 import { createRequire } from 'node:module'
 import { dirname, join } from 'node:path'
 import type { ChildProcess } from 'node:child_process'
-import type { AddressInfo } from 'node:net'
 import { VmState, toVmId } from '@cuminvale/common'
 import type { ListedVm } from '@cuminvale/common'
 import type { VmSpecification } from './deployments.js'
@@ -23,15 +21,28 @@
   readonly process: ChildProcess
 }
 
+/** Below the ports that the system gives to outgoing connections, which could take one before its daemon does. */
+const lowestPort = 10_240
+const highestPort = 32_000
+
+const isFree = async (port: number): Promise<boolean> => {
+  const server = createServer()
+  const free = await new Promise<boolean>((resolve) => {
+    server.once('error', () => resolve(false))
+    server.listen(port, host, () => resolve(true))
+  })
+  if (free) await new Promise((resolve) => server.close(resolve))
+  return free
+}
+
 /** Ports that were free a moment ago, all different. */
 export const freePorts = async (count: number): Promise<readonly number[]> => {
-  const servers = await Promise.all(Array.from({ length: count }, async () => {
-    const server = createServer().listen(0, host)
-    await once(server, 'listening')
-    return server
-  }))
-  const ports = servers.map((server) => (server.address() as AddressInfo).port)
-  await Promise.all(servers.map((server) => new Promise((resolve) => server.close(resolve))))
+  const ports: number[] = []
+  let port = lowestPort + Math.floor(Math.random() * (highestPort - lowestPort))
+  while (ports.length < count) {
+    if (await isFree(port)) ports.push(port)
+    port = port === highestPort ? lowestPort : port + 1
+  }
   return ports
 }
 
--- a/packages/demo/src/demoFleet.ts
+++ b/packages/demo/src/demoFleet.ts
@@ -93,7 +93,7 @@
     await this.platform.stop()
   }
 
-  running (): readonly DaemonProcess[] {
+  private running (): readonly DaemonProcess[] {
     return this.daemons.filter(({ process: child }) => child.exitCode === null && child.signalCode === null)
   }
 
--- a/packages/demo/src/scenario.ts
+++ b/packages/demo/src/scenario.ts
@@ -9,6 +9,7 @@
 import { waitFor } from './waitFor.js'
 import type { CallAnswer, CallError } from '@cuminvale/caller'
 import type { Result } from 'true-myth'
+import type { VmId } from '@cuminvale/common'
 import type { DemoFleet } from './demoFleet.js'
 
 type Answer = Result<CallAnswer, CallError>
@@ -121,9 +122,14 @@
   return { ticket, outcome: await postOrder(fleet, address, ticket) }
 }
 
+interface RepeatOptions {
+  readonly killed: VmId
+  readonly report: Report
+}
+
 /** Repeats the order through another VM after the one that ran it is gone. */
-const repeatOrder = async (fleet: DemoFleet, order: PlacedOrder, report: Report): Promise<void> => {
-  const other = fleet.running()[0]?.vm
+const repeatOrder = async (fleet: DemoFleet, order: PlacedOrder, { killed, report }: RepeatOptions): Promise<void> => {
+  const other = fleet.vms.find(({ name }) => name !== killed)
   const repeated = await postOrder(fleet, `http://${other?.host}:${other?.callerPort}`, order.ticket)
   const runs = timesRun(fleet, orderWhen)
   const isHonest = repeated.endsWith(Outcome.Done) || repeated.endsWith(Outcome.Unknown)
@@ -137,7 +143,7 @@
   const order = await placeOrder(fleet, first)
   fleet.kill(victim)
   report.line('VM killed', `${victim.vm.name}, which the caller was using`)
-  await repeatOrder(fleet, order, report)
+  await repeatOrder(fleet, order, { killed: victim.vm.name, report })
   await sendAll(fleet, client, report, 'after the kill')
 }
 
