Back off from the configuration service with jitter, and let peers bring a revision first

Cause: 370 VMs retrying each 500 ms make 2,220 calls in half a second when the service is back, over its rate of 2,000 a second (worked out, not measured). Change: ServicePacing, backoff to 10 s with jitter; a read waits up to 200 ms and is left out where a peer brought the revision. Watchers by failure domain are not built.

--- a/packages/configuration/src/index.ts
+++ b/packages/configuration/src/index.ts
@@ -1,3 +1,4 @@
 export * from './types.js'
 export * from './configurationHolder.js'
 export * from './configurationSpread.js'
+export * from './servicePacing.js'
--- a/packages/daemon/src/platformPolls.ts
+++ b/packages/daemon/src/platformPolls.ts
@@ -4,11 +4,12 @@
  */
 
 import { runtimeRandom, toRevision } from '@cuminvale/common'
-import { AcceptanceKind } from '@cuminvale/configuration'
+import { AcceptanceKind, ServicePacing } from '@cuminvale/configuration'
 import { formatDocumentFault } from '@cuminvale/documents'
+import type { Revision } from '@cuminvale/common'
 import type { Acceptance } from '@cuminvale/configuration'
 import {
-  configurationRetryMilliseconds, configurationWatchMilliseconds, vmListPollMilliseconds
+  configurationWatchMilliseconds, vmListPollMilliseconds
 } from './constants.js'
 import { adoptListedVms } from './limitWiring.js'
 import { vmListPause } from './vmListPace.js'
@@ -26,18 +27,31 @@
   }
 }
 
-/** Reads once, then waits for the service to move past what was last seen. */
+const pause = async (milliseconds: number): Promise<void> =>
+  await new Promise((resolve) => setTimeout(resolve, milliseconds).unref())
+
+/** Reads a revision from the service unless a peer brings it first; false where the service fails. */
+const fetchRevision = async (context: VmContext, revision: Revision, pacing: ServicePacing): Promise<boolean> => {
+  await pause(pacing.readDelay())
+  if ((context.configuration.current?.revision ?? 0) >= revision) return true
+  const published = await context.platform.configurationService.read()
+  if (published.isErr) return false
+  logAcceptance(context, context.configuration.offer(published.value))
+  return true
+}
+
+/** Waits for the service to move past what was last seen, and fetches what is new. */
 export const createConfigurationPoll = (context: VmContext): () => Promise<number> => {
   const { configurationService } = context.platform
+  const pacing = new ServicePacing(runtimeRandom)
   let seen = toRevision(0)
   return async () => {
     const moved = await configurationService.watch(seen, configurationWatchMilliseconds)
-    if (moved.isErr) return configurationRetryMilliseconds
-    if (moved.value <= seen) return 0
-    const published = await configurationService.read()
-    if (published.isErr) return configurationRetryMilliseconds
-    logAcceptance(context, context.configuration.offer(published.value))
-    seen = moved.value
+    if (moved.isErr) return pacing.failed()
+    const isNew = moved.value > seen
+    if (isNew && !await fetchRevision(context, moved.value, pacing)) return pacing.failed()
+    if (isNew) seen = moved.value
+    pacing.succeeded()
     return 0
   }
 }
