Keep copies of usage counts on another failure domain and gather them without double counting

Change: UsageCopies sends the counts that changed since the last acknowledgement to a VM of another failure domain every 2 s; when the keeper of a copy is gone its holder copies it on; a leaving VM ends its count and hands it over; the administration API reports own and held accounts, and 'cuminvale usage' takes the highest sequence of each incarnation and shows gaps. Conclusion: wired into the daemon and the command line.

--- a/packages/cli/src/fleetCommands.ts
+++ b/packages/cli/src/fleetCommands.ts
@@ -11,7 +11,7 @@
 import type { VmAnswer } from './fleetClient.js'
 import type { Explanation } from './reports.js'
 
-const shared = {
+export const shared = {
   vm: multioption({ type: array(string), long: 'vm', description: 'Administration address of a VM; may be repeated' }),
   tokenFile: option({ type: string, long: 'token-file', description: 'File with the administration token' }),
   json: flag({ long: 'json', description: 'Print JSON' })
@@ -28,9 +28,6 @@
   print(format(answers))
 }
 
-const formatPlain = (answers: readonly VmAnswer[]): string =>
-  answers.map(({ address, answer, error }) => `${address}: ${error ?? JSON.stringify(answer)}`).join('\n')
-
 export const statusCommand = command({
   name: 'status',
   description: 'Revision, readiness and load of every VM',
@@ -39,14 +36,6 @@
     report(await askFleet({ vm, tokenFile, path: '/administration/status' }), { json, format: formatStatus })
 })
 
-export const usageCommand = command({
-  name: 'usage',
-  description: 'Completed requests by team and route',
-  args: shared,
-  handler: async ({ vm, tokenFile, json }) =>
-    report(await askFleet({ vm, tokenFile, path: '/administration/usage' }), { json, format: formatPlain })
-})
-
 export const drainCommand = command({
   name: 'drain',
   description: 'Take a VM out of the entries answer; it finishes what it has',
--- a/packages/cli/src/main.ts
+++ b/packages/cli/src/main.ts
@@ -4,8 +4,9 @@
 
 import { binary, run, subcommands } from 'cmd-ts'
 import { checkCommand } from './checkCommand.js'
-import { drainCommand, explainCommand, statusCommand, usageCommand } from './fleetCommands.js'
+import { drainCommand, explainCommand, statusCommand } from './fleetCommands.js'
 import { keyCommand } from './keyCommand.js'
+import { usageCommand } from './usageCommand.js'
 
 const cuminvale = subcommands({
   name: 'cuminvale',
--- /dev/null
+++ b/packages/cli/src/usageCommand.ts
@@ -0,0 +1,53 @@
+/**
+ * `cuminvale usage`: completed requests by team and route, gathered from every
+ * VM of the fleet, without counting any twice.
+ */
+
+import { command } from 'cmd-ts'
+import { mergeUsage } from '@cuminvale/metering'
+import type { MergedUsage, UsageReport, VmUsage } from '@cuminvale/metering'
+import { exitCodeFailed } from './constants.js'
+import { askFleet } from './fleetClient.js'
+import { shared } from './fleetCommands.js'
+import { print, printJson } from './output.js'
+
+interface UsageAnswer extends Pick<UsageReport, 'vm' | 'incarnation'> {
+  readonly reports: readonly UsageReport[]
+  readonly dropped: ReadonlyArray<Pick<UsageReport, 'vm' | 'incarnation'>>
+}
+
+interface Unanswered {
+  readonly address: string
+  readonly error: string
+}
+
+const columnWidth = 24
+
+const toVmUsage = ({ vm, incarnation, reports, dropped }: UsageAnswer): VmUsage =>
+  ({ self: { vm, incarnation }, reports, dropped })
+
+const printUsage = ({ counts, gaps }: MergedUsage, unanswered: readonly Unanswered[]): void => {
+  print(['team', 'route', 'requests', 'weighted', 'tokens'].map((text) => text.padEnd(columnWidth)).join('').trimEnd())
+  for (const { team, route, requests, weighted, tokens } of counts) {
+    print([team, route, requests, weighted, tokens].map((cell) => String(cell).padEnd(columnWidth)).join('').trimEnd())
+  }
+  for (const { vm, incarnation, knownRequests } of gaps) {
+    print(`gap: ${vm} (${incarnation}) is known up to ${knownRequests} requests; later ones may be missing`)
+  }
+  for (const { address, error } of unanswered) print(`gap: ${address} did not answer: ${error}`)
+}
+
+export const usageCommand = command({
+  name: 'usage',
+  description: 'Completed requests by team and route, from all VMs, each counted once',
+  args: shared,
+  handler: async ({ vm, tokenFile, json }) => {
+    const answers = await askFleet({ vm, tokenFile, path: '/administration/usage' })
+    const answered = answers.flatMap(({ answer }) => answer === undefined ? [] : [toVmUsage(answer as UsageAnswer)])
+    const unanswered = answers.flatMap(({ address, error }): readonly Unanswered[] =>
+      error === undefined ? [] : [{ address, error }])
+    const merged = mergeUsage(answered)
+    if (unanswered.length > 0 || merged.gaps.length > 0) process.exitCode = exitCodeFailed
+    return json ? printJson({ ...merged, unanswered }) : printUsage(merged, unanswered)
+  }
+})
--- a/packages/daemon/src/administrationServer.ts
+++ b/packages/daemon/src/administrationServer.ts
@@ -7,6 +7,7 @@
 import type { IncomingMessage, Server, ServerResponse } from 'node:http'
 import { answerExplain } from './explainEndpoint.js'
 import { sendJson } from './sendJson.js'
+import { usageAnswer } from './usageWiring.js'
 import type { VmContext } from './vmContext.js'
 
 const bearerPrefix = 'Bearer '
@@ -43,9 +44,7 @@
   if (url.pathname === '/administration/status') return sendJson(response, 200, status(context))
   if (url.pathname === '/administration/explain') return answerExplain(context, url.searchParams, response)
   if (url.pathname === '/administration/usage') {
-    return sendJson(response, 200, {
-      vm: context.identity.vm, incarnation: context.incarnation, counts: context.meter.snapshot()
-    })
+    return sendJson(response, 200, usageAnswer(context))
   }
   if (url.pathname === '/administration/documents') {
     return sendJson(response, 200, context.configuration.currentTexts ?? null)
--- a/packages/daemon/src/createContext.ts
+++ b/packages/daemon/src/createContext.ts
@@ -7,7 +7,7 @@
 import { ConfigurationHolder } from '@cuminvale/configuration'
 import { EscrowLimiter } from '@cuminvale/limits'
 import { DetectingMembership, RegionScope } from '@cuminvale/membership'
-import { UsageMeter } from '@cuminvale/metering'
+import { UsageAccount, UsageCopies, UsageMeter } from '@cuminvale/metering'
 import { KeyedRequests, SeenProofs, seenProofCapacity } from '@cuminvale/keys'
 import { OrderGate, OrderLedger, TicketMint, ledgerCapacity, ledgerCapacityBytes } from '@cuminvale/orders'
 import { HttpClientDirectory, HttpConfigurationService, HttpVmList, HttpWeightStore } from '@cuminvale/platform'
@@ -24,6 +24,7 @@
 import { reachablePeers } from './reachablePeers.js'
 import { UpstreamPools } from './upstreamPools.js'
 import { weightShare } from './weightShare.js'
+import { usagePeers } from './usageWiring.js'
 import { UpstreamClient } from './upstreamClient.js'
 import { Lifecycle } from './vmContext.js'
 import type { Waiting } from './scheduler.js'
@@ -62,6 +63,7 @@
     peers: reachableVms(membership),
     listLagMilliseconds: settings.platform['vm-list-lag-milliseconds']
   })
+  const usageAccount = new UsageAccount(identity)
   const metrics = new Metrics()
   const keyedRequests = new KeyedRequests()
   configuration.onChange((inForce) => {
@@ -130,7 +132,8 @@
     orderPeers: new OrderPeers({ clock, identity, membership }),
     seenProofs: new SeenProofs(seenProofCapacity),
     keyedRequests,
-    meter: new UsageMeter(),
+    meter: new UsageMeter(usageAccount),
+    usageCopies: new UsageCopies({ self: identity, own: usageAccount, peers: usagePeers(membership) }),
     upstreamClient: new UpstreamClient(),
     lifecycle,
     ports: { caller: 0, peer: 0, administration: 0 },
--- a/packages/daemon/src/createDaemon.ts
+++ b/packages/daemon/src/createDaemon.ts
@@ -68,6 +68,7 @@
     })],
     ['entries', spawnProtocolActor(parent, { name: 'entries', protocol: context.entryLoads, send, log: context.log })],
     ['limits', spawnProtocolActor(parent, { name: 'limits', protocol: context.limiter, send, log: context.log })],
+    ['metering', spawnProtocolActor(parent, { name: 'metering', protocol: context.usageCopies, send, log: context.log })],
     ['membership', spawnProtocolActor(parent, { name: 'membership', protocol: context.membership, send, log: context.log })]
   ])
 }
--- a/packages/daemon/src/shutdown.ts
+++ b/packages/daemon/src/shutdown.ts
@@ -10,6 +10,7 @@
 import type { Ref } from 'nact'
 import { drainNoticeMilliseconds, idleCloseMilliseconds } from './constants.js'
 import type { PeerLinks } from './peerLinks.js'
+import { handOverUsage } from './usageWiring.js'
 import type { VmContext } from './vmContext.js'
 
 export interface RunningDaemon {
@@ -37,6 +38,7 @@
   if (callers !== undefined) await closeWhenIdle(callers)
   await context.lifecycle.idle()
   await context.orderPeers.handOver(context.ledger.close())
+  await handOverUsage(context, (outbound) => outbound.forEach(({ to, message }) => links.send(to, message)))
   links.stop()
   for (const server of [peers, administration]) {
     if (server !== undefined) await closeWhenIdle(server)
--- a/packages/daemon/src/vmContext.ts
+++ b/packages/daemon/src/vmContext.ts
@@ -14,7 +14,7 @@
 import type { KeyedRequests, SeenProofs } from '@cuminvale/keys'
 import type { ClientDirectory, ConfigurationService, VmList, WeightStore } from '@cuminvale/platform'
 import type { CrashSuspects, LoadSharing, PrefixKnowledge, RetryPolicy, SuspicionSpread, UpstreamTable } from '@cuminvale/routing'
-import type { UsageMeter } from '@cuminvale/metering'
+import type { UsageCopies, UsageMeter } from '@cuminvale/metering'
 import type { Log } from './log.js'
 import type { Metrics } from './metrics.js'
 import type { OrderPeers } from './orderPeers.js'
@@ -60,6 +60,7 @@
   readonly seenProofs: SeenProofs
   readonly keyedRequests: KeyedRequests
   readonly meter: UsageMeter
+  readonly usageCopies: UsageCopies
   readonly upstreamClient: UpstreamClient
   readonly lifecycle: Lifecycle
   readonly ports: ListeningPorts
--- a/packages/messages/src/meteringMessages.ts
+++ b/packages/messages/src/meteringMessages.ts
@@ -12,13 +12,27 @@
   readonly tokens: number
 }
 
-/** Cumulative counts of one incarnation; a higher sequence replaces a lower one. */
+/** Counts of one incarnation, cumulative since its start. */
 export interface MeteringCopy {
   readonly kind: 'metering.copy'
   readonly vm: VmId
   readonly incarnation: IncarnationId
+  /** The counts are those that changed after this sequence number; 0 for all. */
+  readonly base: number
+  /** Requests completed by the incarnation; a higher sequence replaces a lower one. */
   readonly sequence: number
+  /** Whether the incarnation has stopped counting. */
+  readonly isFinal: boolean
   readonly counts: readonly UsageCount[]
 }
 
-export type MeteringMessage = MeteringCopy
+/** States the sequence up to which the sender holds an incarnation's counts. */
+export interface MeteringAcknowledge {
+  readonly kind: 'metering.acknowledge'
+  readonly vm: VmId
+  readonly incarnation: IncarnationId
+  readonly sequence: number
+  readonly isFinal: boolean
+}
+
+export type MeteringMessage = MeteringCopy | MeteringAcknowledge
--- a/packages/metering/src/index.ts
+++ b/packages/metering/src/index.ts
@@ -1,1 +1,5 @@
+export * from './constants.js'
+export * from './mergeUsage.js'
+export * from './usageAccount.js'
+export * from './usageCopies.js'
 export * from './usageMeter.js'
--- /dev/null
+++ b/packages/metering/src/usageCopies.ts
@@ -0,0 +1,148 @@
+/**
+ * Keeps a copy of this VM's counts on a VM of another failure domain, and
+ * copies of other VMs' counts here. When the keeper that a copy came from is
+ * gone, the holder becomes its keeper and copies it on, so that two VMs hold
+ * each account. Copies are cumulative, so that a repeat changes nothing.
+ */
+
+import type { FailureDomainId, IncarnationId, RegionId, VmId } from '@cuminvale/common'
+import type { MeteringAcknowledge, MeteringCopy, MeteringMessage, Outbound, PeerIdentity, PeerProtocol } from '@cuminvale/messages'
+import { copyIntervalMilliseconds, droppedAccountsRemembered, heldCountsCapacity } from './constants.js'
+import { UsageAccount, accountKey } from './usageAccount.js'
+import type { AccountId, UsageReport } from './usageAccount.js'
+
+export interface CopyCandidate {
+  readonly vm: VmId
+  readonly region: RegionId
+  readonly failureDomain: FailureDomainId
+  readonly reachable: boolean
+  readonly incarnation?: IncarnationId
+}
+
+export interface UsageCopiesOptions {
+  readonly self: PeerIdentity
+  readonly own: UsageAccount
+  /** VMs that messages reach. */
+  readonly peers: () => readonly CopyCandidate[]
+  readonly heldCapacity?: number
+}
+
+interface HeldAccount {
+  readonly account: UsageAccount
+  /** The VM that this one had the copy from, which copies it on while it runs. */
+  keeper: AccountId
+}
+
+interface Acknowledged {
+  readonly sequence: number
+  readonly isFinal: boolean
+}
+
+export class UsageCopies implements PeerProtocol<MeteringMessage> {
+  readonly tickMilliseconds = copyIntervalMilliseconds
+  private readonly held = new Map<string, HeldAccount>()
+  /** What each incarnation of a holder has acknowledged, by holder and account. */
+  private readonly acknowledged = new Map<string, Map<string, Acknowledged>>()
+  private readonly dropped: AccountId[] = []
+
+  constructor (private readonly options: UsageCopiesOptions) {}
+
+  /** Every account that this VM knows, its own first. */
+  reports (): readonly UsageReport[] {
+    return [this.options.own, ...[...this.held.values()].map(({ account }) => account)].map((account) => account.report())
+  }
+
+  /** Incarnations whose counts were forgotten here for want of room. */
+  get droppedAccounts (): readonly AccountId[] {
+    return this.dropped
+  }
+
+  /** Whether a holder has all that this VM must keep safe. */
+  get isSettled (): boolean {
+    return this.due().length === 0
+  }
+
+  tick (): readonly Outbound[] {
+    return this.due()
+  }
+
+  receive (from: PeerIdentity, message: MeteringMessage): readonly Outbound[] {
+    if (message.kind === 'metering.copy') return [{ to: from.vm, message: this.adopt(from, message) }]
+    const { vm, incarnation, sequence, isFinal } = message
+    this.acknowledgedBy(from).set(accountKey({ vm, incarnation }), { sequence, isFinal })
+    return []
+  }
+
+  private adopt (from: PeerIdentity, copy: MeteringCopy): MeteringAcknowledge {
+    const id: AccountId = { vm: copy.vm, incarnation: copy.incarnation }
+    const held = this.held.get(accountKey(id)) ?? { account: new UsageAccount(id), keeper: from }
+    const isOwn = id.incarnation === this.options.self.incarnation
+    if (!isOwn && copy.base <= held.account.sequence) {
+      held.account.adopt(copy)
+      held.keeper = { vm: from.vm, incarnation: from.incarnation }
+      this.held.delete(accountKey(id))
+      this.held.set(accountKey(id), held)
+      this.makeRoom()
+    }
+    const { sequence, isFinal } = isOwn ? this.options.own : held.account
+    return { kind: 'metering.acknowledge', ...id, sequence, isFinal }
+  }
+
+  /** Drops the accounts that have changed least recently, and remembers that it did. */
+  private makeRoom (): void {
+    let size = [...this.held.values()].reduce((sum, { account }) => sum + account.size, 0)
+    for (const [key, { account }] of this.held) {
+      if (size <= (this.options.heldCapacity ?? heldCountsCapacity)) return
+      this.held.delete(key)
+      this.dropped.push(account.id)
+      if (this.dropped.length > droppedAccountsRemembered) this.dropped.shift()
+      size -= account.size
+    }
+  }
+
+  /** Copies that a holder lacks: the own account, and those whose keeper is gone. */
+  private due (): readonly Outbound[] {
+    const peers = this.options.peers()
+    const orphans = [...this.held.values()].filter(({ keeper }) => !isRunning(keeper, peers)).map(({ account }) => account)
+    return [this.options.own, ...orphans].flatMap((account) => this.copyOf(account, peers))
+  }
+
+  private copyOf (account: UsageAccount, peers: readonly CopyCandidate[]): readonly Outbound[] {
+    const holder = this.holderFor(account.id, peers)
+    if (holder?.incarnation === undefined || account.sequence === 0) return []
+    const known = this.acknowledgedBy({ vm: holder.vm, incarnation: holder.incarnation }).get(accountKey(account.id))
+    const base = known?.sequence ?? 0
+    if (base >= account.sequence && (known?.isFinal === true || !account.isFinal)) return []
+    const { sequence, isFinal, id } = account
+    return [{ to: holder.vm, message: { kind: 'metering.copy', ...id, base, sequence, isFinal, counts: account.changedSince(base) } }]
+  }
+
+  /** The next VM by name, best in another failure domain of the region, else elsewhere. */
+  private holderFor (id: AccountId, peers: readonly CopyCandidate[]): CopyCandidate | undefined {
+    const { self } = this.options
+    const running = peers.filter(({ vm, reachable }) => reachable && vm !== id.vm)
+    const apart = running.filter(({ failureDomain }) => failureDomain !== self.failureDomain)
+    const near = apart.filter(({ region }) => region === self.region)
+    const best = [near, apart, running].find((candidates) => candidates.length > 0) ?? []
+    const byName = [...best].sort((first, second) => first.vm < second.vm ? -1 : 1)
+    return byName.find(({ vm }) => vm > self.vm) ?? byName[0]
+  }
+
+  private acknowledgedBy (holder: AccountId): Map<string, Acknowledged> {
+    const found = this.acknowledged.get(accountKey(holder))
+    if (found !== undefined) return found
+    this.forgetEarlier(holder.vm)
+    const made = new Map<string, Acknowledged>()
+    this.acknowledged.set(accountKey(holder), made)
+    return made
+  }
+
+  private forgetEarlier (vm: VmId): void {
+    for (const key of this.acknowledged.keys()) {
+      if (key.startsWith(`${vm} `)) this.acknowledged.delete(key)
+    }
+  }
+}
+
+const isRunning = ({ vm, incarnation }: AccountId, peers: readonly CopyCandidate[]): boolean =>
+  peers.some((peer) => peer.vm === vm && peer.incarnation === incarnation && peer.reachable)
--- a/packages/metering/src/usageMeter.test.ts
+++ b/packages/metering/src/usageMeter.test.ts
@@ -1,5 +1,6 @@
 import { describe, expect, it } from 'vitest'
-import { toRequestId, toRouteName, toTeamId } from '@cuminvale/common'
+import { toIncarnationId, toRequestId, toRouteName, toTeamId, toVmId } from '@cuminvale/common'
+import { UsageAccount } from './usageAccount.js'
 import { UsageMeter } from './usageMeter.js'
 
 const request = (id: string, weight: number) => ({
@@ -8,7 +9,7 @@
 
 describe('UsageMeter', () => {
   it('counts completed requests once, weighted, and abandoned ones not at all', () => {
-    const meter = new UsageMeter()
+    const meter = new UsageMeter(new UsageAccount({ vm: toVmId('vm-1'), incarnation: toIncarnationId('i') }))
     meter.begin(toRequestId('i-1'))
     meter.begin(toRequestId('i-2'))
     meter.begin(toRequestId('i-3'))
--- a/packages/metering/src/usageMeter.ts
+++ b/packages/metering/src/usageMeter.ts
@@ -6,6 +6,7 @@
 import { assertInvariant } from '@cuminvale/common'
 import type { RequestId, RouteName, TeamId } from '@cuminvale/common'
 import type { UsageCount } from '@cuminvale/messages'
+import type { UsageAccount } from './usageAccount.js'
 
 export interface CompletedRequest {
   readonly id: RequestId
@@ -16,9 +17,10 @@
 }
 
 export class UsageMeter {
-  private readonly counts = new Map<string, UsageCount>()
   private readonly open = new Set<RequestId>()
 
+  constructor (readonly account: UsageAccount) {}
+
   /** Notes a request that may complete later. */
   begin (id: RequestId): void {
     this.open.add(id)
@@ -33,18 +35,12 @@
     const wasOpen = this.open.delete(request.id)
     assertInvariant(wasOpen, 'counted-once', () => `request ${request.id} completed without being open`)
     if (!wasOpen) return
-    const name = `${request.team} ${request.route}`
-    const before = this.counts.get(name)
-    this.counts.set(name, {
-      team: request.team,
-      route: request.route,
-      requests: (before?.requests ?? 0) + 1,
-      weighted: (before?.weighted ?? 0) + request.weight,
-      tokens: (before?.tokens ?? 0) + request.tokens
+    this.account.add({
+      team: request.team, route: request.route, requests: 1, weighted: request.weight, tokens: request.tokens
     })
   }
 
   snapshot (): readonly UsageCount[] {
-    return [...this.counts.values()]
+    return this.account.changedSince(0)
   }
 }
--- /dev/null
+++ b/packages/simulation/src/meteringSoak.ts
@@ -0,0 +1,242 @@
+/**
+ * Soak suite: usage is never counted twice, the loss of any one VM loses no
+ * count that another VM has acknowledged, and what is missing shows as a gap.
+ */
+
+import * as fastCheck from 'fast-check'
+import {
+  SeededRandom, toFailureDomainId, toIncarnationId, toRegionId, toRequestId, toRouteName, toTeamId, toVmId
+} from '@cuminvale/common'
+import { UsageAccount, UsageCopies, UsageMeter, accountKey, mergeUsage } from '@cuminvale/metering'
+import type { Mechanism, MeteringMessage, Outbound, PeerIdentity, PeerProtocol } from '@cuminvale/messages'
+import type { CopyCandidate } from '@cuminvale/metering'
+import { checkCommands } from './checkCommands.js'
+import { FakeLink } from './fakeLink.js'
+import { FaultKind } from './soakSuite.js'
+import { VirtualClock } from './virtualClock.js'
+import type { FakeVm } from './fakeLink.js'
+import type { SoakSuite, SoakTally } from './soakSuite.js'
+
+const vmCount = 6
+const runsPerBatch = 20
+const maximumCommands = 40
+/** Within this a fleet without faults has copied what a lost VM held. */
+const settleMilliseconds = 10_000
+const teams = ['luzon-roads', 'mower-guild', 'visayas-roads']
+
+interface MeteredVm extends FakeVm {
+  readonly account: UsageAccount
+  readonly meter: UsageMeter
+  readonly copies: UsageCopies
+}
+
+/** Notes which sequence of its own account a VM has seen acknowledged. */
+class RecordingCopies implements PeerProtocol<MeteringMessage> {
+  readonly tickMilliseconds: number
+
+  constructor (private readonly copies: UsageCopies, private readonly note: (message: MeteringMessage) => void) {
+    this.tickMilliseconds = copies.tickMilliseconds
+  }
+
+  receive (from: PeerIdentity, message: MeteringMessage): readonly Outbound[] {
+    this.note(message)
+    return this.copies.receive(from, message)
+  }
+
+  tick (): readonly Outbound[] {
+    return this.copies.tick()
+  }
+}
+
+class MeteredFleet {
+  readonly clock = new VirtualClock()
+  readonly link: FakeLink
+  readonly vms = new Map<number, MeteredVm>()
+  private readonly truth = new Map<string, number>()
+  private readonly acknowledged = new Map<string, number>()
+  private starts = 0
+  private requests = 0
+
+  constructor (seed: number, readonly tally: SoakTally) {
+    this.link = new FakeLink({
+      clock: this.clock, random: new SeededRandom(seed), localDelayMilliseconds: 1, interRegionDelayMilliseconds: 55
+    })
+    for (let index = 0; index < vmCount; index += 1) this.start(index)
+  }
+
+  start (index: number): void {
+    this.starts += 1
+    const identity = identityOf(index, this.starts)
+    const account = new UsageAccount({ vm: identity.vm, incarnation: identity.incarnation })
+    const copies = new UsageCopies({ self: identity, own: account, peers: () => this.peersOf(identity) })
+    const recording = new RecordingCopies(copies, (message) => this.note(account, message))
+    const protocols = new Map<Mechanism, PeerProtocol<never>>([['metering', recording as PeerProtocol<never>]])
+    const vm: MeteredVm = { identity, account, copies, meter: new UsageMeter(account), protocols }
+    this.vms.set(index, vm)
+    this.link.attach(vm)
+  }
+
+  /** Loses a VM, and leaves the others the time that they need before the next loss. */
+  crash (index: number): void {
+    const vm = this.vms.get(index)
+    if (vm === undefined || this.vms.size < 3) return
+    this.quieten()
+    this.advance(settleMilliseconds)
+    this.tally.fault(FaultKind.Crash)
+    this.link.detach(vm.identity.vm)
+    this.vms.delete(index)
+    this.check()
+    this.advance(settleMilliseconds)
+    this.check()
+  }
+
+  /** A graceful leave: the count ends and is handed over before the VM goes. */
+  leave (index: number): void {
+    const vm = this.vms.get(index)
+    if (vm === undefined || this.vms.size < 3) return
+    this.quieten()
+    this.advance(settleMilliseconds)
+    vm.account.end()
+    this.advance(settleMilliseconds)
+    if (!vm.copies.isSettled) throw new Error(`${vm.identity.vm} could not hand its counts over`)
+    this.link.detach(vm.identity.vm)
+    this.vms.delete(index)
+    this.advance(settleMilliseconds)
+    this.check()
+  }
+
+  complete (index: number, count: number): void {
+    const vm = this.vms.get(index)
+    if (vm === undefined || this.link.isPaused(vm.identity.vm)) return
+    for (let done = 0; done < count; done += 1) {
+      this.requests += 1
+      this.tally.operation()
+      const id = toRequestId(`${vm.identity.incarnation}-${this.requests}`)
+      vm.meter.begin(id)
+      vm.meter.complete({ id, team: toTeamId(teams[this.requests % teams.length] ?? ''), route: toRouteName('dispatch'), weight: 2, tokens: 5 })
+    }
+    this.truth.set(accountKey(vm.account.id), vm.account.sequence)
+  }
+
+  advance (milliseconds: number): void {
+    this.clock.advance(milliseconds)
+  }
+
+  quieten (): void {
+    this.link.heal()
+    this.link.lossShare = 0
+    for (const { identity } of this.vms.values()) this.link.resume(identity.vm)
+  }
+
+  /** What a collector that asks every running VM would bill. */
+  check (): void {
+    const usage = [...this.vms.values()].map(({ account, copies }) =>
+      ({ self: account.id, reports: copies.reports(), dropped: copies.droppedAccounts }))
+    const { counts, gaps } = mergeUsage(usage)
+    const billed = counts.reduce((sum, { requests }) => sum + requests, 0)
+    const weighted = counts.reduce((sum, count) => sum + count.weighted, 0)
+    const completed = [...this.truth.values()].reduce((sum, requests) => sum + requests, 0)
+    const atLeast = [...this.truth].reduce((sum, [key, requests]) => sum + this.mustKnow(key, requests), 0)
+    if (billed > completed) throw new Error(`${billed} requests billed of ${completed}`)
+    if (billed < atLeast) throw new Error(`${billed} requests billed where ${atLeast} were acknowledged`)
+    if (weighted !== billed * 2) throw new Error(`${billed} requests weigh ${weighted}`)
+    if (billed < completed && gaps.length === 0 && this.isEveryAccountKnown(usage.flatMap(({ reports }) => reports.map(accountKey)))) {
+      throw new Error(`${completed - billed} requests are missing and no gap shows it`)
+    }
+  }
+
+  private mustKnow (key: string, completed: number): number {
+    const isRunning = [...this.vms.values()].some(({ account }) => accountKey(account.id) === key)
+    return isRunning ? completed : this.acknowledged.get(key) ?? 0
+  }
+
+  private isEveryAccountKnown (keys: readonly string[]): boolean {
+    return [...this.truth.keys()].every((key) => keys.includes(key))
+  }
+
+  private note (account: UsageAccount, message: MeteringMessage): void {
+    if (message.kind !== 'metering.acknowledge' || message.incarnation !== account.id.incarnation) return
+    const key = accountKey(account.id)
+    this.acknowledged.set(key, Math.max(this.acknowledged.get(key) ?? 0, message.sequence))
+  }
+
+  private peersOf (self: PeerIdentity): readonly CopyCandidate[] {
+    return [...this.vms.values()].filter(({ identity }) => identity.vm !== self.vm).map(({ identity }) => ({
+      ...identity, reachable: !this.link.isPaused(identity.vm) && !this.link.isCut(self.vm, identity.vm)
+    }))
+  }
+}
+
+const identityOf = (index: number, start: number): PeerIdentity => ({
+  vm: toVmId(`vm-${index}`),
+  incarnation: toIncarnationId(`i-${start}`),
+  region: toRegionId(index % 2 === 0 ? 'luzon' : 'visayas'),
+  failureDomain: toFailureDomainId(`domain-${index % 4}`)
+})
+
+type Model = Record<string, never>
+
+class FleetCommand implements fastCheck.Command<Model, MeteredFleet> {
+  constructor (private readonly name: string, private readonly act: (fleet: MeteredFleet) => void) {}
+
+  check (): boolean {
+    return true
+  }
+
+  run (_: Model, fleet: MeteredFleet): void {
+    this.act(fleet)
+    fleet.check()
+  }
+
+  toString (): string {
+    return this.name
+  }
+}
+
+const vmIndex = fastCheck.integer({ min: 0, max: vmCount - 1 })
+
+const onVm = (name: string, act: (fleet: MeteredFleet, index: number) => void) =>
+  vmIndex.map((index) => new FleetCommand(`${name}(${index})`, (fleet) => act(fleet, index)))
+
+const commands = [
+  fastCheck.tuple(vmIndex, fastCheck.integer({ min: 1, max: 9 })).map(([index, count]) =>
+    new FleetCommand(`complete(${index},${count})`, (fleet) => fleet.complete(index, count))),
+  onVm('crash', (fleet, index) => fleet.crash(index)),
+  onVm('leave', (fleet, index) => fleet.leave(index)),
+  onVm('start', (fleet, index) => {
+    if (fleet.vms.has(index)) return
+    fleet.tally.fault(FaultKind.Restart)
+    fleet.start(index)
+  }),
+  onVm('pause', (fleet, index) => {
+    fleet.tally.fault(FaultKind.Pause)
+    fleet.link.pause(toVmId(`vm-${index}`))
+  }),
+  onVm('isolate', (fleet, index) => {
+    fleet.tally.fault(FaultKind.Partition)
+    fleet.link.isolate([toVmId(`vm-${index}`)])
+  }),
+  fastCheck.integer({ min: 0, max: 50 }).map((percent) => new FleetCommand(`loss(${percent}%)`, (fleet) => {
+    fleet.tally.fault(FaultKind.Loss)
+    fleet.link.lossShare = percent / 100
+  })),
+  fastCheck.integer({ min: 100, max: 6_000 }).map((span) => new FleetCommand(`wait(${span})`, (fleet) => fleet.advance(span))),
+  fastCheck.constant(new FleetCommand('quieten', (fleet) => fleet.quieten()))
+]
+
+export const meteringSoak: SoakSuite = {
+  name: 'metering',
+  promise: 'Each completed request is counted once, and the loss of one VM loses no acknowledged count.',
+  run: async (seed, tally) => await checkCommands<Model, MeteredFleet>({
+    seed,
+    runs: runsPerBatch,
+    maximumCommands,
+    commands,
+    setup: () => ({ model: {}, real: new MeteredFleet(seed, tally) }),
+    finish: (fleet) => {
+      fleet.quieten()
+      fleet.advance(settleMilliseconds)
+      fleet.check()
+    }
+  })
+}
--- a/packages/simulation/src/soakSuites.ts
+++ b/packages/simulation/src/soakSuites.ts
@@ -7,6 +7,7 @@
 import { keysSoak } from './keysSoak.js'
 import { limitsSoak } from './limitsSoak.js'
 import { membershipSoak } from './membershipSoak.js'
+import { meteringSoak } from './meteringSoak.js'
 import { ordersSoak } from './ordersSoak.js'
 import { suspicionSoak } from './suspicionSoak.js'
 import { residencySoak } from './residencySoak.js'
@@ -17,6 +18,7 @@
   configurationSoak,
   keysSoak,
   membershipSoak,
+  meteringSoak,
   ordersSoak,
   suspicionSoak,
   limitsSoak,
