--- a/packages/simulation/src/capacityProbes.ts
+++ b/packages/simulation/src/capacityProbes.ts
@@ -5,6 +5,7 @@
 import { limitsCapacity } from './limitsCapacity.js'
 import { heartbeatCapacity, vmListCapacity } from './linkCapacity.js'
 import { membershipCapacity } from './membershipCapacity.js'
+import { meteringCapacity } from './meteringCapacity.js'
 import { routingCapacity } from './routingCapacity.js'
 import type { CapacityProbe } from './capacityProbe.js'
 
@@ -12,6 +13,7 @@
   membershipCapacity,
   heartbeatCapacity,
   vmListCapacity,
+  meteringCapacity,
   routingCapacity,
   limitsCapacity
 ]
--- /dev/null
+++ b/packages/simulation/src/meteringCapacity.ts
@@ -0,0 +1,99 @@
+/**
+ * Capacity probe of metering: one VM that counts its share of the target's
+ * requests over rising numbers of teams, copies its counts to a holder, and
+ * holds as much for another.
+ */
+
+import {
+  SeededRandom, toFailureDomainId, toIncarnationId, toRegionId, toRouteName, toTeamId, toVmId
+} from '@cuminvale/common'
+import { decodePeerMessage, encodePeerMessage } from '@cuminvale/messages'
+import { UsageAccount, UsageCopies } from '@cuminvale/metering'
+import type { MeteringMessage, Outbound, PeerIdentity } from '@cuminvale/messages'
+import { bytesOfFrame, capacityRowOf, measureHeap, processorShare } from './capacityTools.js'
+import { target } from './target.js'
+import type { CapacityProbe, CapacitySample } from './capacityProbe.js'
+
+const sizes = [60, 120, 240, 480] as const
+const seconds = 400
+const warmUpSeconds = 200
+const millisecondsPerSecond = 1_000
+const routeNames = ['drafting', 'counter', 'orders', 'order-status']
+const requestsPerSecond = target.requestsPerSecond / target.vms
+/** Squares a uniform draw, so that a few teams send most requests. */
+const teamSkew = 2
+
+const identityOf = (name: string): PeerIdentity => ({
+  vm: toVmId(name),
+  incarnation: toIncarnationId(`${name}-incarnation`),
+  region: toRegionId('luzon'),
+  failureDomain: toFailureDomainId(`${name}-domain`)
+})
+
+/** Two VMs that hold each other's copies; the first one's bytes are counted. */
+class MeteredPair {
+  sentBytes = 0
+  private readonly random = new SeededRandom(1)
+  private readonly identities = [identityOf('vm-1'), identityOf('vm-2')]
+  private readonly accounts = this.identities.map(({ vm, incarnation }) => new UsageAccount({ vm, incarnation }))
+  private readonly copies = this.identities.map((self, index) => new UsageCopies({
+    self, own: this.accounts[index] as UsageAccount, peers: () => this.identities.filter((other) => other !== self).map((other) => ({ ...other, reachable: true }))
+  }))
+
+  constructor (private readonly teams: number) {}
+
+  run (spanSeconds: number): void {
+    const interval = (this.copies[0] as UsageCopies).tickMilliseconds / millisecondsPerSecond
+    for (let elapsed = 0; elapsed < spanSeconds; elapsed += interval) {
+      this.accounts.forEach((account) => this.count(account, Math.round(requestsPerSecond * interval)))
+      this.copies.forEach((copies, index) => this.send(index, copies.tick()))
+    }
+  }
+
+  private count (account: UsageAccount, requests: number): void {
+    for (let index = 0; index < requests; index += 1) {
+      const team = Math.floor(this.teams * this.random.next() ** teamSkew)
+      const route = routeNames[Math.floor(this.random.next() * routeNames.length)] ?? ''
+      account.add({ team: toTeamId(`team-${team}`), route: toRouteName(route), requests: 1, weighted: 2, tokens: 430 })
+    }
+  }
+
+  private send (from: number, outbound: readonly Outbound[]): void {
+    for (const { message } of outbound) {
+      const bytes = encodePeerMessage(message)
+      if (from === 0) this.sentBytes += bytesOfFrame(bytes.length)
+      const decoded = decodePeerMessage(bytes)
+      if (decoded.isErr) throw decoded.error
+      this.send(1 - from, (this.copies[1 - from] as UsageCopies).receive(this.identities[from] as PeerIdentity, decoded.value as MeteringMessage))
+    }
+  }
+}
+
+/** Both VMs do the same work, so that one has half of the processor time and of the heap. */
+const sampleAt = (teams: number): CapacitySample => {
+  const { bytes, held: pair } = measureHeap(() => {
+    const made = new MeteredPair(teams)
+    made.run(warmUpSeconds)
+    return made
+  })
+  pair.sentBytes = 0
+  const microseconds = processorShare(() => pair.run(seconds)) / 2
+  return {
+    dimension: 'teams',
+    size: teams,
+    stateBytes: bytes / 2,
+    bytesPerSecond: pair.sentBytes / seconds,
+    processorMicrosecondsPerSecond: microseconds / seconds
+  }
+}
+
+/** The first sample is dropped: it pays for compiling the code. */
+export const meteringCapacity: CapacityProbe = {
+  mechanism: 'metering',
+  measure: () => capacityRowOf({
+    mechanism: 'metering',
+    carriedBy: 'every VM: its own counts, and the copies of one other',
+    samples: [sizes[0], ...sizes].map(sampleAt).slice(1),
+    size: target.teams
+  })
+}
