Assert the promises in the turn in which a request is sent, and refuse to send where one fails

Cause: residency was asserted, but the request was sent all the same in production; key, open routes and leaving upstreams were not asserted; whole-path tests did not look at the counters. Change: one list of invariants at the send, which turns the attempt into 'not sent'; shutdown asserts that nothing runs; test fleets and chaos runs fail on any violation that a daemon counted or logged.

--- /dev/null
+++ b/packages/daemon/src/sendInvariants.ts
@@ -0,0 +1,43 @@
+/**
+ * Invariants asserted in the turn in which a request is handed to an upstream.
+ * Where one does not hold in production, the request is not sent.
+ */
+
+import { assertInvariant } from '@cuminvale/common'
+import { isKeyInForce } from '@cuminvale/keys'
+import { Result } from 'true-myth'
+import type { Upstream } from '@cuminvale/documents'
+import { UpstreamError, UpstreamErrorKind } from './errors.js'
+import type { GatewayRequest } from './gatewayRequest.js'
+import type { VmContext } from './vmContext.js'
+
+interface SendInvariant {
+  readonly name: string
+  readonly holds: (context: VmContext, request: GatewayRequest, upstream: Upstream) => boolean
+}
+
+const isKeyHeld = (context: VmContext, request: GatewayRequest): boolean => {
+  const configuration = context.configuration.current
+  if (request.identity === undefined) return request.route.open
+  return configuration !== undefined && request.identity.team === request.team && isKeyInForce(request.identity, configuration)
+}
+
+const sendInvariants: readonly SendInvariant[] = [
+  { name: 'residency', holds: (_, request, upstream) => request.allowedRegions.includes(upstream.region) },
+  { name: 'key-in-force', holds: isKeyHeld },
+  { name: 'no-key-upstream', holds: (_, request) => request.authorization === undefined || request.route.open },
+  { name: 'leaving-upstream', holds: (_, __, upstream) => !upstream.leaving }
+]
+
+/** The upstream, where every invariant holds for sending the request to it now. */
+export const confirmInvariants = (
+  context: VmContext,
+  request: GatewayRequest,
+  upstream: Upstream | undefined
+): Result<Upstream, UpstreamError> => {
+  if (upstream === undefined) return Result.err(new UpstreamError(UpstreamErrorKind.NotSent, 'the upstream is not listed any more'))
+  const broken = sendInvariants.find(({ holds }) => !holds(context, request, upstream))
+  if (broken === undefined) return Result.ok(upstream)
+  assertInvariant(false, broken.name, () => `request ${request.id} of team ${request.team} for upstream ${upstream.name}`)
+  return Result.err(new UpstreamError(UpstreamErrorKind.NotSent, `the invariant ${broken.name} does not hold`))
+}
--- a/packages/daemon/src/shutdown.ts
+++ b/packages/daemon/src/shutdown.ts
@@ -6,6 +6,7 @@
  */
 
 import { stop } from 'nact'
+import { assertInvariant } from '@cuminvale/common'
 import type { Server } from 'node:http'
 import type { Ref } from 'nact'
 import { drainNoticeMilliseconds, idleCloseMilliseconds } from './constants.js'
@@ -37,6 +38,8 @@
   const [callers, peers, administration] = servers
   if (callers !== undefined) await closeWhenIdle(callers)
   await context.lifecycle.idle()
+  assertInvariant(context.lifecycle.activeRequests === 0, 'shutdown-cuts-none',
+    () => `${context.lifecycle.activeRequests} requests are running as the links close`)
   await context.orderPeers.handOver(context.ledger.close())
   await handOverUsage(context, (outbound) => outbound.forEach(({ to, message }) => links.send(to, message)))
   links.stop()
--- a/packages/daemon/src/upstreamAttempt.ts
+++ b/packages/daemon/src/upstreamAttempt.ts
@@ -3,14 +3,15 @@
  * that its end calls for: slots, ejection, silent connections and suspicion.
  */
 
-import { assertInvariant, headerNames } from '@cuminvale/common'
+import { Result } from 'true-myth'
+import { headerNames } from '@cuminvale/common'
 import { digestRequest } from '@cuminvale/routing'
-import type { Result } from 'true-myth'
 import type { UpstreamId } from '@cuminvale/common'
 import type { RequestDigest } from '@cuminvale/routing'
 import { attemptLimits } from './attemptLimits.js'
 import { UpstreamErrorKind } from './errors.js'
 import { isUpstreamDead } from './deathProbe.js'
+import { confirmInvariants } from './sendInvariants.js'
 import type { CollectedAnswer } from './answer.js'
 import type { UpstreamError } from './errors.js'
 import type { GatewayRequest } from './gatewayRequest.js'
@@ -93,11 +94,13 @@
   request: GatewayRequest,
   upstreamId: UpstreamId
 ): Promise<Result<RunningExchange, UpstreamError>> => {
-  const upstream = context.table.find(upstreamId)
-  assertInvariant(upstream !== undefined && request.allowedRegions.includes(upstream.region), 'residency',
-    () => `request ${request.id} sent to ${upstreamId} outside ${request.allowedRegions.join()}`)
-  const origin = upstream?.address ?? ''
+  const confirmed = confirmInvariants(context, request, context.table.find(upstreamId))
+  const origin = confirmed.isOk ? confirmed.value.address : ''
   const end = new AttemptEnd(context, request, upstreamId, origin)
+  if (confirmed.isErr) {
+    await end.note(confirmed.error)
+    return Result.err(confirmed.error)
+  }
   if (!context.suspects.isEmpty) context.suspects.began(requestDigestOf(request), upstreamId)
   const sent = exchangeRequest(context, request, origin)
   const result = await context.upstreamClient.exchange(sent)
--- a/packages/demo/src/chaosChecks.ts
+++ b/packages/demo/src/chaosChecks.ts
@@ -3,6 +3,8 @@
  * the callers were told.
  */
 
+import { readFileSync, readdirSync } from 'node:fs'
+import { join } from 'node:path'
 import { Outcome } from '@cuminvale/common'
 import { RequestKind } from './chaosLoad.js'
 import type { SentRequest } from './chaosLoad.js'
@@ -54,3 +56,10 @@
   ...keyViolations(platform),
   ...answerViolations(sent)
 ]
+
+/** Violations that the daemons found themselves. */
+export const violationsInLogs = (directory: string): readonly ChaosViolation[] => readdirSync(directory)
+  .filter((file) => file.endsWith('.log'))
+  .flatMap((file) => readFileSync(join(directory, file), 'utf8').split('\n'))
+  .filter((line) => line.includes('"event":"invariant-violated"'))
+  .map((line) => ({ promise: 'an invariant inside the program', detail: line }))
--- a/packages/demo/src/chaosMain.ts
+++ b/packages/demo/src/chaosMain.ts
@@ -9,7 +9,7 @@
 import { join } from 'node:path'
 import { parseArgs } from 'node:util'
 import { Outcome, SeededRandom, millisecondsPerSecond, pickOne } from '@cuminvale/common'
-import { chaosViolations } from './chaosChecks.js'
+import { chaosViolations, violationsInLogs } from './chaosChecks.js'
 import { chaosFaults } from './chaosFaults.js'
 import { ChaosLoad, RequestKind } from './chaosLoad.js'
 import { cooperativa, deployments } from './deployments.js'
@@ -77,7 +77,7 @@
     await pause(settleMilliseconds)
     summarise(load)
     for (const faults of injected) faults.forEach((count, name) => print(`fault    ${count} x ${name}`))
-    const violations = chaosViolations(load.sent, fleet.platform)
+    const violations = [...chaosViolations(load.sent, fleet.platform), ...violationsInLogs(directory)]
     violations.forEach(({ promise, detail }) => print(`VIOLATION ${promise}: ${detail}`))
     print(`${violations.length} violations, seed ${values.seed}`)
     process.exitCode = violations.length === 0 ? 0 : 1
--- a/packages/demo/src/daemonProcess.ts
+++ b/packages/demo/src/daemonProcess.ts
@@ -95,6 +95,6 @@
   const file = join(directory, `${vm.name}.ini`)
   writeFileSync(file, settings)
   const child = spawn(process.execPath, [daemonMain(), file], { stdio: ['ignore', 'pipe', 'inherit'] })
-  child.stdout?.pipe(createWriteStream(join(directory, `${vm.name}.log`)))
+  child.stdout?.pipe(createWriteStream(join(directory, `${vm.name}.log`), { flags: 'a' }))
   return { vm, process: child }
 }
--- a/packages/demo/src/testFleet.ts
+++ b/packages/demo/src/testFleet.ts
@@ -80,10 +80,20 @@
 
   async stop (): Promise<void> {
     await Promise.all(this.vms.map(async ({ daemon }) => await daemon.shutdown()))
+    await this.checkInvariants()
     await this.platform.stop()
     rmSync(this.directory, { recursive: true, force: true })
   }
 
+  /** A daemon counts violations, as in production; here any one is an error. */
+  private async checkInvariants (): Promise<void> {
+    for (const { daemon } of this.vms) {
+      const { values } = await daemon.context.metrics.invariantViolations.get()
+      const violated = values.filter(({ value }) => value > 0).map(({ labels }) => labels.invariant)
+      if (violated.length > 0) throw new Error(`invariants violated: ${violated.join()}`)
+    }
+  }
+
   private get secrets () {
     return { fleetSecret: join(this.directory, 'fleet-secret'), administrationToken: join(this.directory, 'administration-token') }
   }
