Test the wait for holders that a joining VM does not know of

Cause: a break by hand of that wait was caught by no test. Conclusion: loans answered to an earlier incarnation still have no test.

--- a/packages/limits/src/holderSet.test.ts
+++ b/packages/limits/src/holderSet.test.ts
@@ -45,6 +45,14 @@
     expect(holders.isHolding).toBe(true)
   })
 
+  it('waits for holders it does not know of where nobody it counts holds', () => {
+    const ended = withDrift(evidenceMilliseconds)
+    const holders = setOf([self, peer], ended)
+    recognise(holders, ended, false)
+    holders.tick(ended)
+    expect(holders.isHolding).toBe(false)
+  })
+
   it('gives a VM that counts no other no evidence but the VM list', () => {
     const holders = setOf([self], later)
     holders.tick(later)
