--- a/packages/demo/src/upstreamFaults.test.ts
+++ b/packages/demo/src/upstreamFaults.test.ts
@@ -53,6 +53,9 @@
 const completion = (prompt: string, stream = false): string =>
   JSON.stringify({ model: 'catalogue-writer', prompt, stream, max_tokens: 4 })
 
+/** Requests of this length still run when a draining VM stops listening. */
+const longerThanNoticeMilliseconds = 2_500
+
 const deaths = (): number => upstreams.reduce((sum, upstream) => sum + upstream.deaths, 0)
 
 describe('whole answers', () => {
@@ -80,11 +83,29 @@
   })
 })
 
+/** The words of a stream, each event of which must be whole JSON. */
+const wordsOf = (text: string): readonly number[] => text.split('\n\n')
+  .filter((event) => event.startsWith('data: {'))
+  .map((event) => JSON.parse(event.slice('data: '.length)) as { choices: ReadonlyArray<{ text: string }> })
+  .map(({ choices }) => Number(choices[0]?.text.trim().slice(1)))
+
+const readStream = async () => {
+  const response = await request(fleet.address(0) + '/v1/completions', {
+    method: 'POST',
+    headers: { authorization: `Bearer ${fleet.key(0)}`, 'cuminvale-route': 'counter' },
+    body: completion('x', true)
+  })
+  let text = ''
+  const read = async () => { for await (const chunk of response.body) text += String(chunk) }
+  await expect(read()).rejects.toThrow()
+  return text
+}
+
 describe('streams', () => {
   it('resumes a broken stream with no event repeated or missing', async () => {
     await startWith([streamEvents(10, 4)])
     const { text } = await send('/v1/completions', completion('x', true))
-    expect([...text.matchAll(/w(\d+) /g)].map((match) => Number(match[1]))).toEqual([0, 1, 2, 3, 4, 5, 6, 7, 8, 9])
+    expect(wordsOf(text)).toEqual([0, 1, 2, 3, 4, 5, 6, 7, 8, 9])
     expect(text.trimEnd().endsWith('data: [DONE]')).toBe(true)
   })
 
@@ -94,15 +115,16 @@
       scripted.response.writeHead(404).end()
     }
     await startWith([refuseResume])
-    const response = await request(fleet.address(0) + '/v1/completions', {
-      method: 'POST',
-      headers: { authorization: `Bearer ${fleet.key(0)}`, 'cuminvale-route': 'counter' },
-      body: completion('x', true)
-    })
-    let text = ''
-    const read = async () => { for await (const chunk of response.body) text += String(chunk) }
-    await expect(read()).rejects.toThrow()
-    expect(text).not.toContain('[DONE]')
+    expect(await readStream()).not.toContain('[DONE]')
+  })
+
+  it('never ends cleanly where the upstream ends without its end mark', async () => {
+    const endEarly: Script = ({ response }) => {
+      response.writeHead(200, { 'content-type': 'text/event-stream' })
+      response.end('data: {"choices":[{"index":0,"text":"w0 "}]}\n\n')
+    }
+    await startWith([endEarly])
+    expect(await readStream()).toContain('event: error')
   })
 })
 
@@ -166,7 +188,7 @@
 describe('graceful shutdown', () => {
   it('cuts no request that is running or arrives on an open connection', async () => {
     const slow: Script = async (scripted) => {
-      await new Promise((resolve) => setTimeout(resolve, 400))
+      await new Promise((resolve) => setTimeout(resolve, longerThanNoticeMilliseconds))
       await answerWhole(scripted)
     }
     await startWith([slow])
