--- a/packages/daemon/src/administrationServer.ts
+++ b/packages/daemon/src/administrationServer.ts
@@ -21,7 +21,8 @@
 }
 
 export const isReady = (context: VmContext): boolean =>
-  context.configuration.current !== undefined && context.membership.hasList && !context.membership.isReplaced && !context.lifecycle.isDraining
+  context.configuration.current !== undefined && context.membership.hasList && context.limiter.isHolding &&
+  !context.membership.isReplaced && !context.lifecycle.isDraining
 
 const status = (context: VmContext) => ({
   vm: context.identity.vm,
