--- a/packages/benchmark/src/gatewayProcess.ts
+++ b/packages/benchmark/src/gatewayProcess.ts
@@ -40,7 +40,7 @@
 const addressesOf = (origins: readonly string[]): ReadonlyMap<string, string> =>
   new Map(cooperativa.upstreams.map(({ name }, index) => [name, origins[index % origins.length] ?? '']))
 
-const startPlatform = async (origins: readonly string[], keys: readonly TeamKey[]): Promise<SettingsPlatform & { stop (): Promise<void> }> => {
+const startPlatform = async (origins: readonly string[], keys: readonly TeamKey[]): Promise<SettingsPlatform & { readonly vmList: FakeVmList, stop (): Promise<void> }> => {
   const configuration = new FakeConfigurationService(generous(documentsFor(cooperativa, addressesOf(origins), keys)))
   const platform = {
     configuration, vmList: new FakeVmList(), clientDirectory: new FakeClientDirectory(), weightStore: new FakeWeightStore([])
@@ -62,6 +62,8 @@
   const specification = cooperativa.vms[0]
   if (specification === undefined) throw new Error('the deployment lists no VM')
   const vm = listedVm(specification, await freePorts(portsPerVm))
+  // A VM spends from no budget before the VM list names it.
+  platform.vmList.set([vm])
   const { process: child } = startDaemonProcess(vm, settingsText(vm, platform, writeSecrets(directory)), directory)
   await waitFor('the gateway to be ready', async () => {
     const { statusCode, body } = await request(`http://${loopbackHost}:${vm.administrationPort}/readyz`)
