Write the benchmark's secrets with the demo's function

Cause: the benchmark had its own copy of writeSecrets, which differed only in leaving out the file mode. Change: the copy is gone; packages/demo exports its function. Conclusion: one function writes secrets for launchers.

--- a/packages/benchmark/src/gatewayProcess.ts
+++ b/packages/benchmark/src/gatewayProcess.ts
@@ -3,13 +3,12 @@
  * Cooperativa's lists and plan rates that the load does not reach.
  */
 
-import { randomBytes } from 'node:crypto'
-import { readFileSync, writeFileSync } from 'node:fs'
-import { join } from 'node:path'
+import { readFileSync } from 'node:fs'
 import { request } from 'undici'
 import { FakeClientDirectory, FakeConfigurationService, FakeVmList, FakeWeightStore } from '@cuminvale/fakes'
 import {
-  cooperativa, documentsFor, freePorts, listedVm, newTeamKeys, settingsText, startDaemonProcess, waitFor
+  cooperativa, documentsFor, freePorts, listedVm, newTeamKeys, settingsText, startDaemonProcess, waitFor,
+  writeSecrets
 } from '@cuminvale/demo'
 import type { ChildProcess } from 'node:child_process'
 import type { DocumentTexts } from '@cuminvale/documents'
@@ -50,12 +49,6 @@
   return { ...platform, stop: async () => { await Promise.all(fakes.map(async (fake) => await fake.server.stop())) } }
 }
 
-const writeSecrets = (directory: string) => {
-  const secrets = { fleetSecret: join(directory, 'fleet-secret'), administrationToken: join(directory, 'administration-token') }
-  for (const file of Object.values(secrets)) writeFileSync(file, randomBytes(32).toString('hex') + '\n')
-  return secrets
-}
-
 export const startGateway = async (origins: readonly string[], directory: string): Promise<GatewayProcess> => {
   const keys = newTeamKeys(cooperativa)
   const platform = await startPlatform(origins, keys)
--- a/packages/demo/src/index.ts
+++ b/packages/demo/src/index.ts
@@ -1,3 +1,4 @@
 export * from './daemonProcess.js'
 export * from './deployments.js'
 export * from './waitFor.js'
+export * from './writeSecrets.js'
