--- a/packages/daemon/src/loadPolls.ts
+++ b/packages/daemon/src/loadPolls.ts
@@ -3,7 +3,7 @@
  * of the engines among its region's upstreams.
  */
 
-import { HttpLoadSource, HttpModelEngine } from '@cuminvale/platform'
+import { HttpLoadSource, HttpModelEngine } from '@cuminvale/services'
 import type { Upstream } from '@cuminvale/documents'
 import { cacheEventsPollMilliseconds, loadPollMilliseconds } from './constants.js'
 import type { VmContext } from './vmContext.js'
--- a/packages/daemon/src/pollingActor.ts
+++ b/packages/daemon/src/pollingActor.ts
@@ -5,7 +5,7 @@
 
 import { dispatch, spawnStateless } from 'nact'
 import type { Ref } from 'nact'
-import type { Log } from './log.js'
+import type { Log } from '@cuminvale/logs'
 
 export interface PollMessage {
   readonly type: 'poll'
--- a/packages/daemon/src/protocolActor.ts
+++ b/packages/daemon/src/protocolActor.ts
@@ -6,7 +6,7 @@
 import { dispatch, spawnStateless } from 'nact'
 import type { Ref } from 'nact'
 import type { Outbound, PeerIdentity, PeerMessage, PeerProtocol } from '@cuminvale/messages'
-import type { Log } from './log.js'
+import type { Log } from '@cuminvale/logs'
 
 export type ProtocolActorMessage =
   | { readonly type: 'tick' }
--- a/packages/fakes/src/fakeClientDirectory.ts
+++ b/packages/fakes/src/fakeClientDirectory.ts
@@ -5,7 +5,7 @@
 import { Maybe, Result } from 'true-myth'
 import type { IncomingMessage, ServerResponse } from 'node:http'
 import type { RegionId } from '@cuminvale/common'
-import type { ClientDirectory, PlatformError } from '@cuminvale/platform'
+import type { ClientDirectory, PlatformError } from '@cuminvale/services'
 import { HttpFake, pathOf, sendJson } from './httpFake.js'
 
 export class FakeClientDirectory implements ClientDirectory {
--- a/packages/fakes/src/fakeConfigurationService.ts
+++ b/packages/fakes/src/fakeConfigurationService.ts
@@ -7,11 +7,11 @@
 import { Result } from 'true-myth'
 import { toRevision } from '@cuminvale/common'
 import { documentNames } from '@cuminvale/documents'
-import { PlatformError, PlatformErrorKind } from '@cuminvale/platform'
+import { PlatformError, PlatformErrorKind } from '@cuminvale/services'
 import type { IncomingMessage, ServerResponse } from 'node:http'
 import type { Revision } from '@cuminvale/common'
 import type { DocumentName, DocumentTexts } from '@cuminvale/documents'
-import type { ConfigurationService, PublishedDocuments } from '@cuminvale/platform'
+import type { ConfigurationService, PublishedDocuments } from '@cuminvale/services'
 import { HttpFake, pathOf, sendJson } from './httpFake.js'
 
 interface StoredValue {
--- a/packages/fakes/src/fakeModelEngine.ts
+++ b/packages/fakes/src/fakeModelEngine.ts
@@ -7,9 +7,9 @@
 import { createHash } from 'node:crypto'
 import { Result } from 'true-myth'
 import { runtimeClock } from '@cuminvale/common'
-import { CacheEventKind, PlatformError, PlatformErrorKind } from '@cuminvale/platform'
+import { CacheEventKind, PlatformError, PlatformErrorKind } from '@cuminvale/services'
 import type { Clock, RequestId } from '@cuminvale/common'
-import type { CacheEvent, EngineOrder, EngineState, LoadReport, ModelEngine } from '@cuminvale/platform'
+import type { CacheEvent, EngineOrder, EngineState, LoadReport, ModelEngine } from '@cuminvale/services'
 import { EngineSlots } from './engineSlots.js'
 
 export interface FakeModelEngineOptions {
--- a/packages/fakes/src/fakeVmList.ts
+++ b/packages/fakes/src/fakeVmList.ts
@@ -6,7 +6,7 @@
 import { runtimeClock } from '@cuminvale/common'
 import type { IncomingMessage, ServerResponse } from 'node:http'
 import type { Clock, ListedVm } from '@cuminvale/common'
-import type { PlatformError, VmList } from '@cuminvale/platform'
+import type { PlatformError, VmList } from '@cuminvale/services'
 import { HttpFake, pathOf, sendJson } from './httpFake.js'
 
 interface Version {
--- a/packages/fakes/src/fakeWeightStore.ts
+++ b/packages/fakes/src/fakeWeightStore.ts
@@ -5,10 +5,10 @@
 
 import { Result } from 'true-myth'
 import { millisecondsPerSecond, runtimeClock, toModelName } from '@cuminvale/common'
-import { PlatformError, PlatformErrorKind } from '@cuminvale/platform'
+import { PlatformError, PlatformErrorKind } from '@cuminvale/services'
 import type { IncomingMessage, ServerResponse } from 'node:http'
 import type { Clock, ModelName } from '@cuminvale/common'
-import type { WeightDescription, WeightStore } from '@cuminvale/platform'
+import type { WeightDescription, WeightStore } from '@cuminvale/services'
 import { HttpFake, pathOf, sendJson } from './httpFake.js'
 
 const refusedStatus = 429
--- /dev/null
+++ b/packages/gateway/src/callerServer.ts
@@ -0,0 +1,185 @@
+/**
+ * Takes requests from callers: decides whether the configuration and the
+ * team's rate allow them, reads their bodies, and hands them on.
+ */
+
+import { createServer } from 'node:http'
+import { RefusalReason, millisecondsPerSecond, refuse } from '@cuminvale/common'
+import { Execution } from './execution.js'
+import { FailureKind } from './answerSink.js'
+import { discardedBodyBytes, listenBacklog, requestHeaderBytes } from './constants.js'
+import type { Refusal } from '@cuminvale/common'
+import type { AdmittedRequest, RequestHead } from '@cuminvale/serving'
+import type { IncomingMessage, Server, ServerResponse } from 'node:http'
+import type { AnswerSink } from './answerSink.js'
+import type { RequestLog } from './requestLog.js'
+import type { ServingState } from './servingState.js'
+
+const statusByFailure = { [FailureKind.UpstreamBroke]: 502, [FailureKind.TimedOut]: 504 } as const
+
+class CallerSink implements AnswerSink {
+  constructor (private readonly response: ServerResponse, private readonly state: ServingState) {}
+
+  head (status: number, headers: readonly string[]): void {
+    this.response.writeHead(status, this.closing(headers))
+  }
+
+  data (chunk: Buffer): boolean {
+    return this.response.write(chunk)
+  }
+
+  end (): void {
+    this.response.end()
+  }
+
+  refuse (refusal: Refusal): void {
+    const headers = ['content-type', 'text/plain']
+    if (refusal.retryAfterMilliseconds !== undefined && Number.isFinite(refusal.retryAfterMilliseconds)) {
+      headers.push('retry-after', (refusal.retryAfterMilliseconds / millisecondsPerSecond).toFixed(2))
+    }
+    this.close(this.state.codec.statusOf(refusal), headers, refusal.detail)
+  }
+
+  fail (kind: FailureKind, detail: string): void {
+    this.close(statusByFailure[kind], ['content-type', 'text/plain'], detail)
+  }
+
+  breakOff (): void {
+    this.response.destroy()
+  }
+
+  private close (status: number, headers: string[], text: string): void {
+    const body = Buffer.from(`${text}\n`)
+    headers.push('content-length', String(body.length))
+    this.response.writeHead(status, this.closing(headers))
+    this.response.end(body)
+  }
+
+  /** A VM that is about to stop asks callers to connect elsewhere. */
+  private closing (headers: readonly string[]): string[] {
+    return this.state.isLeaving ? [...headers, 'connection', 'close'] : [...headers]
+  }
+}
+
+export class CallerServer {
+  private readonly server: Server
+
+  constructor (private readonly state: ServingState, private readonly requestLog: RequestLog) {
+    this.server = createServer({ maxHeaderSize: requestHeaderBytes, noDelay: true }, (request, response) => this.handle(request, response))
+    this.server.requestTimeout = 0
+  }
+
+  async listen (host: string, port: number): Promise<void> {
+    await new Promise<void>((resolve, reject) => {
+      this.server.once('error', reject)
+      this.server.listen({ host, port, backlog: listenBacklog }, () => resolve())
+    })
+  }
+
+  get port (): number {
+    const address = this.server.address()
+    return address === null || typeof address === 'string' ? 0 : address.port
+  }
+
+  /** Takes over how long callers may be idle or take for a head. */
+  applyLimits (): void {
+    const limits = this.state.configuration?.document.limits
+    if (limits === undefined) return
+    this.server.keepAliveTimeout = limits.idleTimeoutMilliseconds
+    this.server.headersTimeout = limits.headerTimeoutMilliseconds
+  }
+
+  closeIdle (): void {
+    this.server.closeIdleConnections()
+  }
+
+  stopListening (): void {
+    this.server.close()
+    this.server.closeIdleConnections()
+  }
+
+  closeAll (): void {
+    this.server.close()
+    this.server.closeAllConnections()
+  }
+
+  private handle (request: IncomingMessage, response: ServerResponse): void {
+    const { state } = this
+    response.sendDate = false
+    response.on('error', () => { /* 'close' follows and ends the execution */ })
+    const receivedAt = state.clock.monotonic()
+    const head = state.codec.decodeRequest(request)
+    const { configuration } = state
+    if (configuration === undefined) {
+      return this.refuse(request, response, head, refuse(RefusalReason.NotReady, 'no configuration is known yet', { retryAfterMilliseconds: 300 }))
+    }
+    const admitted = configuration.admit(head, state.random)
+    if (admitted.isErr) return this.refuse(request, response, head, admitted.error)
+    this.readBody(request, response, admitted.value, receivedAt)
+  }
+
+  private readBody (request: IncomingMessage, response: ServerResponse, admitted: AdmittedRequest, receivedAt: number): void {
+    const mostBytes = this.state.configuration?.document.limits.bodyBytes ?? 0
+    const chunks: Buffer[] = []
+    let length = 0
+    let isRefused = false
+    request.on('data', (chunk: Buffer) => {
+      if (isRefused) return
+      length += chunk.length
+      if (length <= mostBytes) {
+        chunks.push(chunk)
+        return
+      }
+      isRefused = true
+      this.refuse(request, response, admitted.head, refuse(RefusalReason.BodyTooLarge, `the body is longer than ${mostBytes} bytes`))
+    })
+    request.on('end', () => {
+      if (isRefused || response.destroyed) return
+      this.serve(response, admitted, length === 0 ? null : chunks.length === 1 ? chunks[0] ?? null : Buffer.concat(chunks), receivedAt)
+    })
+  }
+
+  private serve (response: ServerResponse, request: AdmittedRequest, body: Buffer | null, receivedAt: number): void {
+    const { state } = this
+    const sink = new CallerSink(response, state)
+    const { team, charge, route, head } = request
+    if (team !== undefined && !state.rate.spend(team, charge)) {
+      const refusal = refuse(RefusalReason.RateExceeded, `team "${team.id}" has used its rate`, { retryAfterMilliseconds: state.rate.millisecondsUntilFilled(team) })
+      this.requestLog.refused(head, refusal, request.configurationVersion)
+      return sink.refuse(refusal)
+    }
+    const execution = new Execution({
+      state,
+      request,
+      body,
+      deadlineAt: receivedAt + Math.min(head.deadlineMilliseconds ?? Infinity, route.timeoutMilliseconds),
+      mayForward: true,
+      attemptsLeft: route.maximumAttempts,
+      sink,
+      onOver: (over) => {
+        state.executions.delete(over)
+        if (over.outcome === 'refused' && team !== undefined) state.rate.giveBack(team, charge)
+        this.requestLog.ended(over, receivedAt, false)
+      }
+    })
+    state.executions.add(execution)
+    response.on('close', () => execution.callerLeft())
+    response.on('drain', () => execution.resume())
+    execution.start()
+  }
+
+  private refuse (request: IncomingMessage, response: ServerResponse, head: RequestHead, refusal: Refusal): void {
+    request.resume()
+    this.requestLog.refused(head, refusal, this.state.configuration?.version)
+    new CallerSink(response, this.state).refuse(refusal)
+    if (refusal.reason === RefusalReason.BodyTooLarge) request.on('data', discardUpTo(discardedBodyBytes, () => response.destroy()))
+  }
+}
+
+const discardUpTo = (bytes: number, onMore: () => void): (chunk: Buffer) => void => {
+  let left = bytes
+  return (chunk) => {
+    left -= chunk.length
+    if (left < 0) onMore()
+  }
+}
--- /dev/null
+++ b/packages/gateway/src/constants.ts
@@ -0,0 +1,58 @@
+/**
+ * Times and sizes of the gateway's edges.
+ */
+
+/** Longest a connection within a region may take; a dark upstream never answers. */
+export const upstreamConnectMilliseconds = 350
+/** Idle time after which an upstream connection is not used again; upstreams close theirs a few seconds later. */
+export const upstreamIdleMilliseconds = 3_500
+/** Idle time after which an order gets a new connection, since a closed one would leave its outcome unknown. */
+export const orderIdleMilliseconds = 700
+/** Interval at which requests under way are checked for their deadlines. */
+export const checkIntervalMilliseconds = 25
+/** Interval of the messages between VMs of a region. */
+export const nearHeartbeatMilliseconds = 200
+/** Heartbeats to other regions go out with every second one. */
+export const farHeartbeatEvery = 2
+/** Longest a connection between VMs may take: a round trip between regions, and a lost packet. */
+export const peerConnectMilliseconds = 1_000
+/** Unanswered ping after which a link between VMs is made anew. */
+export const linkSilentMilliseconds = 1_500
+/** Between attempts to link to a VM. */
+export const linkRetryMilliseconds = 500
+/** Answer time of the source beyond the wait that was asked for. */
+export const sourceTimeoutMilliseconds = 1_200
+/** Longest wait for a change; a silent connection is noticed after it. */
+export const changeWaitMilliseconds = 2_500
+/** Between calls to a source that fails. */
+export const sourceRetryMilliseconds = 400
+/** Outage after which records may have lapsed: upstreams' heartbeats are over a second apart and three are awaited. */
+export const lapsingOutageMilliseconds = 2_000
+/** Part of the tightest bound that may pass between two looks at the source. */
+export const lookShare = 0.25
+/** Between two requests for the records that another VM holds. */
+export const recordRequestMilliseconds = 500
+/** Round trip to another region, until one is measured. */
+export const farRoundTripMilliseconds = 115
+/** Time without any answer after which an upstream that holds a repeatable request counts as silent. */
+export const upstreamSilentMilliseconds = 900
+/** Time without a first frame after which a forward to another VM counts as lost, beside the round trip. */
+export const forwardSilentMilliseconds = 600
+/** Sends of one request that never reached an upstream. */
+export const maximumUnsentTries = 4
+/** Most that one message between VMs may hold. */
+export const maximumLinkMessageBytes = 16_777_216
+/** Largest head that is read at all; the configuration's limit is lower. */
+export const requestHeaderBytes = 65_536
+/** What is still read of a body that was refused as too long. */
+export const discardedBodyBytes = 1_048_576
+/** Connections that may wait to be accepted; beyond it callers wait seconds for another try. */
+export const listenBacklog = 1_024
+/** After a request to stop: callers have heard that this VM is leaving by then, and idle connections are closed. */
+export const leavingIdleMilliseconds = 700
+/** After a request to stop: callers' lists of VMs have run out by then, and no new connection is taken. */
+export const leavingListenMilliseconds = 2_500
+/** Kept of the grace period for the last answers to reach their callers. */
+export const leavingReserveMilliseconds = 800
+/** Difference between the clocks' steps that shows a suspended machine; far above a busy event loop's. */
+export const suspensionMilliseconds = 1_000
--- /dev/null
+++ b/packages/gateway/src/execution.ts
@@ -0,0 +1,416 @@
+/**
+ * Carries one admitted request to its answer: places it, sends it, sends it
+ * again where that is allowed, goes on with a broken stream, and gives it up
+ * in time. A request that may have run is never called refused.
+ */
+
+import { RefusalReason, refuse } from '@cuminvale/common'
+import { PlacementKind, RequestKind } from '@cuminvale/serving'
+import { CallFailureKind } from './errors.js'
+import { EventCutter } from './eventCutter.js'
+import { FailureKind } from './answerSink.js'
+import { ForwardCall } from './forwardCall.js'
+import { UpstreamCall } from './upstreamCall.js'
+import { maximumUnsentTries, upstreamSilentMilliseconds } from './constants.js'
+import type { Refusal, RegionId, UpstreamId } from '@cuminvale/common'
+import type { AdmittedRequest, Placement, UpstreamBelief } from '@cuminvale/serving'
+import type { AnswerSink } from './answerSink.js'
+import type { CallFailure } from './errors.js'
+import type { ForwardListener } from './forwardCall.js'
+import type { CallListener } from './upstreamCall.js'
+import type { ServingState } from './servingState.js'
+
+/** A silent upstream is set aside at once, as one that failed several times. */
+const silenceWeight = 3
+/** Less than this is too little for another upstream to answer in. */
+const leastRetryMilliseconds = 50
+/** Time in which a place at an upstream that declined should be free again. */
+const declinedRetryAfterMilliseconds = 150
+
+export interface ExecutionOptions {
+  readonly state: ServingState
+  readonly request: AdmittedRequest
+  readonly body: Buffer | null
+  /** Monotonic time at which it is given up. */
+  readonly deadlineAt: number
+  readonly mayForward: boolean
+  /** Upstreams that may be sent it. */
+  readonly attemptsLeft: number
+  /** Event after which a stream goes on; undefined for one that begins. */
+  readonly resumeAfter?: string | undefined
+  readonly sink: AnswerSink
+  readonly onOver: (execution: Execution) => void
+}
+
+interface LocalAttempt {
+  readonly kind: 'local'
+  readonly call: UpstreamCall
+  readonly belief: UpstreamBelief
+  readonly predictedMilliseconds: number
+  readonly sentAt: number
+  pendingTokens: number
+  isAnswered: boolean
+  /** Silent, but nothing allows another send. */
+  isLeftWaiting: boolean
+}
+
+interface ForwardAttempt {
+  readonly kind: 'forward'
+  readonly call: ForwardCall
+  readonly region: RegionId
+  readonly workMilliseconds: number
+  readonly sentAt: number
+  isAnswered: boolean
+  /** Silent, but nothing allows another send. */
+  isLeftWaiting: boolean
+}
+
+export class Execution implements CallListener, ForwardListener {
+  /** For the log: how the request ended, and why. */
+  outcome = 'under-way'
+  detail = ''
+  status = 0
+  sends = 0
+  target = ''
+  firstAnswerAt: number | undefined
+  expectedMilliseconds = 0
+  private attempt: LocalAttempt | ForwardAttempt | undefined
+  private attemptsLeft: number
+  private unsentTries = 0
+  private mayHaveRun = false
+  private headSent = false
+  private isOver = false
+  private lastDataAt = 0
+  private readonly excluded = new Set<UpstreamId>()
+  private readonly excludedRegions = new Set<RegionId>()
+  private readonly cutter: EventCutter | undefined
+
+  constructor (private readonly options: ExecutionOptions) {
+    this.attemptsLeft = options.attemptsLeft
+    const { route } = options.request
+    this.cutter = route.kind === RequestKind.Stream && route.isResumable ? new EventCutter() : undefined
+  }
+
+  get request (): AdmittedRequest {
+    return this.options.request
+  }
+
+  start (): void {
+    this.options.state.retries.started(this.request.service)
+    this.place()
+  }
+
+  /** The caller has left: nothing more is answered, and repeatable work is stopped. */
+  callerLeft (): void {
+    if (this.isOver) return
+    this.outcome = 'caller-left'
+    // An order that was sent is let run to its end: broken off, nobody would know how it ended.
+    this.over(this.request.route.kind !== RequestKind.Order || this.attempt === undefined)
+  }
+
+  resume (): void {
+    this.attempt?.call.resume()
+  }
+
+  /** Gives up what is past its time, and moves repeatable work away from silence. */
+  check (now: number): void {
+    if (this.isOver) return
+    if (now >= this.options.deadlineAt) return this.giveUp()
+    const { attempt } = this
+    if (attempt === undefined || !this.request.isRepeatable) return
+    if (attempt.kind === 'forward') {
+      if (attempt.call.isSilent(now)) this.moveOn(attempt, 'the VM it was forwarded to is silent')
+      return
+    }
+    const since = Math.max(attempt.sentAt, this.lastDataAt, attempt.belief.lastAnswerAt)
+    if (now - since > upstreamSilentMilliseconds + attempt.predictedMilliseconds) this.moveOn(attempt, 'the upstream is silent')
+  }
+
+  onHead (status: number, rawHeaders: Readonly<Record<string, string | string[] | undefined>>): void {
+    const { attempt } = this
+    if (attempt?.kind !== 'local') return
+    const { state } = this.options
+    const answer = state.codec.decodeAnswer(status, rawHeaders)
+    if (answer.attempt !== undefined && answer.attempt !== this.request.attempt) return this.abandon(attempt, 'the answer names another attempt')
+    this.noteAnswer(attempt)
+    if (answer.load !== undefined) attempt.belief.reported(answer.load)
+    if (answer.isNotRun || status === 421) return this.notRun(attempt, status)
+    this.mayHaveRun = true
+    if (status >= 200 && status < 300 && !answer.isSealed) return this.abandon(attempt, 'a success without its seal')
+    if (status >= 500) {
+      attempt.belief.failed()
+      if (this.request.isRepeatable && this.tryAgain(attempt, `status ${status}`)) return
+    } else {
+      attempt.belief.succeeded()
+    }
+    this.passHead(status, answer.headers)
+  }
+
+  onData (chunk: Buffer): boolean {
+    this.lastDataAt = this.now
+    const { attempt } = this
+    if (attempt?.kind === 'local') attempt.belief.lastAnswerAt = this.lastDataAt
+    if (this.cutter === undefined || !isSuccess(this.status)) return this.options.sink.data(chunk)
+    const whole = this.cutter.push(chunk)
+    return whole === undefined || this.options.sink.data(whole)
+  }
+
+  onEnd (): void {
+    const rest = this.cutter?.rest()
+    if (rest !== undefined) this.options.sink.data(rest)
+    this.options.sink.end()
+    this.outcome = 'answered'
+    this.over(false)
+  }
+
+  onFailure (failure: CallFailure): void {
+    const { attempt } = this
+    if (attempt === undefined) return
+    if (failure.kind === CallFailureKind.NotSent) return this.notSent(attempt, failure.message)
+    this.abandon(attempt, failure.message)
+  }
+
+  /** The other VM states that the request has not run and will not run there. */
+  onRefused (refusal: Refusal): void {
+    const { attempt } = this
+    if (attempt?.kind !== 'forward') return
+    this.settle(attempt)
+    this.excludedRegions.add(attempt.region)
+    this.unsentTries += 1
+    if (this.unsentTries >= maximumUnsentTries) return this.refuse(refusal)
+    this.place(refusal)
+  }
+
+  onForwardedHead (status: number, headers: readonly string[]): void {
+    const { attempt } = this
+    if (attempt?.kind !== 'forward') return
+    this.noteForwardAnswer(attempt)
+    this.mayHaveRun = true
+    this.passHead(status, headers)
+  }
+
+  onForwardFailed (kind: FailureKind, detail: string): void {
+    const { attempt } = this
+    if (attempt?.kind !== 'forward') return
+    this.mayHaveRun = true
+    if (kind === FailureKind.TimedOut) {
+      this.settle(attempt)
+      return this.giveUp()
+    }
+    this.abandon(attempt, detail)
+  }
+
+  private get now (): number {
+    return this.options.state.clock.monotonic()
+  }
+
+  private place (lastRefusal?: Refusal): void {
+    const { state, request, deadlineAt, mayForward } = this.options
+    const remainingMilliseconds = deadlineAt - this.now
+    const placement = state.placement.choose({
+      request, remainingMilliseconds, mayForward, excluded: this.excluded, excludedRegions: this.excludedRegions
+    })
+    if (placement.kind === PlacementKind.Run) return this.sendTo(placement)
+    if (placement.kind === PlacementKind.Forward) return this.forwardTo(placement)
+    this.refuseOrFail(lastRefusal ?? refuse(RefusalReason.NoUpstream, placement.reason, { retryAfterMilliseconds: placement.retryAfterMilliseconds }))
+  }
+
+  private sendTo ({ belief, prediction }: Extract<Placement, { kind: 'run' }>): void {
+    const { state, request, body, deadlineAt } = this.options
+    const { announced } = belief
+    const connection = state.connections.acquire(announced, request.route.kind !== RequestKind.Safe)
+    const call = new UpstreamCall(state.connections, connection, this)
+    this.attempt = {
+      kind: 'local',
+      call,
+      belief,
+      predictedMilliseconds: prediction.milliseconds,
+      sentAt: this.now,
+      pendingTokens: prediction.unreadTokens,
+      isAnswered: false,
+      isLeftWaiting: false
+    }
+    this.sends += 1
+    this.attemptsLeft -= 1
+    this.target = announced.id
+    this.expectedMilliseconds = Math.round(prediction.milliseconds)
+    belief.ownInFlight += 1
+    belief.ownPendingTokens += prediction.unreadTokens
+    belief.sends.sent()
+    state.noteParts(belief, request.head.parts)
+    call.send({
+      method: request.head.method,
+      path: request.head.path,
+      headers: state.codec.upstreamHeaders({
+        request, upstream: announced.id, remainingMilliseconds: deadlineAt - this.now, resumeAfter: this.resumeAfter
+      }),
+      body
+    })
+  }
+
+  private forwardTo ({ region, milliseconds, workMilliseconds }: Extract<Placement, { kind: 'forward' }>): void {
+    const { state, request, body, deadlineAt } = this.options
+    const peer = state.peerFor(region)
+    if (peer === undefined) {
+      this.excludedRegions.add(region)
+      return this.place()
+    }
+    const call = new ForwardCall({ clock: state.clock, pool: state.forwardPools.poolOf(peer.linkAddress), listener: this, roundTripMilliseconds: state.roundTripTo(region) })
+    this.attempt = { kind: 'forward', call, region, workMilliseconds, sentAt: this.now, isAnswered: false, isLeftWaiting: false }
+    this.sends += 1
+    this.target = `${region}:${peer.vm}`
+    this.expectedMilliseconds = Math.round(milliseconds)
+    state.forecasts.forwarded(region, request.service, workMilliseconds)
+    call.send({ request, body, remainingMilliseconds: deadlineAt - this.now, attemptsLeft: this.attemptsLeft, resumeAfter: this.resumeAfter })
+  }
+
+  /** What the next send has to go on from. */
+  private get resumeAfter (): string | undefined {
+    return this.cutter?.lastEventId ?? this.options.resumeAfter
+  }
+
+  private passHead (status: number, headers: readonly string[]): void {
+    this.firstAnswerAt ??= this.now
+    if (this.headSent) {
+      // The caller has the first run's head already; only a successful run can go on in its body.
+      if (!isSuccess(status)) {
+        this.options.sink.breakOff()
+        this.outcome = 'broken-off'
+        this.detail = `status ${status} on resume`
+        this.over(true)
+      }
+      return
+    }
+    this.headSent = true
+    this.status = status
+    this.options.sink.head(status, headers)
+  }
+
+  private notRun (attempt: LocalAttempt, status: number): void {
+    attempt.belief.failed(status === 421 ? 0 : 0.5)
+    this.settle(attempt)
+    this.excluded.add(attempt.belief.announced.id)
+    if (status === 421) this.attemptsLeft += 1
+    const refusal = refuse(RefusalReason.NoUpstream, `upstream ${attempt.belief.announced.id} declined with ${status}`, { retryAfterMilliseconds: declinedRetryAfterMilliseconds })
+    const { state } = this.options
+    if (this.attemptsLeft <= 0 || !state.retries.take(this.request.service)) return this.refuseOrFail(refusal)
+    this.place(refusal)
+  }
+
+  private notSent (attempt: LocalAttempt | ForwardAttempt, detail: string): void {
+    this.settle(attempt)
+    this.detail = detail
+    if (attempt.kind === 'local') {
+      this.attemptsLeft += 1
+      this.options.state.unreachable(attempt.belief)
+      this.excluded.add(attempt.belief.announced.id)
+    } else {
+      this.excludedRegions.add(attempt.region)
+    }
+    this.unsentTries += 1
+    if (this.unsentTries >= maximumUnsentTries) return this.refuseOrFail(refuse(RefusalReason.NoUpstream, detail))
+    this.place()
+  }
+
+  /** Leaves an attempt that went wrong after it was sent. */
+  private abandon (attempt: LocalAttempt | ForwardAttempt, detail: string): void {
+    attempt.call.abort()
+    this.mayHaveRun = true
+    if (attempt.kind === 'local') attempt.belief.failed()
+    if (this.request.isRepeatable && this.tryAgain(attempt, detail)) return
+    this.settle(attempt)
+    this.detail = detail
+    this.failNow(FailureKind.UpstreamBroke)
+  }
+
+  private moveOn (attempt: LocalAttempt | ForwardAttempt, detail: string): void {
+    if (attempt.isLeftWaiting) return
+    if (attempt.kind === 'local') attempt.belief.failed(silenceWeight)
+    if (!this.tryAgain(attempt, detail)) attempt.isLeftWaiting = true
+  }
+
+  /** Sends a repeatable request once more; false where nothing allows it. */
+  private tryAgain (attempt: LocalAttempt | ForwardAttempt, detail: string): boolean {
+    const { state } = this.options
+    if (this.attemptsLeft <= 0 || this.options.deadlineAt - this.now < leastRetryMilliseconds || !state.retries.take(this.request.service)) return false
+    attempt.call.abort()
+    this.settle(attempt)
+    this.detail = detail
+    if (attempt.kind === 'local') this.excluded.add(attempt.belief.announced.id)
+    else {
+      this.excludedRegions.add(attempt.region)
+      this.attemptsLeft -= 1
+    }
+    this.mayHaveRun = true
+    this.cutter?.dropPartial()
+    this.place()
+    return true
+  }
+
+  private giveUp (): void {
+    if (this.attempt === undefined && !this.mayHaveRun) return this.refuse(refuse(RefusalReason.DeadlineExceeded, 'the time was over before it was sent'))
+    this.detail = 'the time is over'
+    this.failNow(FailureKind.TimedOut)
+  }
+
+  private refuseOrFail (refusal: Refusal): void {
+    if (this.mayHaveRun) {
+      this.detail = refusal.detail
+      return this.failNow(FailureKind.UpstreamBroke)
+    }
+    this.refuse(refusal)
+  }
+
+  private refuse (refusal: Refusal): void {
+    this.outcome = 'refused'
+    this.detail = refusal.detail
+    this.options.sink.refuse(refusal)
+    this.over(true)
+  }
+
+  private failNow (kind: FailureKind): void {
+    this.outcome = kind
+    if (this.headSent) this.options.sink.breakOff()
+    else this.options.sink.fail(kind, this.detail)
+    this.over(true)
+  }
+
+  private over (mustAbort: boolean): void {
+    if (this.isOver) return
+    this.isOver = true
+    const { attempt } = this
+    if (attempt !== undefined) {
+      if (mustAbort) attempt.call.abort()
+      else attempt.call.ignore()
+      this.settle(attempt)
+    }
+    this.options.onOver(this)
+  }
+
+  private noteAnswer (attempt: LocalAttempt): void {
+    const now = this.now
+    attempt.belief.lastAnswerAt = now
+    if (attempt.isAnswered) return
+    attempt.isAnswered = true
+    attempt.belief.ownPendingTokens -= attempt.pendingTokens
+    attempt.pendingTokens = 0
+    attempt.belief.observed(now - attempt.sentAt, attempt.predictedMilliseconds)
+  }
+
+  private noteForwardAnswer (attempt: ForwardAttempt): void {
+    if (attempt.isAnswered) return
+    attempt.isAnswered = true
+    this.options.state.forecasts.answered(attempt.region, this.request.service, attempt.workMilliseconds)
+  }
+
+  /** Takes an attempt off the books. */
+  private settle (attempt: LocalAttempt | ForwardAttempt): void {
+    if (this.attempt !== attempt) return
+    this.attempt = undefined
+    if (attempt.kind === 'forward') return this.noteForwardAnswer(attempt)
+    attempt.belief.ownInFlight -= 1
+    attempt.belief.ownPendingTokens -= attempt.pendingTokens
+  }
+}
+
+const isSuccess = (status: number): boolean => status >= 200 && status < 300
--- /dev/null
+++ b/packages/gateway/src/forwardCall.ts
@@ -0,0 +1,148 @@
+/**
+ * A request handed to a VM of another region. The other VM says at once that
+ * it has it, so that a silent connection is told from a slow answer.
+ */
+
+import { CallFailure, CallFailureKind } from './errors.js'
+import { FailureKind } from './answerSink.js'
+import { FrameKind, FrameReader, packForward, unpackFrame } from './forwardFrames.js'
+import { forwardSilentMilliseconds } from './constants.js'
+import type { Clock, Refusal } from '@cuminvale/common'
+import type { AdmittedRequest } from '@cuminvale/serving'
+import type { Dispatcher, Pool } from 'undici'
+import type { Frame, ForwardedFailure, ForwardedHead } from './forwardFrames.js'
+
+export const forwardPath = '/forward'
+
+export interface ForwardListener {
+  onForwardedHead (status: number, headers: readonly string[]): void
+  onData (chunk: Buffer): boolean
+  onEnd (): void
+  onRefused (refusal: Refusal): void
+  onForwardFailed (kind: FailureKind, detail: string): void
+  onFailure (failure: CallFailure): void
+}
+
+export interface ForwardCallOptions {
+  readonly clock: Clock
+  readonly pool: Pool
+  readonly listener: ForwardListener
+  readonly roundTripMilliseconds: number
+}
+
+export interface ForwardOptions {
+  readonly request: AdmittedRequest
+  readonly body: Buffer | null
+  readonly remainingMilliseconds: number
+  readonly attemptsLeft: number
+  readonly resumeAfter: string | undefined
+}
+
+export class ForwardCall implements Dispatcher.DispatchHandler {
+  private readonly reader = new FrameReader()
+  private controller: Dispatcher.DispatchController | undefined
+  private isOver = false
+  private isReceived = false
+  private isAborted = false
+  private sentAt = 0
+
+  constructor (private readonly options: ForwardCallOptions) {}
+
+  send ({ request, body, remainingMilliseconds, attemptsLeft, resumeAfter }: ForwardOptions): void {
+    this.sentAt = this.options.clock.monotonic()
+    // The key stays with the VM that checked it.
+    const head = { ...request.head, key: undefined }
+    const envelope = {
+      request: { ...request, head, team: request.team === undefined ? undefined : { ...request.team, keys: [] }, regions: request.regions === undefined ? undefined : [...request.regions] },
+      remainingMilliseconds,
+      attemptsLeft,
+      resumeAfter
+    }
+    this.options.pool.dispatch({ method: 'POST', path: forwardPath, body: packForward(envelope, body) }, this)
+  }
+
+  abort (): void {
+    if (this.isOver) return
+    this.isOver = true
+    this.isAborted = true
+    this.controller?.abort(new CallFailure(CallFailureKind.Broken, 'given up'))
+  }
+
+  /** Reports nothing more, and lets the other VM go on. */
+  ignore (): void {
+    this.isOver = true
+    this.controller?.resume()
+  }
+
+  resume (): void {
+    if (!this.isOver) this.controller?.resume()
+  }
+
+  /** Whether the other VM should have said by now that it has the request. */
+  isSilent (now: number): boolean {
+    return !this.isReceived && now - this.sentAt > this.options.roundTripMilliseconds * 2 + forwardSilentMilliseconds
+  }
+
+  onRequestStart (controller: Dispatcher.DispatchController): void {
+    this.controller = controller
+    if (this.isAborted) controller.abort(new CallFailure(CallFailureKind.Broken, 'given up'))
+  }
+
+  onResponseStart (): void {
+    this.isReceived = true
+  }
+
+  onResponseData (controller: Dispatcher.DispatchController, chunk: Buffer): void {
+    if (this.isOver) return
+    for (const frame of this.reader.push(chunk)) {
+      if (this.isOver) return
+      if (!this.take(frame)) controller.pause()
+    }
+  }
+
+  onResponseEnd (): void {
+    if (this.isOver) return
+    this.isOver = true
+    this.options.listener.onFailure(new CallFailure(CallFailureKind.Broken, 'the forwarded answer ended without its end frame'))
+  }
+
+  onResponseError (_controller: Dispatcher.DispatchController, error: Error): void {
+    if (this.isOver) return
+    this.isOver = true
+    const kind = this.controller === undefined ? CallFailureKind.NotSent : CallFailureKind.Broken
+    this.options.listener.onFailure(new CallFailure(kind, error.message))
+  }
+
+  private take (frame: Frame): boolean {
+    const { listener } = this.options
+    switch (frame.kind) {
+      case FrameKind.Received:
+        return true
+      case FrameKind.Head: {
+        const { status, headers } = unpackFrame<ForwardedHead>(frame)
+        listener.onForwardedHead(status, headers)
+        return true
+      }
+      case FrameKind.Data:
+        return listener.onData(frame.content)
+      case FrameKind.End:
+        this.isOver = true
+        listener.onEnd()
+        return true
+      case FrameKind.Refused:
+        this.isOver = true
+        listener.onRefused(unpackFrame<Refusal>(frame))
+        return true
+      case FrameKind.Failed: {
+        this.isOver = true
+        const { kind, detail } = unpackFrame<ForwardedFailure>(frame)
+        listener.onForwardFailed(kind, detail)
+        return true
+      }
+      default:
+        this.isOver = true
+        listener.onForwardFailed(FailureKind.UpstreamBroke, `a frame of unknown kind ${frame.kind}`)
+        return true
+    }
+  }
+}
--- /dev/null
+++ b/packages/gateway/src/forwardServer.ts
@@ -0,0 +1,91 @@
+/**
+ * Takes requests that VMs of other regions forward, and answers in frames.
+ * The regions of the request are checked again here; it is never forwarded on.
+ */
+
+import { RefusalReason, refuse, toRegionId } from '@cuminvale/common'
+import { Execution } from './execution.js'
+import { FrameKind, frameOf, packedFrame, unpackForward } from './forwardFrames.js'
+import type { Refusal, RegionId } from '@cuminvale/common'
+import type { IncomingMessage, ServerResponse } from 'node:http'
+import type { AnswerSink, FailureKind } from './answerSink.js'
+import type { RequestLog } from './requestLog.js'
+import type { ServingState } from './servingState.js'
+
+class FrameSink implements AnswerSink {
+  constructor (private readonly response: ServerResponse) {}
+
+  head (status: number, headers: readonly string[]): void {
+    this.response.write(packedFrame(FrameKind.Head, { status, headers }))
+  }
+
+  data (chunk: Buffer): boolean {
+    return this.response.write(frameOf(FrameKind.Data, chunk))
+  }
+
+  end (): void {
+    this.response.end(frameOf(FrameKind.End))
+  }
+
+  refuse (refusal: Refusal): void {
+    this.response.end(packedFrame(FrameKind.Refused, refusal))
+  }
+
+  fail (kind: FailureKind, detail: string): void {
+    this.response.end(packedFrame(FrameKind.Failed, { kind, detail }))
+  }
+
+  breakOff (): void {
+    this.response.destroy()
+  }
+}
+
+const readAll = async (request: IncomingMessage): Promise<Buffer> => {
+  const chunks: Buffer[] = []
+  for await (const chunk of request) chunks.push(chunk as Buffer)
+  return Buffer.concat(chunks)
+}
+
+export class ForwardServer {
+  constructor (private readonly state: ServingState, private readonly requestLog: RequestLog) {}
+
+  handle (request: IncomingMessage, response: ServerResponse): void {
+    response.on('error', () => { /* 'close' follows and ends the execution */ })
+    readAll(request).then((message) => this.run(message, response)).catch((error: Error) => {
+      this.state.log.warn('forward-unreadable', { detail: error.message })
+      response.destroy()
+    })
+  }
+
+  private run (message: Buffer, response: ServerResponse): void {
+    const { envelope, body } = unpackForward(message)
+    const { state } = this
+    response.writeHead(200)
+    response.write(frameOf(FrameKind.Received))
+    const regions = envelope.request.regions
+    const request = { ...envelope.request, regions: regions === undefined ? undefined : new Set<RegionId>(regions.map(toRegionId)) }
+    const sink = new FrameSink(response)
+    if (request.regions?.has(state.settings.region) === false) {
+      return sink.refuse(refuse(RefusalReason.RegionNotAllowed, 'this region is not a home of the request'))
+    }
+    const receivedAt = state.clock.monotonic()
+    const execution = new Execution({
+      state,
+      request,
+      body,
+      deadlineAt: receivedAt + envelope.remainingMilliseconds,
+      mayForward: false,
+      attemptsLeft: envelope.attemptsLeft,
+      resumeAfter: envelope.resumeAfter,
+      sink,
+      onOver: (over) => {
+        state.executions.delete(over)
+        this.requestLog.ended(over, receivedAt, true)
+      }
+    })
+    state.executions.add(execution)
+    response.on('close', () => execution.callerLeft())
+    response.on('drain', () => execution.resume())
+    execution.start()
+  }
+}
--- /dev/null
+++ b/packages/gateway/src/gateway.ts
@@ -0,0 +1,170 @@
+/**
+ * One gateway process: the serving state, its servers and its timers.
+ */
+
+import { createServer } from 'node:http'
+import { listEntries } from '@cuminvale/serving'
+import { CallerServer } from './callerServer.js'
+import { ForwardServer } from './forwardServer.js'
+import { GatewayMetrics } from './gatewayMetrics.js'
+import { PeerLinks } from './peerLinks.js'
+import { RecordKeeper } from './recordKeeper.js'
+import { RequestLog } from './requestLog.js'
+import { ServingState } from './servingState.js'
+import { forwardPath } from './forwardCall.js'
+import { checkIntervalMilliseconds, leavingIdleMilliseconds, leavingListenMilliseconds, leavingReserveMilliseconds, listenBacklog, nearHeartbeatMilliseconds, suspensionMilliseconds } from './constants.js'
+import type { Clock, IncarnationId, Random, RegionId } from '@cuminvale/common'
+import type { Log } from '@cuminvale/logs'
+import type { PeerIdentity } from '@cuminvale/serving'
+import type { Server } from 'node:http'
+import type { GatewaySettings, RecordDecoder, RecordSource, RequestCodec } from './types.js'
+
+export interface GatewayOptions {
+  readonly settings: GatewaySettings
+  readonly incarnation: IncarnationId
+  readonly codec: RequestCodec
+  readonly decoder: RecordDecoder
+  readonly source: RecordSource
+  readonly log: Log
+  readonly clock: Clock
+  readonly random: Random
+}
+
+const sweepEvery = 40
+
+export class Gateway {
+  readonly state: ServingState
+  private readonly metrics = new GatewayMetrics()
+  private readonly self: PeerIdentity
+  private readonly linkServer: Server
+  private readonly callers: CallerServer
+  private readonly links: PeerLinks
+  private readonly keeper: RecordKeeper
+  private readonly timers: NodeJS.Timeout[] = []
+  private checks = 0
+  private wallOffset: number
+
+  constructor (private readonly options: GatewayOptions) {
+    const { settings, incarnation, clock, log } = options
+    const { vm, region, failureDomain, host } = settings
+    this.self = {
+      vm, incarnation, region, failureDomain, linkAddress: `${host}:${settings.linkPort}`, callerAddress: `${host}:${settings.callerPort}`
+    }
+    this.state = new ServingState({ ...options, self: this.self, metrics: this.metrics })
+    const requestLog = new RequestLog(clock, log, this.metrics)
+    const forwards = new ForwardServer(this.state, requestLog)
+    this.linkServer = createServer((request, response) => {
+      if (request.url === forwardPath) return forwards.handle(request, response)
+      response.writeHead(404).end()
+    })
+    this.linkServer.keepAliveTimeout = 0
+    this.callers = new CallerServer(this.state, requestLog)
+    this.links = new PeerLinks({
+      state: this.state, self: this.self, server: this.linkServer, isSourceLost: () => this.keeper.isLost || this.state.configuration === undefined, onRecords: () => this.adopt()
+    })
+    this.keeper = new RecordKeeper({ state: this.state, source: options.source, metrics: this.metrics, onChange: () => this.adopt() })
+    this.wallOffset = clock.wall() - clock.monotonic()
+  }
+
+  async start (): Promise<void> {
+    const { settings } = this.options
+    await new Promise<void>((resolve, reject) => {
+      this.linkServer.once('error', reject)
+      this.linkServer.listen({ host: settings.host, port: settings.linkPort, backlog: listenBacklog }, () => resolve())
+    })
+    await this.callers.listen(settings.host, settings.callerPort)
+    this.keeper.start()
+    this.links.tick()
+    this.timers.push(setInterval(() => this.check(), checkIntervalMilliseconds))
+    this.timers.push(setInterval(() => this.beat(), nearHeartbeatMilliseconds))
+    this.options.log.info('started', { region: settings.region, domain: settings.failureDomain, seeds: settings.seeds.join() })
+  }
+
+  get isReady (): boolean {
+    return this.state.isReady
+  }
+
+  /** Where callers of a region should connect; none while nothing is known. */
+  entries (region: RegionId | undefined): readonly string[] {
+    if (this.state.configuration === undefined) return []
+    const peers = this.state.peers.heardPeers({ readyOnly: true })
+    return listEntries(region, this.state.isReady ? [this.self, ...peers] : peers)
+  }
+
+  async metricsText (): Promise<string> {
+    this.metrics.peers.set(this.state.peers.heardPeers({ readyOnly: false }).length)
+    return await this.metrics.registry.metrics()
+  }
+
+  useSeeds (seeds: readonly string[]): void {
+    this.links.useSeeds(seeds)
+  }
+
+  /** Stops taking callers, finishes what is under way, and resolves when nothing is left or the grace is over. */
+  async leave (): Promise<void> {
+    const { state } = this
+    if (state.isLeaving) return
+    const { log, clock, settings } = this.options
+    state.isLeaving = true
+    log.info('leaving', { underWay: state.executions.size })
+    this.links.tick()
+    this.links.tick()
+    const startedAt = clock.monotonic()
+    const lastAt = startedAt + settings.bounds.graceMilliseconds - leavingReserveMilliseconds
+    await delay(leavingIdleMilliseconds)
+    this.callers.closeIdle()
+    await delay(leavingListenMilliseconds - leavingIdleMilliseconds)
+    this.callers.stopListening()
+    while (state.executions.size > 0 && clock.monotonic() < lastAt) {
+      await delay(checkIntervalMilliseconds)
+      this.callers.closeIdle()
+    }
+    log.info('left', { abandoned: state.executions.size })
+    this.links.leave()
+    await delay(checkIntervalMilliseconds)
+  }
+
+  close (): void {
+    this.timers.forEach((timer) => clearInterval(timer))
+    this.keeper.stop()
+    this.links.close()
+    this.callers.closeAll()
+    this.linkServer.close()
+    this.linkServer.closeAllConnections()
+    this.state.connections.closeAll()
+    this.state.forwardPools.closeAll()
+    this.options.source.close()
+  }
+
+  private adopt (): void {
+    this.state.adoptRecords()
+    this.callers.applyLimits()
+  }
+
+  private check (): void {
+    const { state } = this
+    const now = state.clock.monotonic()
+    for (const execution of state.executions) execution.check(now)
+    this.checks += 1
+    if (this.checks % sweepEvery === 0) state.connections.sweep()
+  }
+
+  private beat (): void {
+    this.noticeSuspension()
+    if (this.state.records.expire()) this.adopt()
+    this.links.tick()
+  }
+
+  /** After a pause that the monotonic clock does not show, nothing held open can be relied on. */
+  private noticeSuspension (): void {
+    const { clock, log } = this.options
+    const offset = clock.wall() - clock.monotonic()
+    const step = offset - this.wallOffset
+    this.wallOffset = offset
+    if (Math.abs(step) < suspensionMilliseconds) return
+    log.warn('clock-stepped', { milliseconds: Math.round(step) })
+    this.state.connections.closeAll()
+  }
+}
+
+const delay = async (milliseconds: number): Promise<void> => await new Promise((resolve) => setTimeout(resolve, milliseconds))
--- /dev/null
+++ b/packages/gateway/src/gatewayMetrics.ts
@@ -0,0 +1,57 @@
+/**
+ * Counters and histograms of a gateway process.
+ */
+
+import { Counter, Gauge, Histogram, Registry } from 'prom-client'
+
+/** Around the objectives of a few hundred milliseconds that routes have. */
+const firstAnswerBucketsSeconds = [0.02, 0.05, 0.1, 0.2, 0.3, 0.45, 0.6, 0.8, 1.2, 2, 4]
+
+export class GatewayMetrics {
+  readonly registry = new Registry()
+
+  readonly requests = new Counter({
+    name: 'cuminvale_gateway_requests_total',
+    help: 'Requests of callers that ended, by kind of route and outcome',
+    labelNames: ['kind', 'outcome'],
+    registers: [this.registry]
+  })
+
+  readonly refusals = new Counter({
+    name: 'cuminvale_gateway_refusals_total',
+    help: 'Requests refused before they were placed, by reason',
+    labelNames: ['reason'],
+    registers: [this.registry]
+  })
+
+  readonly repeats = new Counter({
+    name: 'cuminvale_gateway_repeats_total', help: 'Sends after the first of a request', registers: [this.registry]
+  })
+
+  readonly connections = new Counter({
+    name: 'cuminvale_gateway_upstream_connections_total', help: 'Connections opened to upstreams', registers: [this.registry]
+  })
+
+  readonly sourceCalls = new Counter({
+    name: 'cuminvale_gateway_source_calls_total',
+    help: 'Calls to the source of published records, by result',
+    labelNames: ['result'],
+    registers: [this.registry]
+  })
+
+  readonly firstAnswer = new Histogram({
+    name: 'cuminvale_gateway_first_answer_seconds',
+    help: 'Time from the head of a request to the head of its answer',
+    labelNames: ['kind'],
+    buckets: firstAnswerBucketsSeconds,
+    registers: [this.registry]
+  })
+
+  readonly version = new Gauge({
+    name: 'cuminvale_gateway_configuration_version', help: 'Configuration in force', registers: [this.registry]
+  })
+
+  readonly peers = new Gauge({
+    name: 'cuminvale_gateway_peers_heard', help: 'Other VMs heard lately', registers: [this.registry]
+  })
+}
--- /dev/null
+++ b/packages/gateway/src/recordKeeper.ts
@@ -0,0 +1,99 @@
+/**
+ * Keeps the published records up to date from their source: a snapshot first,
+ * then the changes. Looks are spaced out, since each call is paid for, and far
+ * closer than the tightest bound asks.
+ */
+
+import { changeWaitMilliseconds, lapsingOutageMilliseconds, lookShare, sourceRetryMilliseconds } from './constants.js'
+import { SourceErrorKind } from './errors.js'
+import type { SourceError } from './errors.js'
+import type { GatewayMetrics } from './gatewayMetrics.js'
+import type { ServingState } from './servingState.js'
+import type { RecordSource } from './types.js'
+
+export interface RecordKeeperOptions {
+  readonly state: ServingState
+  readonly source: RecordSource
+  readonly metrics: GatewayMetrics
+  readonly onChange: () => void
+}
+
+export class RecordKeeper {
+  private needsSnapshot = true
+  private lostAt: number | undefined
+  private isStopped = false
+  private timer: NodeJS.Timeout | undefined
+
+  constructor (private readonly options: RecordKeeperOptions) {}
+
+  /** Whether the last call to the source failed. */
+  get isLost (): boolean {
+    return this.lostAt !== undefined
+  }
+
+  start (): void {
+    this.look().catch((error: Error) => this.options.state.log.error('record-keeper-failed', { detail: error.message }))
+  }
+
+  stop (): void {
+    this.isStopped = true
+    clearTimeout(this.timer)
+  }
+
+  private async look (): Promise<void> {
+    const failure = this.needsSnapshot ? await this.readSnapshot() : await this.readChanges()
+    if (this.isStopped) return
+    const pause = failure === undefined ? this.pauseMilliseconds : failure.kind === SourceErrorKind.Forgotten ? 0 : sourceRetryMilliseconds
+    this.timer = setTimeout(() => this.start(), pause)
+  }
+
+  private get pauseMilliseconds (): number {
+    const { configurationMilliseconds, leavingMilliseconds } = this.options.state.settings.bounds
+    return Math.min(configurationMilliseconds, leavingMilliseconds) * lookShare
+  }
+
+  private async readSnapshot (): Promise<SourceError | undefined> {
+    const { state, source } = this.options
+    const read = await source.snapshot()
+    if (read.isErr) return this.failed(read.error)
+    this.succeeded()
+    this.needsSnapshot = false
+    state.records.adopt(read.value.records, read.value.at)
+    this.options.onChange()
+    return undefined
+  }
+
+  private async readChanges (): Promise<SourceError | undefined> {
+    const { state, source } = this.options
+    const read = await source.changes(state.records.at, changeWaitMilliseconds)
+    if (read.isErr) return this.failed(read.error)
+    this.succeeded()
+    if (state.records.apply(read.value.changes, read.value.at)) this.options.onChange()
+    return undefined
+  }
+
+  private failed (error: SourceError): SourceError {
+    const { state, metrics } = this.options
+    metrics.sourceCalls.inc({ result: error.kind })
+    if (error.kind === SourceErrorKind.Forgotten) {
+      this.needsSnapshot = true
+      state.log.warn('source-history-lost', { at: state.records.at })
+      return error
+    }
+    if (this.lostAt === undefined) {
+      this.lostAt = state.clock.monotonic()
+      state.log.warn('source-lost', { kind: error.kind, detail: error.message, at: state.records.at })
+    }
+    return error
+  }
+
+  private succeeded (): void {
+    const { state, metrics } = this.options
+    metrics.sourceCalls.inc({ result: 'ok' })
+    if (this.lostAt === undefined) return
+    const lostMilliseconds = Math.round(state.clock.monotonic() - this.lostAt)
+    this.lostAt = undefined
+    if (lostMilliseconds >= lapsingOutageMilliseconds) state.records.storeReturned()
+    state.log.info('source-regained', { lostMilliseconds, at: state.records.at })
+  }
+}
--- /dev/null
+++ b/packages/gateway/src/requestLog.ts
@@ -0,0 +1,46 @@
+/**
+ * One log line and one set of measurements for each request that ended.
+ */
+
+import type { Clock, Refusal } from '@cuminvale/common'
+import type { Log } from '@cuminvale/logs'
+import type { RequestHead } from '@cuminvale/serving'
+import type { Execution } from './execution.js'
+import type { GatewayMetrics } from './gatewayMetrics.js'
+
+const rounded = (milliseconds: number): number => Math.round(milliseconds * 10) / 10
+
+export class RequestLog {
+  constructor (private readonly clock: Clock, private readonly log: Log, private readonly metrics: GatewayMetrics) {}
+
+  ended (execution: Execution, receivedAt: number, isForwarded: boolean): void {
+    const { request } = execution
+    const now = this.clock.monotonic()
+    const firstAnswer = execution.firstAnswerAt === undefined ? undefined : rounded(execution.firstAnswerAt - receivedAt)
+    this.log.info('request', {
+      id: request.attempt,
+      route: request.route.name,
+      team: request.team?.id,
+      version: request.configurationVersion,
+      outcome: execution.outcome,
+      status: execution.status === 0 ? undefined : execution.status,
+      target: execution.target,
+      sends: execution.sends,
+      expected: execution.expectedMilliseconds,
+      first: firstAnswer,
+      total: rounded(now - receivedAt),
+      forwarded: isForwarded || undefined,
+      detail: execution.detail === '' ? undefined : execution.detail
+    })
+    if (isForwarded) return
+    this.metrics.requests.inc({ kind: request.route.kind, outcome: execution.outcome })
+    if (execution.sends > 1) this.metrics.repeats.inc(execution.sends - 1)
+    if (firstAnswer !== undefined) this.metrics.firstAnswer.observe({ kind: request.route.kind }, firstAnswer / 1_000)
+  }
+
+  /** A request that was refused before it was placed. */
+  refused (head: RequestHead, refusal: Refusal, version: number | undefined): void {
+    this.log.info('refused', { id: head.attempt, version, reason: refusal.reason, detail: refusal.detail, retryAfter: refusal.retryAfterMilliseconds })
+    this.metrics.refusals.inc({ reason: refusal.reason })
+  }
+}
--- /dev/null
+++ b/packages/gateway/src/servingState.ts
@@ -0,0 +1,203 @@
+/**
+ * What one gateway process knows and decides with: the decision objects, kept
+ * in step with the published records and with what other VMs report.
+ */
+
+import { PeerTable, PlacementChooser, PublishedRecords, RegionForecasts, RetryAllowance, ServingConfiguration, SharedRate, UpstreamBoard, predictWait } from '@cuminvale/serving'
+import { ForwardPools } from './forwardPools.js'
+import { UpstreamConnections } from './upstreamConnections.js'
+import { farRoundTripMilliseconds } from './constants.js'
+import type { Clock, Random, RegionId, UpstreamId, VmId } from '@cuminvale/common'
+import type { Log } from '@cuminvale/logs'
+import type { OthersLoad, PeerIdentity, PromptPart, PromptPartId, ServiceForecast, ServiceName, ServiceShape, UpstreamBelief } from '@cuminvale/serving'
+import type { Execution } from './execution.js'
+import type { GatewayMetrics } from './gatewayMetrics.js'
+import type { GatewaySettings, RecordDecoder, RequestCodec } from './types.js'
+
+export interface ServingStateOptions {
+  readonly settings: GatewaySettings
+  readonly self: PeerIdentity
+  readonly clock: Clock
+  readonly random: Random
+  readonly codec: RequestCodec
+  readonly decoder: RecordDecoder
+  readonly log: Log
+  readonly metrics: GatewayMetrics
+}
+
+/** Parts shorter than this are not worth telling the other VMs of. */
+const toldPartTokens = 500
+/** VMs that may be added to a region without being known yet. */
+const spareVms = 1
+
+export class ServingState {
+  readonly settings: GatewaySettings
+  readonly clock: Clock
+  readonly random: Random
+  readonly codec: RequestCodec
+  readonly log: Log
+  readonly records: PublishedRecords
+  readonly board: UpstreamBoard
+  readonly forecasts: RegionForecasts
+  readonly placement: PlacementChooser
+  readonly retries: RetryAllowance
+  readonly rate: SharedRate
+  readonly peers: PeerTable
+  readonly connections: UpstreamConnections
+  readonly forwardPools = new ForwardPools()
+  readonly executions = new Set<Execution>()
+  configuration: ServingConfiguration | undefined
+  isLeaving = false
+  private readonly othersLoads = new Map<VmId, ReadonlyMap<UpstreamId, OthersLoad>>()
+  private readonly lostUpstreams = new Set<UpstreamId>()
+  private partsToTell = new Map<UpstreamId, Set<PromptPartId>>()
+
+  constructor (private readonly options: ServingStateOptions) {
+    const { settings, self, clock, random, decoder } = options
+    this.settings = settings
+    this.clock = clock
+    this.random = random
+    this.codec = options.codec
+    this.log = options.log
+    this.records = new PublishedRecords({ clock, mayLapse: (key) => decoder.mayLapse(key) })
+    const shapeOf = (service: ServiceName): ServiceShape | undefined => this.configuration?.service(service)
+    this.board = new UpstreamBoard({ clock, regionOf: (domain) => settings.domainRegions.get(domain), shapeOf })
+    this.forecasts = new RegionForecasts(clock)
+    this.peers = new PeerTable(clock, self)
+    this.rate = new SharedRate({ clock, heardShare: () => this.peers.heardShare() })
+    const { bounds } = settings
+    this.retries = new RetryAllowance({
+      clock, ratio: bounds.retryRatio, margin: bounds.retryMargin, windowSeconds: bounds.retryWindowSeconds, vmCount: () => this.peers.count + spareVms
+    })
+    this.connections = new UpstreamConnections({ clock, onOpened: () => options.metrics.connections.inc() })
+    this.placement = new PlacementChooser({
+      clock,
+      random,
+      region: settings.region,
+      board: this.board,
+      forecasts: this.forecasts,
+      shapeOf,
+      reachableRegions: () => this.reachableRegions(),
+      coldSendsPerSecond: (shape) => (shape.coldRequestsPerSecond * bounds.coldOverage + bounds.coldMargin) / this.regionVms,
+      connectionShare: (shape) => Math.max(1, Math.floor(shape.connectionsPerUpstream / this.regionVms)),
+      roundTripMilliseconds: (region) => this.roundTripTo(region)
+    })
+  }
+
+  /** Whether this VM can serve: it knows a configuration, and is not about to stop. */
+  get isReady (): boolean {
+    return this.configuration !== undefined && !this.isLeaving
+  }
+
+  /** Brings the beliefs in step with the published records. */
+  adoptRecords (): void {
+    const { decoder, log, metrics } = this.options
+    const view = decoder.decode(this.records.all)
+    for (const { key, detail } of view.faults) log.warn('record-unreadable', { key, detail, at: this.records.at })
+    const document = view.configuration
+    if (document !== undefined && document.version > (this.configuration?.version ?? -Infinity)) {
+      this.configuration = new ServingConfiguration(document)
+      metrics.version.set(document.version)
+      log.info('configuration-adopted', { version: document.version, routes: document.routes.length, teams: document.teams.length, at: this.records.at })
+    }
+    const { added, removed, leaving } = this.board.sync(view.upstreams, view.evacuated)
+    if (added.length + removed.length + leaving.length === 0) return
+    for (const id of removed) this.lostUpstreams.delete(id)
+    log.info('upstreams-changed', { at: this.records.at, added: added.join(), removed: removed.join(), leaving: leaving.join() })
+  }
+
+  noteParts (belief: UpstreamBelief, parts: readonly PromptPart[]): void {
+    if (parts.length === 0) return
+    belief.readParts(parts.map(({ id }) => id))
+    const long = parts.filter(({ tokens }) => tokens >= toldPartTokens)
+    if (long.length === 0) return
+    const told = this.partsToTell.get(belief.announced.id) ?? new Set<PromptPartId>()
+    long.forEach(({ id }) => told.add(id))
+    this.partsToTell.set(belief.announced.id, told)
+  }
+
+  /** The long parts sent since the last call, by upstream. */
+  takeParts (): ReadonlyMap<UpstreamId, ReadonlySet<PromptPartId>> {
+    const parts = this.partsToTell
+    this.partsToTell = new Map()
+    return parts
+  }
+
+  /** Notes that no connection to an upstream could be made. */
+  unreachable (belief: UpstreamBelief): void {
+    belief.failed(3)
+    if (this.lostUpstreams.has(belief.announced.id)) return
+    this.lostUpstreams.add(belief.announced.id)
+    this.log.warn('upstream-lost', { upstream: belief.announced.id, service: belief.announced.service })
+  }
+
+  /** Notes an answer of an upstream; one that was out of reach may have started anew. */
+  reached (belief: UpstreamBelief): void {
+    if (this.lostUpstreams.size === 0 || !this.lostUpstreams.delete(belief.announced.id)) return
+    this.board.returned(belief)
+    this.log.info('upstream-regained', { upstream: belief.announced.id, service: belief.announced.service })
+  }
+
+  /** This VM's work at each upstream of its region, for the other VMs there. */
+  ownLoads (): ReadonlyMap<UpstreamId, OthersLoad> {
+    const loads = new Map<UpstreamId, OthersLoad>()
+    for (const { announced, ownInFlight, ownPendingTokens } of this.board.all) {
+      if (ownInFlight > 0) loads.set(announced.id, { inFlight: ownInFlight, pendingTokens: ownPendingTokens })
+    }
+    return loads
+  }
+
+  heardLoads (vm: VmId, loads: ReadonlyMap<UpstreamId, OthersLoad>): void {
+    this.othersLoads.set(vm, loads)
+    this.sumLoads()
+  }
+
+  forgetLoads (vm: VmId): void {
+    if (this.othersLoads.delete(vm)) this.sumLoads()
+  }
+
+  /** What this VM's region can take on, by service, for VMs of other regions. */
+  ownForecasts (): ReadonlyMap<ServiceName, ServiceForecast> {
+    const forecasts = new Map<ServiceName, ServiceForecast>()
+    for (const shape of this.configuration?.document.services ?? []) {
+      const usable = this.board.usable(shape.name, this.settings.region).filter((belief) => !belief.isAvoided && !belief.isCold)
+      const waits = usable.map((belief) => predictWait(belief, shape))
+      const free = usable.reduce((sum, belief) => sum + Math.max(0, belief.announced.slots - belief.occupancy), 0)
+      forecasts.set(shape.name, { upstreams: usable.length, waitMilliseconds: waits.length === 0 ? 0 : Math.min(...waits), freeSlots: free })
+    }
+    return forecasts
+  }
+
+  /** The VM of a region to forward to: of two at random, the one with fewer forwards under way. */
+  peerFor (region: RegionId): PeerIdentity | undefined {
+    const peers = this.peers.heardPeers({ readyOnly: true }).filter((peer) => peer.region === region)
+    return peers[Math.floor(this.random.next() * peers.length)]
+  }
+
+  roundTripTo (_region: RegionId): number {
+    return farRoundTripMilliseconds
+  }
+
+  private reachableRegions (): readonly RegionId[] {
+    const regions = new Set(this.peers.heardPeers({ readyOnly: true }).map(({ region }) => region))
+    regions.delete(this.settings.region)
+    return [...regions]
+  }
+
+  private get regionVms (): number {
+    return this.peers.countIn(this.settings.region) + spareVms
+  }
+
+  private sumLoads (): void {
+    for (const belief of this.board.all) {
+      let inFlight = 0
+      let pendingTokens = 0
+      for (const loads of this.othersLoads.values()) {
+        const load = loads.get(belief.announced.id)
+        inFlight += load?.inFlight ?? 0
+        pendingTokens += load?.pendingTokens ?? 0
+      }
+      belief.others = { inFlight, pendingTokens }
+    }
+  }
+}
--- /dev/null
+++ b/packages/gateway/src/upstreamCall.ts
@@ -0,0 +1,84 @@
+/**
+ * One request on one upstream connection.
+ */
+
+import { CallFailure, CallFailureKind } from './errors.js'
+import type { Dispatcher } from 'undici'
+import type { UpstreamConnection, UpstreamConnections } from './upstreamConnections.js'
+
+export interface CallListener {
+  onHead (status: number, headers: Readonly<Record<string, string | string[] | undefined>>): void
+  /** False where the caller can't take more for now. */
+  onData (chunk: Buffer): boolean
+  onEnd (): void
+  onFailure (failure: CallFailure): void
+}
+
+export interface CallOptions {
+  readonly method: string
+  readonly path: string
+  readonly headers: string[]
+  readonly body: Buffer | null
+}
+
+export class UpstreamCall implements Dispatcher.DispatchHandler {
+  private controller: Dispatcher.DispatchController | undefined
+  private isOver = false
+  private isIgnored = false
+
+  constructor (
+    private readonly connections: UpstreamConnections,
+    private readonly connection: UpstreamConnection,
+    private readonly listener: CallListener
+  ) {}
+
+  send ({ method, path, headers, body }: CallOptions): void {
+    this.connection.client.dispatch({ method: method as Dispatcher.HttpMethod, path, headers, body }, this)
+  }
+
+  /** Ends the call and closes its connection; nothing is reported after it. */
+  abort (): void {
+    if (this.isOver) return
+    this.isOver = true
+    this.connections.drop(this.connection)
+  }
+
+  /** Reports nothing more, and lets the call run to its end. */
+  ignore (): void {
+    if (this.isOver) return
+    this.isIgnored = true
+    this.controller?.resume()
+  }
+
+  resume (): void {
+    if (!this.isOver) this.controller?.resume()
+  }
+
+  onRequestStart (controller: Dispatcher.DispatchController): void {
+    this.controller = controller
+  }
+
+  onResponseStart (_controller: Dispatcher.DispatchController, status: number, headers: Readonly<Record<string, string | string[] | undefined>>): void {
+    if (!this.isOver && !this.isIgnored && status >= 200) this.listener.onHead(status, headers)
+  }
+
+  onResponseData (controller: Dispatcher.DispatchController, chunk: Buffer): void {
+    if (!this.isOver && !this.isIgnored && !this.listener.onData(chunk)) controller.pause()
+  }
+
+  onResponseEnd (): void {
+    if (this.isOver) return
+    this.isOver = true
+    this.connections.release(this.connection)
+    if (!this.isIgnored) this.listener.onEnd()
+  }
+
+  onResponseError (_controller: Dispatcher.DispatchController, error: Error): void {
+    if (this.isOver) return
+    this.isOver = true
+    this.connections.drop(this.connection)
+    if (this.isIgnored) return
+    const kind = this.controller === undefined ? CallFailureKind.NotSent : CallFailureKind.Broken
+    this.listener.onFailure(new CallFailure(kind, error.message))
+  }
+}
--- /dev/null
+++ b/packages/gateway/src/upstreamConnections.ts
@@ -0,0 +1,83 @@
+/**
+ * Connections to upstreams, one request at a time on each. A connection whose
+ * request did not end cleanly is closed, so that a late answer never meets
+ * the next request.
+ */
+
+import { Client } from 'undici'
+import { orderIdleMilliseconds, upstreamConnectMilliseconds, upstreamIdleMilliseconds } from './constants.js'
+import type { Clock, UpstreamId } from '@cuminvale/common'
+import type { AnnouncedUpstream } from '@cuminvale/serving'
+
+export interface UpstreamConnection {
+  readonly client: Client
+  readonly upstream: UpstreamId
+  idleSince: number
+}
+
+export interface UpstreamConnectionsOptions {
+  readonly clock: Clock
+  readonly onOpened: () => void
+}
+
+export class UpstreamConnections {
+  private readonly idle = new Map<UpstreamId, UpstreamConnection[]>()
+
+  constructor (private readonly options: UpstreamConnectionsOptions) {}
+
+  /** Takes the connection that was used last, or a new one. */
+  acquire (upstream: AnnouncedUpstream, isOrder: boolean): UpstreamConnection {
+    const held = this.idle.get(upstream.id)
+    const now = this.options.clock.monotonic()
+    const mostIdle = isOrder ? orderIdleMilliseconds : upstreamIdleMilliseconds
+    for (let connection = held?.pop(); connection !== undefined; connection = held?.pop()) {
+      const isUsable = now - connection.idleSince <= mostIdle && !connection.client.destroyed
+      if (isUsable) return connection
+      if (isOrder && now - connection.idleSince <= upstreamIdleMilliseconds) {
+        held?.push(connection)
+        break
+      }
+      this.drop(connection)
+    }
+    return this.open(upstream)
+  }
+
+  release (connection: UpstreamConnection): void {
+    connection.idleSince = this.options.clock.monotonic()
+    const held = this.idle.get(connection.upstream)
+    if (held === undefined) this.idle.set(connection.upstream, [connection])
+    else held.push(connection)
+  }
+
+  drop (connection: UpstreamConnection): void {
+    connection.client.destroy().catch(() => { /* destroy() only rejects on a second call */ })
+  }
+
+  /** Closes what was not used for a while. */
+  sweep (): void {
+    const now = this.options.clock.monotonic()
+    for (const [upstream, connections] of this.idle) {
+      const kept = connections.filter((connection) => now - connection.idleSince <= upstreamIdleMilliseconds && !connection.client.destroyed)
+      connections.filter((connection) => !kept.includes(connection)).forEach((connection) => this.drop(connection))
+      if (kept.length === 0) this.idle.delete(upstream)
+      else this.idle.set(upstream, kept)
+    }
+  }
+
+  closeAll (): void {
+    for (const connections of this.idle.values()) connections.forEach((connection) => this.drop(connection))
+    this.idle.clear()
+  }
+
+  private open (upstream: AnnouncedUpstream): UpstreamConnection {
+    const client = new Client(`http://${upstream.host}:${upstream.port}`, {
+      pipelining: 1,
+      headersTimeout: 0,
+      bodyTimeout: 0,
+      keepAliveTimeout: upstreamIdleMilliseconds + 1_000,
+      connect: { timeout: upstreamConnectMilliseconds }
+    })
+    client.on('connect', this.options.onOpened)
+    return { client, upstream: upstream.id, idleSince: 0 }
+  }
+}
--- /dev/null
+++ b/packages/logs/src/index.ts
@@ -0,0 +1,2 @@
+export * from './log.js'
+export * from './lineBuffer.js'
--- a/packages/daemon/src/lineBuffer.test.ts
+++ b/packages/logs/src/lineBuffer.test.ts
@@ -7,7 +7,7 @@
 describe('LineBuffer', () => {
   it('writes lines together, in order, after a short time', () => {
     const written: string[] = []
-    const buffer = new LineBuffer((text) => written.push(text))
+    const buffer = new LineBuffer((text, done) => { written.push(text); done() })
     buffer.push('first\n')
     buffer.push('second\n')
     expect(written).toEqual([])
@@ -17,10 +17,22 @@
 
   it('writes at once when many characters wait, and nothing twice', () => {
     const written: string[] = []
-    const buffer = new LineBuffer((text) => written.push(text))
+    const buffer = new LineBuffer((text, done) => { written.push(text); done() })
     buffer.push('x'.repeat(65_536))
     buffer.flush()
     vi.advanceTimersByTime(1_000)
     expect(written).toHaveLength(1)
   })
+
+  it('leaves out and counts what comes while a reader does not take the last piece', () => {
+    const written: string[] = []
+    const dones: Array<() => void> = []
+    const buffer = new LineBuffer((text, done) => { written.push(text); dones.push(done) })
+    const line = 'y'.repeat(65_535) + '\n'
+    for (let pushed = 0; pushed < 20; pushed += 1) buffer.push(line)
+    expect(written).toHaveLength(1)
+    dones[0]?.()
+    expect(written).toHaveLength(2)
+    expect(written[1]).toContain('"event":"lines-left-out","count":11')
+  })
 })
--- a/packages/daemon/src/log.ts
+++ b/packages/logs/src/log.ts
@@ -3,6 +3,7 @@
  * are never passed in.
  */
 
+import { write as writeFile, writeSync } from 'node:fs'
 import { createConsola } from 'consola'
 import type { ConsolaInstance, ConsolaOptions, LogObject } from 'consola'
 import type { VmId } from '@cuminvale/common'
@@ -23,7 +24,21 @@
   return JSON.stringify({ time: entry.date.toISOString(), level: entry.type, vm, event, ...fields }) + '\n'
 }
 
-const standardOutput = new LineBuffer((text) => { process.stdout.write(text) })
+const standardOutputDescriptor = 1
+
+/** Writes from a worker thread: process.stdout blocks the event loop while a pipe is full. */
+const standardOutput = new LineBuffer((text, done) => writeFile(standardOutputDescriptor, text, done))
+
+/** Writes what still waits, before the process ends. */
+export const flushLog = (): void => {
+  const text = standardOutput.drain()
+  try {
+    if (text !== '') writeSync(standardOutputDescriptor, text)
+  } catch {
+    // The reader has gone; there is nobody left to tell.
+  }
+}
+process.on('exit', flushLog)
 
 export const createLog = (vm: VmId, write: Write = (line) => standardOutput.push(line)): Log => {
   const options: Partial<ConsolaOptions> = {
--- /dev/null
+++ b/packages/serving/src/regionForecasts.ts
@@ -0,0 +1,56 @@
+/**
+ * What the VMs of other regions last said of their upstreams, corrected by
+ * what this VM has forwarded there since and not seen answered.
+ */
+
+import type { Clock, RegionId } from '@cuminvale/common'
+import type { ServiceName } from './types.js'
+
+export interface ServiceForecast {
+  /** Upstreams that take new work. */
+  readonly upstreams: number
+  /** Expected wait at the least busy of them. */
+  readonly waitMilliseconds: number
+  /** Requests that could start at once, over all of them. */
+  readonly freeSlots: number
+}
+
+interface HeldForecast extends ServiceForecast {
+  readonly at: number
+}
+
+/** Three reports of a VM in another region. */
+const forecastFreshMilliseconds = 1_500
+
+export class RegionForecasts {
+  private readonly forecasts = new Map<RegionId, Map<ServiceName, HeldForecast>>()
+  private readonly underway = new Map<string, number>()
+
+  constructor (private readonly clock: Clock) {}
+
+  heard (region: RegionId, services: ReadonlyMap<ServiceName, ServiceForecast>): void {
+    const at = this.clock.monotonic()
+    this.forecasts.set(region, new Map([...services].map(([service, forecast]) => [service, { ...forecast, at }])))
+  }
+
+  find (region: RegionId, service: ServiceName): ServiceForecast | undefined {
+    const held = this.forecasts.get(region)?.get(service)
+    if (held === undefined || this.clock.monotonic() - held.at > forecastFreshMilliseconds) return undefined
+    return held
+  }
+
+  /** Milliseconds of work that this VM has forwarded and not seen answered. */
+  underwayTo (region: RegionId, service: ServiceName): number {
+    return this.underway.get(`${region} ${service}`) ?? 0
+  }
+
+  forwarded (region: RegionId, service: ServiceName, workMilliseconds: number): void {
+    const key = `${region} ${service}`
+    this.underway.set(key, (this.underway.get(key) ?? 0) + workMilliseconds)
+  }
+
+  answered (region: RegionId, service: ServiceName, workMilliseconds: number): void {
+    const key = `${region} ${service}`
+    this.underway.set(key, Math.max(0, (this.underway.get(key) ?? 0) - workMilliseconds))
+  }
+}
--- /dev/null
+++ b/packages/serving/src/servingConfiguration.ts
@@ -0,0 +1,84 @@
+/**
+ * One version of the configuration, indexed for lookups by request.
+ */
+
+import { RefusalReason, refuse } from '@cuminvale/common'
+import { Result } from 'true-myth'
+import { RouteTable } from './routeTable.js'
+import { RequestKind } from './types.js'
+import type { Random, Refusal, RegionId } from '@cuminvale/common'
+import type { AdmittedRequest, RequestHead, Route, ServedTeam, ServiceName, ServiceShape, ServingDocument } from './types.js'
+
+export class ServingConfiguration {
+  readonly version: number
+  private readonly routes: RouteTable
+  private readonly teamsByKey = new Map<string, ServedTeam>()
+  private readonly services = new Map<ServiceName, ServiceShape>()
+
+  constructor (readonly document: ServingDocument) {
+    this.version = document.version
+    this.routes = new RouteTable(document.routes)
+    for (const team of document.teams) {
+      for (const key of team.keys) this.teamsByKey.set(key, team)
+    }
+    for (const service of document.services) this.services.set(service.name, service)
+  }
+
+  service (name: ServiceName): ServiceShape | undefined {
+    return this.services.get(name)
+  }
+
+  teamOf (key: string): ServedTeam | undefined {
+    return this.teamsByKey.get(key)
+  }
+
+  /** Decides whether the configuration allows a request, and what it may do. */
+  admit (head: RequestHead, random: Random): Result<AdmittedRequest, Refusal> {
+    const route = this.routes.find(head.host, head.path)
+    if (route === undefined) return Result.err(refuse(RefusalReason.RouteUnknown, `no route of host "${head.host}" matches the path`))
+    const team = head.key === undefined ? undefined : this.teamsByKey.get(head.key)
+    const needsKey = this.document.teams.length > 0 && !route.isPublic
+    if (needsKey && head.key === undefined) return Result.err(refuse(RefusalReason.KeyMissing, 'the request carries no key'))
+    if (needsKey && team === undefined) return Result.err(refuse(RefusalReason.KeyUnknown, 'the key is not in the configuration'))
+    if (head.attempt === undefined) return Result.err(refuse(RefusalReason.RequestInvalid, 'the request carries no attempt id'))
+    const payer = route.isPublic ? undefined : team
+    return Result.ok({
+      head,
+      attempt: head.attempt,
+      route,
+      service: pickService(route, random),
+      team: payer,
+      priority: payer?.priority ?? route.priority,
+      regions: permittedRegions(route, payer),
+      isRepeatable: route.kind === RequestKind.Safe || (route.kind === RequestKind.Stream && route.isResumable),
+      charge: payer === undefined ? 0 : chargeOf(payer, head),
+      configurationVersion: this.version
+    })
+  }
+}
+
+const chargeOf = (team: ServedTeam, head: RequestHead): number => {
+  if (!team.countsTokens) return 1
+  return head.tokens === undefined ? team.plainTokens : head.tokens.prompt + head.tokens.output
+}
+
+const pickService = (route: Route, random: Random): ServiceName => {
+  const total = route.targets.reduce((sum, { weight }) => sum + weight, 0)
+  let drawn = random.next() * total
+  for (const { service, weight } of route.targets) {
+    drawn -= weight
+    if (drawn < 0) return service
+  }
+  const [first] = route.targets
+  if (first === undefined) throw new RangeError(`route "${route.name}" has no service`)
+  return first.service
+}
+
+/** Where both the route and the team have homes, both bind. */
+const permittedRegions = (route: Route, team: ServedTeam | undefined): ReadonlySet<RegionId> | undefined => {
+  const teamHomes = team?.homes ?? []
+  if (route.homes.length === 0 && teamHomes.length === 0) return undefined
+  if (route.homes.length === 0) return new Set(teamHomes)
+  if (teamHomes.length === 0) return new Set(route.homes)
+  return new Set(route.homes.filter((region) => teamHomes.includes(region)))
+}
--- /dev/null
+++ b/packages/serving/src/sharedRate.ts
@@ -0,0 +1,99 @@
+/**
+ * A team's rate across all VMs without shared state. Each VM keeps a bucket
+ * for the whole fleet, from which it takes its own spending and what the
+ * others report. The bucket fills only with the part of the rate that belongs
+ * to VMs heard lately: an unheard VM may be spending its part, so that two
+ * sides that can't talk never use more than the whole between them.
+ */
+
+import { millisecondsPerSecond } from '@cuminvale/common'
+import type { Clock, IncarnationId, TeamId, VmId } from '@cuminvale/common'
+import type { ServedTeam } from './types.js'
+
+export interface SpendingReport {
+  readonly vm: VmId
+  readonly incarnation: IncarnationId
+  /** Everything spent since the incarnation began, by team. */
+  readonly spent: ReadonlyMap<TeamId, number>
+}
+
+export interface SharedRateOptions {
+  readonly clock: Clock
+  /** Share of the fleet that was heard lately, this VM included; 0 to 1. */
+  readonly heardShare: () => number
+}
+
+interface Bucket {
+  level: number
+  updatedAt: number
+  rate: number
+  capacity: number
+  spent: number
+}
+
+export class SharedRate {
+  private readonly buckets = new Map<TeamId, Bucket>()
+  private readonly reported = new Map<VmId, { incarnation: IncarnationId, spent: Map<TeamId, number> }>()
+
+  constructor (private readonly options: SharedRateOptions) {}
+
+  /** Spends, unless the team's bucket is empty. */
+  spend (team: ServedTeam, amount: number): boolean {
+    if (team.ratePerSecond <= 0) return true
+    const bucket = this.bucketOf(team)
+    if (bucket.level <= 0) return false
+    bucket.level -= amount
+    bucket.spent += amount
+    return true
+  }
+
+  /** Returns what was charged for a request that never ran. */
+  giveBack (team: ServedTeam, amount: number): void {
+    const bucket = this.buckets.get(team.id)
+    if (bucket === undefined) return
+    bucket.level = Math.min(bucket.capacity, bucket.level + amount)
+    bucket.spent -= amount
+  }
+
+  /** Milliseconds until the team's bucket holds anything again. */
+  millisecondsUntilFilled (team: ServedTeam): number {
+    const bucket = this.bucketOf(team)
+    const rate = bucket.rate * this.options.heardShare()
+    return rate <= 0 ? Infinity : Math.max(0, -bucket.level / rate * millisecondsPerSecond)
+  }
+
+  /** Everything this VM has spent, for the other VMs. */
+  spending (): ReadonlyMap<TeamId, number> {
+    return new Map([...this.buckets].map(([team, { spent }]) => [team, spent]))
+  }
+
+  heard ({ vm, incarnation, spent }: SpendingReport): void {
+    const known = this.reported.get(vm)
+    this.reported.set(vm, { incarnation, spent: new Map(spent) })
+    // What a VM spent before it was first heard of is not in this VM's bucket either.
+    if (known === undefined) return
+    const isSame = known.incarnation === incarnation
+    for (const [team, amount] of spent) {
+      const before = isSame ? known.spent.get(team) ?? 0 : 0
+      const bucket = this.buckets.get(team)
+      if (bucket !== undefined) bucket.level -= amount - before
+    }
+  }
+
+  private bucketOf (team: ServedTeam): Bucket {
+    const now = this.options.clock.monotonic()
+    const share = this.options.heardShare()
+    let bucket = this.buckets.get(team.id)
+    if (bucket === undefined) {
+      // A VM that starts can't know what was spent before: it begins with its part of a second's refill.
+      bucket = { level: team.ratePerSecond * share, updatedAt: now, rate: team.ratePerSecond, capacity: 0, spent: 0 }
+      this.buckets.set(team.id, bucket)
+    }
+    bucket.rate = team.ratePerSecond
+    bucket.capacity = Math.max(team.burst, team.ratePerSecond)
+    const seconds = (now - bucket.updatedAt) / millisecondsPerSecond
+    bucket.level = Math.min(bucket.capacity, bucket.level + seconds * bucket.rate * share)
+    bucket.updatedAt = now
+    return bucket
+  }
+}
--- /dev/null
+++ b/packages/serving/src/upstreamBelief.ts
@@ -0,0 +1,137 @@
+/**
+ * What this VM believes of one upstream: its own work there, what other VMs
+ * and the upstream itself report, how fast it answers, and which prompt parts
+ * it has read lately.
+ */
+
+import { SendWindow } from './sendWindow.js'
+import type { Clock } from '@cuminvale/common'
+import type { AnnouncedUpstream, PromptPart, PromptPartId } from './types.js'
+
+export interface ReportedLoad {
+  readonly running: number
+  readonly waiting: number
+  readonly slots: number
+}
+
+export interface OthersLoad {
+  readonly inFlight: number
+  readonly pendingTokens: number
+}
+
+/** Ages after which a report says less than the other VMs' own counts. */
+const loadFreshMilliseconds = 400
+/** The users price a part as read again only within ten seconds of its last use. */
+const partMemoryMilliseconds = 12_000
+/** Weight of the newest observation in the moving averages. */
+const observationWeight = 0.15
+const slownessRange = { least: 0.6, most: 10 } as const
+const firstPenaltyMilliseconds = 600
+const longestPenaltyMilliseconds = 5_000
+const failuresBeforePenalty = 3
+const maximumParts = 512
+
+export class UpstreamBelief {
+  ownInFlight = 0
+  /** Prompt tokens of own requests that have not had their first answer. */
+  ownPendingTokens = 0
+  others: OthersLoad = { inFlight: 0, pendingTokens: 0 }
+  /** Ratio of seen to predicted time to the first answer. */
+  slowness = 1
+  coldUntil = 0
+  lastAnswerAt = -Infinity
+  oldestUnansweredAt = Infinity
+  readonly sends: SendWindow
+  private load: (ReportedLoad & { readonly at: number, readonly ownThen: number }) | undefined
+  private failures = 0
+  private penalty = 0
+  private avoidUntil = 0
+  private readonly parts = new Map<PromptPartId, number>()
+
+  constructor (private readonly clock: Clock, public announced: AnnouncedUpstream) {
+    this.sends = new SendWindow(clock)
+  }
+
+  /** Requests at the upstream, of all VMs, as far as known. */
+  get occupancy (): number {
+    const { load } = this
+    if (load === undefined || this.clock.monotonic() - load.at > loadFreshMilliseconds) return this.ownInFlight + this.others.inFlight
+    return this.ownInFlight + Math.max(0, load.running + load.waiting - load.ownThen)
+  }
+
+  get pendingTokens (): number {
+    return this.ownPendingTokens + this.others.pendingTokens
+  }
+
+  get isCold (): boolean {
+    return this.clock.monotonic() < this.coldUntil
+  }
+
+  /** Whether it failed often enough lately to be passed over where others are left. */
+  get isAvoided (): boolean {
+    return this.clock.monotonic() < this.avoidUntil
+  }
+
+  becomeCold (milliseconds: number): void {
+    if (milliseconds > 0) this.coldUntil = Math.max(this.coldUntil, this.clock.monotonic() + milliseconds)
+  }
+
+  reported (load: ReportedLoad): void {
+    this.load = { ...load, at: this.clock.monotonic(), ownThen: this.ownInFlight }
+  }
+
+  /** Notes the time to a first answer against what was predicted for it. */
+  observed (seenMilliseconds: number, predictedMilliseconds: number): void {
+    const ratio = seenMilliseconds / Math.max(1, predictedMilliseconds / this.slowness)
+    const bounded = Math.min(slownessRange.most, Math.max(slownessRange.least, ratio))
+    this.slowness += (bounded - this.slowness) * observationWeight
+  }
+
+  succeeded (): void {
+    this.lastAnswerAt = this.clock.monotonic()
+    this.failures = 0
+    this.penalty = 0
+  }
+
+  /** Notes a failure of its own; several in a row set it aside for a while. */
+  failed (weight = 1): void {
+    this.failures += weight
+    if (this.failures < failuresBeforePenalty) return
+    this.failures = 0
+    this.penalty = Math.min(longestPenaltyMilliseconds, Math.max(firstPenaltyMilliseconds, this.penalty * 2))
+    this.avoidUntil = this.clock.monotonic() + this.penalty
+  }
+
+  /** Tokens of the prompt that it has to read, by the parts it was sent lately. */
+  unreadTokens (promptTokens: number, parts: readonly PromptPart[]): number {
+    const oldest = this.clock.monotonic() - partMemoryMilliseconds
+    let known = 0
+    for (const part of parts) {
+      if ((this.parts.get(part.id) ?? -Infinity) < oldest) break
+      known += part.tokens
+    }
+    return Math.max(1, promptTokens - known)
+  }
+
+  knowsPart (id: PromptPartId): boolean {
+    return (this.parts.get(id) ?? -Infinity) >= this.clock.monotonic() - partMemoryMilliseconds
+  }
+
+  /** Notes that the parts are read there, by a request of this VM or another. */
+  readParts (ids: readonly PromptPartId[]): void {
+    const now = this.clock.monotonic()
+    for (const id of ids) {
+      this.parts.delete(id)
+      this.parts.set(id, now)
+    }
+    if (this.parts.size <= maximumParts) return
+    for (const id of this.parts.keys()) {
+      this.parts.delete(id)
+      if (this.parts.size <= maximumParts) return
+    }
+  }
+
+  forgetParts (): void {
+    this.parts.clear()
+  }
+}
