Keep what is left of a declined answer away from its caller

Cause: an execution listened to every call it had made. Change: a declined or failed answer is drained without a listener, which also keeps its connection. The new test fails without the change.

--- /dev/null
+++ b/packages/gateway/src/execution.test.ts
@@ -0,0 +1,172 @@
+import { afterEach, describe, expect, it } from 'vitest'
+import { callGateway, sealedHead, startTestGateway, startUpstream, testDocument, testHeaders, testRoute } from './testSupport.js'
+import type { ServingDocument } from '@cuminvale/serving'
+import type { ScriptedUpstream, TestGateway, UpstreamScript } from './testSupport.js'
+
+let running: TestGateway | undefined
+afterEach(() => { running?.stop() })
+
+const order = testRoute()
+const safe = testRoute({ kind: 'safe', maximumAttempts: 2 })
+const stream = testRoute({ kind: 'stream', isResumable: true, maximumAttempts: 3 })
+
+const start = async (document: ServingDocument, ...scripts: readonly UpstreamScript[]): Promise<readonly ScriptedUpstream[]> => {
+  const upstreams = await Promise.all(scripts.map(async (script, index) => await startUpstream(`u${index}`, script)))
+  running = await startTestGateway(document, upstreams)
+  return upstreams
+}
+
+const call = async (options: { body?: string, attempt?: string, headers?: Record<string, string> } = {}): ReturnType<typeof callGateway> =>
+  await callGateway({ port: running?.port ?? 0, path: '/orders/7', ...options })
+
+const answers: UpstreamScript = (request, response) => response.writeHead(200, sealedHead(request)).end('done')
+const declines: UpstreamScript = (_request, response) => response.writeHead(421, { 'content-length': '5' }).end('other')
+const sheds: UpstreamScript = (_request, response) => response.writeHead(503, { [testHeaders.notRun]: '1' }).end('full')
+const fails: UpstreamScript = (request, response) => response.writeHead(500, sealedHead(request)).end('error')
+const breaks: UpstreamScript = (request) => request.socket.destroy()
+
+const runsOf = (upstreams: readonly ScriptedUpstream[]): number => upstreams.reduce((sum, { seen }) => sum + seen.length, 0)
+
+describe('an order', () => {
+  it('is passed on unchanged, and its answer comes back whole', async () => {
+    const [upstream] = await start(testDocument([order]), answers)
+    const answer = await call({ body: 'two reams' })
+    expect(answer).toMatchObject({ status: 200, body: 'done', isWhole: true })
+    expect(answer.headers[testHeaders.seal]).toBe('s1')
+    expect(upstream?.seen[0]).toMatchObject({ method: 'POST', path: '/orders/7', body: 'two reams' })
+  })
+
+  it('never shows its caller what is left of an answer that declined it', async () => {
+    await start(testDocument([order]), declines, answers)
+    for (let attempt = 0; attempt < 20; attempt += 1) {
+      const answer = await call({ attempt: `a${attempt}` })
+      expect([answer.status, answer.body, answer.headers[testHeaders.seal]]).toEqual([200, 'done', 's1'])
+    }
+  })
+
+  it('is refused as not run when its only send was declined', async () => {
+    const upstreams = await start(testDocument([order]), sheds)
+    const answer = await call()
+    expect(answer.status).toBe(503)
+    expect(Number(answer.headers['retry-after'])).toBeGreaterThan(0)
+    expect(runsOf(upstreams)).toBe(1)
+  })
+
+  it('is not sent again after a broken connection, and not called refused', async () => {
+    const upstreams = await start(testDocument([order]), breaks, breaks)
+    const answer = await call()
+    expect(answer.status).toBe(502)
+    expect(runsOf(upstreams)).toBe(1)
+  })
+
+  it('fails when a success carries no seal', async () => {
+    await start(testDocument([order]), (request, response) => response.writeHead(200, { [testHeaders.attempt]: String(request.headers[testHeaders.attempt]) }).end('forged'))
+    const answer = await call()
+    expect(answer.status).toBe(502)
+    expect(answer.body).not.toContain('forged')
+  })
+
+  it('fails when the answer names another attempt', async () => {
+    await start(testDocument([order]), (_request, response) => response.writeHead(200, { [testHeaders.attempt]: 'b9', [testHeaders.seal]: 's1' }).end('theirs'))
+    const answer = await call()
+    expect(answer.status).toBe(502)
+    expect(answer.body).not.toContain('theirs')
+  })
+
+  it('does not look whole when its answer breaks off', async () => {
+    await start(testDocument([order]), (request, response) => {
+      response.writeHead(200, { ...sealedHead(request), 'content-length': '100' })
+      response.write('half')
+      setTimeout(() => response.destroy(), 20)
+    })
+    expect((await call()).isWhole).toBe(false)
+  })
+
+  it('goes to another upstream when no connection could be made', async () => {
+    const upstreams = await start(testDocument([order]), answers, answers)
+    const [dead, alive] = upstreams
+    await new Promise((resolve) => dead?.server.close(resolve))
+    for (let attempt = 0; attempt < 10; attempt += 1) expect((await call({ attempt: `a${attempt}` })).status).toBe(200)
+    expect(alive?.seen).toHaveLength(10)
+  })
+})
+
+describe('a safe request', () => {
+  it('is tried once more elsewhere after a failure', async () => {
+    const upstreams = await start(testDocument([safe]), fails, answers)
+    for (let attempt = 0; attempt < 10; attempt += 1) {
+      expect(await call({ attempt: `a${attempt}` })).toMatchObject({ status: 200, body: 'done' })
+    }
+    expect(upstreams[0]?.seen.length).toBeGreaterThan(0)
+  })
+
+  it('is sent to no more upstreams than its route allows, and the last failure is passed on whole', async () => {
+    const upstreams = await start(testDocument([safe]), fails, fails, fails)
+    const answer = await call()
+    expect(answer).toMatchObject({ status: 500, body: 'error', isWhole: true })
+    expect(answer.headers[testHeaders.seal]).toBe('s1')
+    expect(runsOf(upstreams)).toBe(2)
+  })
+})
+
+describe('a resumable stream', () => {
+  const eventStream = (first: number, last: number): string =>
+    Array.from({ length: last - first + 1 }, (_, index) => `id: ${first + index}\ndata: piece ${first + index}\n\n`).join('')
+
+  it('goes on after the last whole event when its upstream breaks off within an event', async () => {
+    const resumedAfter: string[] = []
+    const script = (): UpstreamScript => (request, response) => {
+      const after = request.headers['last-event-id']
+      response.writeHead(200, { ...sealedHead(request), 'content-type': 'text/event-stream' })
+      if (typeof after === 'string') {
+        resumedAfter.push(after)
+        response.end(eventStream(Number(after) + 1, 4))
+        return
+      }
+      response.write(eventStream(1, 2) + 'id: 3\ndata: pi')
+      setTimeout(() => response.destroy(), 20)
+    }
+    const upstreams = await start(testDocument([stream]), script(), script())
+    const answer = await call()
+    expect(answer).toMatchObject({ status: 200, isWhole: true, body: eventStream(1, 4) })
+    expect(resumedAfter).toEqual(['2'])
+    expect(runsOf(upstreams)).toBe(2)
+  })
+
+  it('ends visibly broken when nothing is left to go on with', async () => {
+    await start(testDocument([testRoute({ kind: 'stream', isResumable: false })]), (request, response) => {
+      response.writeHead(200, sealedHead(request))
+      response.write(eventStream(1, 2))
+      setTimeout(() => response.destroy(), 20)
+    })
+    expect(await call()).toMatchObject({ status: 200, isWhole: false })
+  })
+})
+
+describe('a caller that leaves', () => {
+  it('stops a stream at its upstream', async () => {
+    let closed: (() => void) | undefined
+    const isClosed = new Promise<void>((resolve) => { closed = resolve })
+    await start(testDocument([stream]), (request, response) => {
+      response.writeHead(200, sealedHead(request))
+      response.write('id: 1\ndata: x\n\n')
+      response.on('close', () => closed?.())
+    })
+    const { request } = await import('node:http')
+    const leaving = request({ host: '127.0.0.1', port: running?.port, path: '/orders/7', method: 'POST', headers: { host: 'shop.example', [testHeaders.attempt]: 'a1' } }, (response) => {
+      response.once('data', () => leaving.destroy())
+      response.on('error', () => { /* its own doing */ })
+    })
+    leaving.on('error', () => { /* its own doing */ })
+    leaving.end()
+    await isClosed
+  })
+})
+
+describe('before a configuration is known', () => {
+  it('answers that it can not serve yet, rather than that the route is unknown', async () => {
+    running = await startTestGateway(testDocument([]), [])
+    running.gateway.state.configuration = undefined
+    expect((await call()).status).toBe(503)
+  })
+})
--- a/packages/gateway/src/execution.ts
+++ b/packages/gateway/src/execution.ts
@@ -22,6 +22,10 @@
 
 /** A silent upstream is set aside at once, as one that failed several times. */
 const silenceWeight = 3
+/** An upstream that declines is full; it is no failure, but a reason to look elsewhere. */
+const declinedWeight = 0.5
+/** Another upstream has the address now. */
+const misdirectedStatus = 421
 /** Less than this is too little for another upstream to answer in. */
 const leastRetryMilliseconds = 50
 /** Time in which a place at an upstream that declined should be free again. */
@@ -134,14 +138,15 @@
     if (answer.attempt !== undefined && answer.attempt !== this.request.attempt) return this.abandon(attempt, 'the answer names another attempt')
     this.noteAnswer(attempt)
     if (answer.load !== undefined) attempt.belief.reported(answer.load)
-    if (answer.isNotRun || status === 421) return this.notRun(attempt, status)
+    if (answer.isNotRun || status === misdirectedStatus) return this.notRun(attempt, status)
     this.mayHaveRun = true
     if (status >= 200 && status < 300 && !answer.isSealed) return this.abandon(attempt, 'a success without its seal')
     if (status >= 500) {
       attempt.belief.failed()
-      if (this.request.isRepeatable && this.tryAgain(attempt, `status ${status}`)) return
+      if (this.request.isRepeatable && this.tryAgain(attempt, { detail: `status ${status}`, isAnswered: true })) return
     } else {
       attempt.belief.succeeded()
+      this.options.state.reached(attempt.belief)
     }
     this.passHead(status, answer.headers)
   }
@@ -287,10 +292,12 @@
   }
 
   private notRun (attempt: LocalAttempt, status: number): void {
-    attempt.belief.failed(status === 421 ? 0 : 0.5)
+    attempt.belief.failed(status === misdirectedStatus ? 0 : declinedWeight)
+    // The rest of the declined answer is nobody's; its connection stays good.
+    attempt.call.ignore()
     this.settle(attempt)
     this.excluded.add(attempt.belief.announced.id)
-    if (status === 421) this.attemptsLeft += 1
+    if (status === misdirectedStatus) this.attemptsLeft += 1
     const refusal = refuse(RefusalReason.NoUpstream, `upstream ${attempt.belief.announced.id} declined with ${status}`, { retryAfterMilliseconds: declinedRetryAfterMilliseconds })
     const { state } = this.options
     if (this.attemptsLeft <= 0 || !state.retries.take(this.request.service)) return this.refuseOrFail(refusal)
@@ -317,7 +324,7 @@
     attempt.call.abort()
     this.mayHaveRun = true
     if (attempt.kind === 'local') attempt.belief.failed()
-    if (this.request.isRepeatable && this.tryAgain(attempt, detail)) return
+    if (this.request.isRepeatable && this.tryAgain(attempt, { detail, isAnswered: false })) return
     this.settle(attempt)
     this.detail = detail
     this.failNow(FailureKind.UpstreamBroke)
@@ -326,14 +333,15 @@
   private moveOn (attempt: LocalAttempt | ForwardAttempt, detail: string): void {
     if (attempt.isLeftWaiting) return
     if (attempt.kind === 'local') attempt.belief.failed(silenceWeight)
-    if (!this.tryAgain(attempt, detail)) attempt.isLeftWaiting = true
+    if (!this.tryAgain(attempt, { detail, isAnswered: false })) attempt.isLeftWaiting = true
   }
 
   /** Sends a repeatable request once more; false where nothing allows it. */
-  private tryAgain (attempt: LocalAttempt | ForwardAttempt, detail: string): boolean {
+  private tryAgain (attempt: LocalAttempt | ForwardAttempt, { detail, isAnswered }: { detail: string, isAnswered: boolean }): boolean {
     const { state } = this.options
     if (this.attemptsLeft <= 0 || this.options.deadlineAt - this.now < leastRetryMilliseconds || !state.retries.take(this.request.service)) return false
-    attempt.call.abort()
+    if (isAnswered) attempt.call.ignore()
+    else attempt.call.abort()
     this.settle(attempt)
     this.detail = detail
     if (attempt.kind === 'local') this.excluded.add(attempt.belief.announced.id)
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -80,6 +80,10 @@
     this.options.log.info('started', { region: settings.region, domain: settings.failureDomain, seeds: settings.seeds.join() })
   }
 
+  get callerPort (): number {
+    return this.callers.port
+  }
+
   get isReady (): boolean {
     return this.state.isReady
   }
--- /dev/null
+++ b/packages/gateway/src/testSupport.ts
@@ -0,0 +1,239 @@
+/**
+ * A gateway on loopback for tests: scripted upstreams, a codec with header
+ * names of its own, and records that the test publishes directly.
+ */
+
+import { createServer, request as httpRequest } from 'node:http'
+import { Result } from 'true-myth'
+import { newIncarnationId, refusalStatus, runtimeClock, SeededRandom, toFailureDomainId, toRegionId, toRouteName, toTeamId, toUpstreamId, toVmId } from '@cuminvale/common'
+import { Gateway } from './gateway.js'
+import { SourceError, SourceErrorKind } from './errors.js'
+import type { IncomingHttpHeaders, IncomingMessage, Server, ServerResponse } from 'node:http'
+import type { AnnouncedUpstream, AttemptId, PublishedRecord, Route, ServedTeam, ServiceName, ServingDocument } from '@cuminvale/serving'
+import type { Log } from '@cuminvale/logs'
+import type { PublishedView, RecordChanges, RecordDecoder, RecordSnapshot, RecordSource, RequestCodec } from './types.js'
+
+export const region = toRegionId('north')
+export const domain = toFailureDomainId('north-a')
+export const service = 'desk' as ServiceName
+const host = '127.0.0.1'
+
+export const testRoute = (changes: Partial<Route> = {}): Route => ({
+  name: toRouteName('orders'),
+  host: 'shop.example',
+  pathPrefix: '/orders/',
+  kind: 'order',
+  isResumable: false,
+  timeoutMilliseconds: 5_000,
+  objectiveMilliseconds: 500,
+  priority: 1,
+  targets: [{ service, weight: 1 }],
+  maximumAttempts: 1,
+  isPublic: true,
+  homes: [],
+  ...changes
+})
+
+export const testDocument = (routes: readonly Route[], teams: readonly ServedTeam[] = []): ServingDocument => ({
+  version: 1,
+  routes,
+  services: [{
+    name: service, connectionsPerUpstream: 100, coldSeconds: 0, coldRequestsPerSecond: 0, isEngine: false, slots: 6, memoryTokens: 0
+  }],
+  teams,
+  limits: { headerBytes: 16_384, bodyBytes: 100_000, headerTimeoutMilliseconds: 3_000, idleTimeoutMilliseconds: 15_000 }
+})
+
+export const testTeam = (changes: Partial<ServedTeam> = {}): ServedTeam => ({
+  id: toTeamId('bindery'), keys: ['k1'], priority: undefined, countsTokens: false, plainTokens: 1, ratePerSecond: 0, burst: 0, homes: [], ...changes
+})
+
+/** Header names of this codec; a deployment's adapter has its own. */
+export const testHeaders = { attempt: 'x-attempt', seal: 'x-seal', notRun: 'x-not-run', deadline: 'x-deadline', upstream: 'x-upstream' } as const
+
+const textOf = (value: string | string[] | undefined): string | undefined => typeof value === 'string' ? value : undefined
+
+export const testCodec: RequestCodec = {
+  decodeRequest: (request: IncomingMessage) => {
+    const deadline = textOf(request.headers[testHeaders.deadline])
+    return {
+      attempt: textOf(request.headers[testHeaders.attempt]) as AttemptId | undefined,
+      method: request.method ?? 'GET',
+      host: request.headers.host ?? '',
+      path: request.url ?? '/',
+      key: textOf(request.headers['x-key']),
+      deadlineMilliseconds: deadline === undefined ? undefined : Number(deadline),
+      tokens: undefined,
+      parts: [],
+      headers: ['host', request.headers.host ?? '', testHeaders.attempt, textOf(request.headers[testHeaders.attempt]) ?? '']
+    }
+  },
+  upstreamHeaders: ({ request, upstream, resumeAfter }) =>
+    [...request.head.headers, testHeaders.upstream, upstream, ...resumeAfter === undefined ? [] : ['last-event-id', resumeAfter]],
+  decodeAnswer: (status, headers) => ({
+    status,
+    attempt: textOf(headers[testHeaders.attempt]) as AttemptId | undefined,
+    isSealed: headers[testHeaders.seal] !== undefined,
+    isNotRun: headers[testHeaders.notRun] !== undefined,
+    load: undefined,
+    headers: Object.entries(headers).flatMap(([name, value]) =>
+      typeof value === 'string' && !['connection', 'keep-alive', 'transfer-encoding'].includes(name) ? [name, value] : [])
+  }),
+  statusOf: refusalStatus
+}
+
+/** Records whose values the test sets; nothing changes by itself. */
+class TestSource implements RecordSource {
+  async snapshot (): Promise<Result<RecordSnapshot, SourceError>> {
+    return await Promise.resolve(Result.ok({ records: [], at: 1 }))
+  }
+
+  async changes (): Promise<Result<RecordChanges, SourceError>> {
+    return await Promise.resolve(Result.err(new SourceError(SourceErrorKind.Refused, 'nothing to tell')))
+  }
+
+  close (): void { /* holds nothing */ }
+}
+
+export class TestDecoder implements RecordDecoder {
+  view: PublishedView = { configuration: undefined, upstreams: [], evacuated: new Set(), faults: [] }
+
+  decode (_records: Iterable<PublishedRecord>): PublishedView {
+    return this.view
+  }
+
+  mayLapse (): boolean {
+    return false
+  }
+}
+
+export interface ScriptedUpstream {
+  readonly announced: AnnouncedUpstream
+  readonly server: Server
+  readonly seen: Array<{ readonly method: string, readonly path: string, readonly headers: IncomingHttpHeaders, readonly body: string }>
+}
+
+export type UpstreamScript = (request: IncomingMessage, response: ServerResponse, body: string) => void
+
+/** Answers as an upstream that ran the request. */
+export const sealedHead = (request: IncomingMessage): Record<string, string> => ({
+  [testHeaders.attempt]: String(request.headers[testHeaders.attempt]), [testHeaders.seal]: 's1'
+})
+
+export const startUpstream = async (name: string, script: UpstreamScript): Promise<ScriptedUpstream> => {
+  const seen: ScriptedUpstream['seen'] = []
+  const server = createServer((request, response) => {
+    const chunks: Buffer[] = []
+    request.on('data', (chunk: Buffer) => chunks.push(chunk))
+    request.on('end', () => {
+      const body = Buffer.concat(chunks).toString()
+      seen.push({ method: request.method ?? '', path: request.url ?? '', headers: request.headers, body })
+      script(request, response, body)
+    })
+  })
+  const port = await listen(server)
+  return {
+    announced: {
+      id: toUpstreamId(name), service, host, port, failureDomain: domain, slots: 6, isLeaving: false, leavesInMilliseconds: undefined, coldMilliseconds: 0, startedAt: 1
+    },
+    server,
+    seen
+  }
+}
+
+const listen = async (server: Server): Promise<number> => await new Promise((resolve) => {
+  server.listen({ host, port: 0 }, () => {
+    const address = server.address()
+    resolve(address === null || typeof address === 'string' ? 0 : address.port)
+  })
+})
+
+const silentLog: Log = { info: () => { /* not looked at */ }, warn: () => { /* not looked at */ }, error: () => { /* not looked at */ } }
+
+export interface TestGateway {
+  readonly gateway: Gateway
+  readonly decoder: TestDecoder
+  readonly port: number
+  stop (): void
+}
+
+export const startTestGateway = async (document: ServingDocument, upstreams: readonly ScriptedUpstream[], log: Log = silentLog): Promise<TestGateway> => {
+  const decoder = new TestDecoder()
+  const gateway = new Gateway({
+    settings: {
+      vm: toVmId('vm-1'),
+      region,
+      failureDomain: domain,
+      host,
+      callerPort: 0,
+      linkPort: 0,
+      seeds: [],
+      domainRegions: new Map([[domain, region]]),
+      bounds: {
+        configurationMilliseconds: 3_000,
+        leavingMilliseconds: 3_000,
+        graceMilliseconds: 8_000,
+        retryRatio: 0.2,
+        retryWindowSeconds: 10,
+        retryMargin: 500,
+        coldOverage: 1.5,
+        coldMargin: 3
+      }
+    },
+    incarnation: newIncarnationId(),
+    codec: testCodec,
+    decoder,
+    source: new TestSource(),
+    log,
+    clock: runtimeClock,
+    random: new SeededRandom(1)
+  })
+  decoder.view = { configuration: document, upstreams: upstreams.map(({ announced }) => announced), evacuated: new Set(), faults: [] }
+  await gateway.start()
+  gateway.state.adoptRecords()
+  return {
+    gateway,
+    decoder,
+    port: gateway.callerPort,
+    stop: () => {
+      gateway.close()
+      for (const { server } of upstreams) {
+        server.close()
+        server.closeAllConnections()
+      }
+    }
+  }
+}
+
+export interface CallerAnswer {
+  /** Undefined where the connection ended without an answer. */
+  readonly status: number | undefined
+  readonly headers: IncomingHttpHeaders
+  readonly body: string
+  readonly isWhole: boolean
+}
+
+export interface CallerRequest {
+  readonly port: number
+  readonly path: string
+  readonly method?: string
+  readonly headers?: Record<string, string>
+  readonly body?: string
+  readonly attempt?: string
+}
+
+export const callGateway = async ({ port, path, method = 'POST', headers = {}, body = '', attempt = 'a1' }: CallerRequest): Promise<CallerAnswer> =>
+  await new Promise((resolve) => {
+    const request = httpRequest({
+      host, port, path, method, headers: { host: 'shop.example', [testHeaders.attempt]: attempt, ...headers }
+    }, (response) => {
+      const chunks: Buffer[] = []
+      const settle = (isWhole: boolean): void =>
+        resolve({ status: response.statusCode, headers: response.headers, body: Buffer.concat(chunks).toString(), isWhole })
+      response.on('data', (chunk: Buffer) => chunks.push(chunk))
+      response.on('end', () => settle(true))
+      response.on('error', () => settle(false))
+    })
+    request.on('error', () => resolve({ status: undefined, headers: {}, body: '', isWhole: false }))
+    request.end(body)
+  })
