Take prompts to the region that holds their shared parts, and test the serving decisions

Change: VMs tell other regions the long parts that were sent, a placement counts a part that is held elsewhere against reading it again, and an unknown region is no longer taken for a free one. The retry allowance counted its margin twice in a window (start and refill): the new test showed 78 of 56; each is half of it now. Tests for routes, records, rates, boards, placement and the adapter; no package may know the platform's names.

--- a/packages/gateway/src/execution.ts
+++ b/packages/gateway/src/execution.ts
@@ -266,6 +266,7 @@
     this.target = `${region}:${peer.vm}`
     this.expectedMilliseconds = Math.round(milliseconds)
     state.forecasts.forwarded(region, request.service, workMilliseconds)
+    state.notePartsAway(region, request.head.parts)
     call.send({ request, body, remainingMilliseconds: deadlineAt - this.now, attemptsLeft: this.attemptsLeft, resumeAfter: this.resumeAfter })
   }
 
--- a/packages/gateway/src/linkMessages.ts
+++ b/packages/gateway/src/linkMessages.ts
@@ -22,6 +22,8 @@
   readonly loads?: ReadonlyArray<readonly [UpstreamId, number, number]>
   /** Prompt parts sent to upstreams lately; told within a region. */
   readonly parts?: ReadonlyArray<readonly [UpstreamId, readonly PromptPartId[]]>
+  /** Prompt parts that upstreams of the sender's region were sent; told to other regions. */
+  readonly regionParts?: readonly PromptPartId[]
   /** Upstreams, wait in milliseconds and free slots by service; told to other regions. */
   readonly forecasts?: ReadonlyArray<readonly [ServiceName, number, number, number]>
 }
--- a/packages/gateway/src/peerLinks.ts
+++ b/packages/gateway/src/peerLinks.ts
@@ -103,6 +103,7 @@
             parts: [...state.takeParts()].map(([upstream, parts]) => [upstream, [...parts]] as const)
           }
         : {
+            regionParts: state.takePartsAway(),
             forecasts: [...state.ownForecasts()].map(([service, { upstreams, waitMilliseconds, freeSlots }]) =>
               [service, upstreams, Math.round(waitMilliseconds), freeSlots] as const)
           }
@@ -233,6 +234,7 @@
       state.forecasts.heard(sender.region, new Map(message.forecasts.map(([service, upstreams, waitMilliseconds, freeSlots]) =>
         [service, { upstreams, waitMilliseconds, freeSlots }])))
     }
+    if (message.regionParts !== undefined) state.forecasts.heardParts(sender.region, message.regionParts)
     this.askForRecords(sender, message.at)
   }
 
--- a/packages/gateway/src/servingState.ts
+++ b/packages/gateway/src/servingState.ts
@@ -51,6 +51,7 @@
   private readonly othersLoads = new Map<VmId, ReadonlyMap<UpstreamId, OthersLoad>>()
   private readonly lostUpstreams = new Set<UpstreamId>()
   private partsToTell = new Map<UpstreamId, Set<PromptPartId>>()
+  private readonly partsToTellAway = new Set<PromptPartId>()
 
   constructor (private readonly options: ServingStateOptions) {
     const { settings, self, clock, random, decoder } = options
@@ -112,7 +113,10 @@
     const long = parts.filter(({ tokens }) => tokens >= toldPartTokens)
     if (long.length === 0) return
     const told = this.partsToTell.get(belief.announced.id) ?? new Set<PromptPartId>()
-    long.forEach(({ id }) => told.add(id))
+    for (const { id } of long) {
+      told.add(id)
+      this.partsToTellAway.add(id)
+    }
     this.partsToTell.set(belief.announced.id, told)
   }
 
@@ -123,6 +127,18 @@
     return parts
   }
 
+  /** The long parts that upstreams here were sent since the last call, for other regions. */
+  takePartsAway (): readonly PromptPartId[] {
+    const parts = [...this.partsToTellAway]
+    this.partsToTellAway.clear()
+    return parts
+  }
+
+  /** Notes that a region is about to read the long parts of a forwarded request. */
+  notePartsAway (region: RegionId, parts: readonly PromptPart[]): void {
+    this.forecasts.heardParts(region, parts.filter(({ tokens }) => tokens >= toldPartTokens).map(({ id }) => id))
+  }
+
   /** Notes that no connection to an upstream could be made. */
   unreachable (belief: UpstreamBelief): void {
     belief.failed(3)
--- /dev/null
+++ b/packages/repository/src/platformBoundary.test.ts
@@ -0,0 +1,35 @@
+import { existsSync, readFileSync, readdirSync } from 'node:fs'
+import { join } from 'node:path'
+import { describe, expect, it } from 'vitest'
+
+const root = new URL('../../../', import.meta.url).pathname
+const packagesRoot = join(root, 'packages')
+
+/** Names that only the adapter may know, as they stand on the wire or in the settings. */
+const foreignNames = /request-attempt-id|request-deadline-ms|response-seal|not-executed|expected-instance|server-load|token-count|prompt-prefix|kv-watch|kv-range|kv-key|\/v1\/resolve|\/v1\/ready|portRange|apiKeys|maxAttempts|trafficSplit|homeRegions|configApplyMs|drainMs|op\/config|op\/evacuate|CUMINVALE_NODE_FILE/i
+
+const sourcesIn = (folder: string): readonly string[] => existsSync(folder) ? readdirSync(folder).filter((file) => file.endsWith('.ts')) : []
+
+describe('the users’ platform', () => {
+  it.each(readdirSync(packagesRoot).filter((name) => name !== 'repository'))('is unknown to %s', (name) => {
+    const folder = join(packagesRoot, name, 'src')
+    const wrong = sourcesIn(folder).filter((file) => {
+      const text = readFileSync(join(folder, file), 'utf8')
+      return foreignNames.test(text) || text.includes('@cuminvale/usersplatform')
+    })
+    expect(wrong).toEqual([])
+  })
+
+  it('is reached through its adapter’s entry point alone', () => {
+    const deploy = readFileSync(join(root, 'deploy', 'system.toml'), 'utf8')
+    const bundle = readFileSync(join(root, 'platform', 'bundle.mjs'), 'utf8')
+    expect(deploy).toContain('target/cuminvale.mjs')
+    expect(bundle).toContain("entryPoints: ['platform/src/main.ts']")
+  })
+
+  it('has modules that open with a doc comment', () => {
+    const folder = join(root, 'platform', 'src')
+    const wrong = sourcesIn(folder).filter((file) => !/\.test\.ts$|^index\.ts$/.test(file) && !readFileSync(join(folder, file), 'utf8').startsWith('/**'))
+    expect(wrong).toEqual([])
+  })
+})
--- /dev/null
+++ b/packages/serving/src/bounds.test.ts
@@ -0,0 +1,55 @@
+import { describe, expect, it } from 'vitest'
+import { RetryAllowance } from './retryAllowance.js'
+import { SendWindow } from './sendWindow.js'
+import { ManualClock, desk } from './testSupport.js'
+
+describe('SendWindow', () => {
+  it('lets no more than the bound through in any second', () => {
+    const clock = new ManualClock()
+    const window = new SendWindow(clock)
+    const sentAt: number[] = []
+    for (let step = 0; step < 500; step += 1) {
+      clock.advance(10)
+      if (!window.allows(4.4)) continue
+      window.sent()
+      sentAt.push(clock.now)
+    }
+    const most = Math.max(...sentAt.map((from) => sentAt.filter((at) => at >= from && at < from + 1_000).length))
+    expect(most).toBe(4)
+    expect(sentAt.length).toBeGreaterThan(14)
+  })
+
+  it('lets nothing through where the part of the bound is below one', () => {
+    expect(new SendWindow(new ManualClock()).allows(0.9)).toBe(false)
+  })
+})
+
+describe('RetryAllowance', () => {
+  const bounds = { ratio: 0.2, margin: 56, windowSeconds: 10 }
+
+  it.each([1, 8, 65])('keeps %i VMs within ratio and margin together while everything fails', (vmCount) => {
+    const clock = new ManualClock()
+    const allowances = Array.from({ length: vmCount }, () => new RetryAllowance({ clock, ...bounds, vmCount: () => vmCount }))
+    const requests: number[] = []
+    const repeats: number[] = []
+    for (let step = 0; step < 400; step += 1) {
+      clock.advance(100)
+      let taken = 0
+      for (const allowance of allowances) {
+        allowance.started(desk)
+        while (allowance.take(desk)) taken += 1
+      }
+      requests.push(vmCount)
+      repeats.push(taken)
+    }
+    const sumFrom = (list: readonly number[], start: number): number => list.slice(start, start + 100).reduce((sum, each) => sum + each, 0)
+    const excess = repeats.map((_, start) => sumFrom(repeats, start) - (sumFrom(requests, start) * bounds.ratio + Math.max(bounds.margin, vmCount)))
+    expect(Math.max(...excess.slice(0, 300))).toBeLessThanOrEqual(0)
+  })
+
+  it('lets a quiet service repeat at all', () => {
+    const allowance = new RetryAllowance({ clock: new ManualClock(), ...bounds, vmCount: () => 8 })
+    allowance.started(desk)
+    expect(allowance.take(desk)).toBe(true)
+  })
+})
--- /dev/null
+++ b/packages/serving/src/peerTable.test.ts
@@ -0,0 +1,61 @@
+import { toIncarnationId, toVmId } from '@cuminvale/common'
+import { beforeEach, describe, expect, it } from 'vitest'
+import { listEntries } from './entryList.js'
+import { PeerTable } from './peerTable.js'
+import { ManualClock, north, northA, south, southA } from './testSupport.js'
+import type { PeerIdentity } from './peerTable.js'
+
+const identity = (name: string, region = north): PeerIdentity => ({
+  vm: toVmId(name), incarnation: toIncarnationId(`i-${name}`), region, failureDomain: region === north ? northA : southA, linkAddress: `${name}:1`, callerAddress: `${name}:2`
+})
+
+let clock: ManualClock
+let table: PeerTable
+beforeEach(() => {
+  clock = new ManualClock()
+  table = new PeerTable(clock, identity('self'))
+})
+
+describe('PeerTable', () => {
+  it('assumes a fleet before it has heard of one', () => {
+    expect(table.heardShare()).toBeLessThan(0.1)
+    expect(table.count).toBeGreaterThan(8)
+  })
+
+  it('counts a VM that others name, but does not use it before it is heard', () => {
+    table.heard(identity('a'), true)
+    expect(table.told(identity('b'))).toBe(true)
+    expect(table.count).toBe(3)
+    expect(table.heardShare()).toBeCloseTo(2 / 3)
+    expect(table.heardPeers({ readyOnly: true }).map(({ vm }) => vm)).toEqual(['a'])
+  })
+
+  it('stops using a silent VM within two seconds, and still counts it', () => {
+    table.heard(identity('a'), true)
+    clock.advance(1_400)
+    expect(table.heardPeers({ readyOnly: false })).toEqual([])
+    expect(table.count).toBe(2)
+    expect(table.heardShare()).toBe(0.5)
+  })
+
+  it('forgets a VM that said that it stops', () => {
+    table.heard(identity('a'), true)
+    table.left('a:1')
+    expect(table.known).toEqual([])
+  })
+
+  it('never lists itself', () => {
+    table.heard(identity('self'), true)
+    expect(table.told(identity('self'))).toBe(false)
+    expect(table.known).toEqual([])
+  })
+})
+
+describe('listEntries', () => {
+  it('names the VMs of the caller’s region, or all where it has none', () => {
+    const vms = [identity('a'), identity('b', south)]
+    expect(listEntries(north, vms)).toEqual(['a:2'])
+    expect(listEntries(undefined, vms)).toEqual(['a:2', 'b:2'])
+    expect(listEntries(south, vms.slice(0, 1))).toEqual(['a:2'])
+  })
+})
--- /dev/null
+++ b/packages/serving/src/placement.test.ts
@@ -0,0 +1,152 @@
+import { SeededRandom, toUpstreamId } from '@cuminvale/common'
+import { beforeEach, describe, expect, it } from 'vitest'
+import { PlacementChooser } from './placement.js'
+import { RegionForecasts } from './regionForecasts.js'
+import { UpstreamBoard } from './upstreamBoard.js'
+import { ManualClock, admitted, announced, desk, engine, head, north, northA, part, regionOf, shapeOf, south } from './testSupport.js'
+import type { RegionId, UpstreamId } from '@cuminvale/common'
+import type { Placement, PlacementQuery } from './placement.js'
+
+let clock: ManualClock
+let board: UpstreamBoard
+let forecasts: RegionForecasts
+let chooser: PlacementChooser
+let reachable: readonly RegionId[]
+beforeEach(() => {
+  clock = new ManualClock()
+  reachable = [south]
+  board = new UpstreamBoard({ clock, regionOf, shapeOf })
+  forecasts = new RegionForecasts(clock)
+  chooser = new PlacementChooser({
+    clock,
+    random: new SeededRandom(5),
+    region: north,
+    board,
+    forecasts,
+    shapeOf,
+    reachableRegions: () => reachable,
+    coldSendsPerSecond: () => 4,
+    connectionShare: () => 60,
+    roundTripMilliseconds: () => 110
+  })
+})
+
+const query = (changes: Partial<PlacementQuery> = {}): PlacementQuery => ({
+  request: admitted(), remainingMilliseconds: 4_000, mayForward: true, excluded: new Set(), excludedRegions: new Set(), ...changes
+})
+const targetOf = (placement: Placement): string =>
+  placement.kind === 'run' ? placement.belief.announced.id : placement.kind === 'forward' ? `to ${placement.region}` : 'refused'
+const idle = new Map([[engine, { upstreams: 2, waitMilliseconds: 0, freeSlots: 128 }], [desk, { upstreams: 1, waitMilliseconds: 0, freeSlots: 6 }]])
+const belief = (id: string): NonNullable<ReturnType<UpstreamBoard['find']>> => {
+  const found = board.find(toUpstreamId(id))
+  if (found === undefined) throw new Error(`no upstream ${id}`)
+  return found
+}
+
+describe('PlacementChooser', () => {
+  it('stays in its region while the upstreams there are free', () => {
+    board.sync([announced('a')], new Set())
+    forecasts.heard(south, idle)
+    expect(targetOf(chooser.choose(query()))).toBe('a')
+  })
+
+  it('never leaves the regions that may serve a request', () => {
+    board.sync([announced('a')], new Set())
+    forecasts.heard(south, idle)
+    const onlySouth = query({ request: admitted({ regions: new Set([south]) }) })
+    const onlyNorth = query({ request: admitted({ regions: new Set([north]) }) })
+    expect(targetOf(chooser.choose(onlySouth))).toBe(`to ${south}`)
+    belief('a').ownPendingTokens = 10_000_000
+    expect(targetOf(chooser.choose(onlyNorth))).toBe('refused')
+    expect(targetOf(chooser.choose({ ...onlySouth, mayForward: false }))).toBe('refused')
+  })
+
+  it('answers a regional peak by sending away what another region would answer sooner', () => {
+    board.sync([announced('a'), announced('b')], new Set())
+    forecasts.heard(south, idle)
+    belief('a').ownPendingTokens = 30_000
+    belief('b').ownPendingTokens = 30_000
+    expect(targetOf(chooser.choose(query()))).toBe(`to ${south}`)
+  })
+
+  it('does not bury another region under what it has forwarded there', () => {
+    board.sync([announced('a')], new Set())
+    forecasts.heard(south, new Map([[engine, { upstreams: 1, waitMilliseconds: 0, freeSlots: 1 }]]))
+    belief('a').ownPendingTokens = 30_000
+    const request = admitted({ head: head({ tokens: { prompt: 3_000, output: 100 } }) })
+    let sentAway = 0
+    for (let count = 0; count < 100; count += 1) {
+      const placement = chooser.choose(query({ request }))
+      if (placement.kind !== 'forward') break
+      forecasts.forwarded(placement.region, engine, placement.workMilliseconds)
+      sentAway += 1
+    }
+    expect(sentAway).toBeGreaterThan(1)
+    expect(sentAway).toBeLessThan(30)
+  })
+
+  it('prefers the upstream that holds the shared part of a prompt', () => {
+    board.sync([announced('a'), announced('b'), announced('c')], new Set())
+    const parts = [part('catalogue', 13_000), part('own', 3_000)]
+    belief('b').readParts([parts[0]?.id ?? part('', 0).id])
+    const request = admitted({ head: head({ tokens: { prompt: 16_000, output: 100 }, parts }) })
+    for (let draw = 0; draw < 20; draw += 1) expect(targetOf(chooser.choose(query({ request })))).toBe('b')
+  })
+
+  it('takes a prompt to the region that holds its shared part rather than read it again', () => {
+    board.sync([announced('a'), announced('b')], new Set())
+    forecasts.heard(south, idle)
+    const parts = [part('catalogue', 13_000), part('own', 3_000)]
+    const request = admitted({ head: head({ tokens: { prompt: 16_000, output: 100 }, parts }) })
+    expect(chooser.choose(query({ request })).kind).toBe('run')
+    forecasts.heardParts(south, parts.slice(0, 1).map(({ id }) => id))
+    expect(targetOf(chooser.choose(query({ request })))).toBe(`to ${south}`)
+    clock.advance(12_001)
+    forecasts.heard(south, idle)
+    expect(chooser.choose(query({ request })).kind).toBe('run')
+  })
+
+  it('sends first askers of the same part to the same upstream', () => {
+    reachable = []
+    board.sync([announced('a'), announced('b'), announced('c')], new Set())
+    const request = admitted({ head: head({ tokens: { prompt: 16_000, output: 100 }, parts: [part('new', 13_000), part('own', 3_000)] }) })
+    const targets = new Set(Array.from({ length: 20 }, () => targetOf(chooser.choose(query({ request })))))
+    expect(targets.size).toBe(1)
+  })
+
+  it('keeps to its part of what a cold upstream bears', () => {
+    board.sync([announced('a')], new Set())
+    belief('a').becomeCold(3_000)
+    reachable = []
+    let sent = 0
+    for (let request = 0; request < 20; request += 1) {
+      const placement = chooser.choose(query())
+      if (placement.kind !== 'run') break
+      placement.belief.sends.sent()
+      sent += 1
+    }
+    expect(sent).toBe(4)
+  })
+
+  it('leaves out what was tried, and an upstream that keeps failing while others are left', () => {
+    board.sync([announced('a'), announced('b'), announced('c')], new Set())
+    belief('a').failed(3)
+    const excluded = new Set<UpstreamId>([toUpstreamId('b')])
+    for (let draw = 0; draw < 10; draw += 1) expect(targetOf(chooser.choose(query({ excluded })))).toBe('c')
+  })
+
+  it('refuses at once what could not start in time, and says when to come back', () => {
+    board.sync([announced('a', { service: desk, slots: 6 })], new Set())
+    reachable = []
+    belief('a').ownInFlight = 59
+    const placement = chooser.choose(query({ request: admitted({ service: desk }), remainingMilliseconds: 300 }))
+    expect(placement).toMatchObject({ kind: 'refuse' })
+    expect(placement.kind === 'refuse' ? placement.retryAfterMilliseconds : 0).toBeGreaterThanOrEqual(100)
+  })
+
+  it('sends nothing to an evacuated domain', () => {
+    board.sync([announced('a')], new Set([northA]))
+    reachable = []
+    expect(targetOf(chooser.choose(query()))).toBe('refused')
+  })
+})
--- a/packages/serving/src/placement.ts
+++ b/packages/serving/src/placement.ts
@@ -11,7 +11,7 @@
 import type { RegionForecasts } from './regionForecasts.js'
 import type { UpstreamBelief } from './upstreamBelief.js'
 import type { UpstreamBoard } from './upstreamBoard.js'
-import type { AdmittedRequest, ServiceName, ServiceShape } from './types.js'
+import type { AdmittedRequest, PromptPart, ServiceName, ServiceShape } from './types.js'
 
 export const PlacementKind = { Run: 'run', Forward: 'forward', Refuse: 'refuse' } as const
 
@@ -51,6 +51,13 @@
   readonly cost: number
 }
 
+interface AwayCandidate {
+  readonly region: RegionId
+  readonly milliseconds: number
+  readonly workMilliseconds: number
+  readonly cost: number
+}
+
 /** Gain below which a request stays in its region, since the report of the other one is old when it arrives. */
 const awayMarginMilliseconds = 40
 /** Part of the remaining time that may pass before an upstream begins; later it would be late anyway. */
@@ -59,8 +66,10 @@
 const homeAdvantageMilliseconds = 30
 /** Parts shorter than this are read faster than their placement is worth. */
 const longPartTokens = 1_000
-/** Share of shared parts that another region is assumed to hold; all regions are asked for the same ones. */
-const remoteCachedShare = 0.6
+/** Reading a part again takes an upstream's time from all its other callers, beside that of the request itself. */
+const rereadMilliseconds = 200
+/** A region of which nothing was heard yet is taken only where no other can serve. */
+const unknownWaitMilliseconds = 400
 const leastRetryAfterMilliseconds = 100
 const longestRetryAfterMilliseconds = 2_000
 
@@ -76,8 +85,9 @@
     const latest = query.remainingMilliseconds * latestStartShare
     const isLocalTimely = local !== undefined && local.prediction.waitMilliseconds <= latest
     const margin = awayMarginMilliseconds * (1 + random.next())
-    if (away !== undefined && away.milliseconds <= latest && (!isLocalTimely || away.milliseconds + margin < local.prediction.milliseconds)) {
-      return { kind: PlacementKind.Forward, ...away }
+    if (away !== undefined && away.milliseconds <= latest && (!isLocalTimely || away.cost + margin < local.cost)) {
+      const { region: target, milliseconds, workMilliseconds } = away
+      return { kind: PlacementKind.Forward, region: target, milliseconds, workMilliseconds }
     }
     if (isLocalTimely) return { kind: PlacementKind.Run, belief: local.belief, prediction: local.prediction }
     const wait = Math.min(local?.prediction.waitMilliseconds ?? Infinity, away?.milliseconds ?? Infinity)
@@ -94,11 +104,15 @@
     const shape = shapeOf(request.service)
     const usable = board.usable(request.service, region).filter(({ announced }) => !query.excluded.has(announced.id))
     const sound = usable.filter((belief) => !belief.isAvoided)
+    const shared = longSharedPart(request)
     let best: Candidate | undefined
     for (const belief of sound.length > 0 ? sound : usable) {
       if (!this.hasRoom(belief, shape)) continue
       const prediction = predict(belief, shape, request)
-      const cost = prediction.milliseconds - this.homeAdvantage(belief, request) + this.options.random.next()
+      const placing = shared === undefined
+        ? this.options.random.next()
+        : belief.knowsPart(shared.id) ? 0 : rereadMilliseconds - homeAdvantageMilliseconds * rendezvousScore(shared.id, belief.announced.id)
+      const cost = prediction.milliseconds + placing
       if (best === undefined || cost < best.cost) best = { belief, prediction, cost }
     }
     return best
@@ -110,32 +124,41 @@
     return !belief.isCold || shape.coldRequestsPerSecond <= 0 || belief.sends.allows(this.options.coldSendsPerSecond(shape))
   }
 
-  private homeAdvantage (belief: UpstreamBelief, { head }: AdmittedRequest): number {
-    const [first] = head.parts
-    if (first === undefined || first.tokens < longPartTokens) return 0
-    return homeAdvantageMilliseconds * rendezvousScore(first.id, belief.announced.id)
-  }
-
-  private bestAway (query: PlacementQuery): { region: RegionId, milliseconds: number, workMilliseconds: number } | undefined {
+  private bestAway (query: PlacementQuery): AwayCandidate | undefined {
     const { request } = query
     const { forecasts, reachableRegions, roundTripMilliseconds, shapeOf } = this.options
-    const workMilliseconds = this.remoteWork(request, shapeOf(request.service))
-    let best: { region: RegionId, milliseconds: number, workMilliseconds: number } | undefined
+    const shape = shapeOf(request.service)
+    const shared = longSharedPart(request)
+    let best: AwayCandidate | undefined
     for (const region of reachableRegions()) {
       if (request.regions?.has(region) === false || query.excludedRegions.has(region)) continue
       const forecast = forecasts.find(region, request.service)
       if (forecast !== undefined && forecast.upstreams === 0) continue
-      const underway = forecasts.underwayTo(region, request.service) / Math.max(1, forecast?.freeSlots ?? 1)
-      const milliseconds = roundTripMilliseconds(region) + (forecast?.waitMilliseconds ?? 0) + underway + workMilliseconds
-      if (best === undefined || milliseconds < best.milliseconds) best = { region, milliseconds, workMilliseconds }
+      const parallel = shape?.isEngine === true ? forecast?.upstreams : forecast?.freeSlots
+      const underway = forecasts.underwayTo(region, request.service) / Math.max(1, parallel ?? 1)
+      const workMilliseconds = this.remoteWork(request, region, shape)
+      const wait = forecast?.waitMilliseconds ?? unknownWaitMilliseconds
+      const milliseconds = roundTripMilliseconds(region) + wait + underway + workMilliseconds
+      const cost = milliseconds + (shared === undefined || forecasts.holdsPart(region, shared.id) ? 0 : rereadMilliseconds)
+      if (best === undefined || cost < best.cost) best = { region, milliseconds, workMilliseconds, cost }
     }
     return best
   }
 
-  private remoteWork ({ head }: AdmittedRequest, shape: ServiceShape | undefined): number {
+  private remoteWork ({ head }: AdmittedRequest, region: RegionId, shape: ServiceShape | undefined): number {
     if (shape?.isEngine !== true) return plainRunMilliseconds
     const prompt = head.tokens?.prompt ?? 0
-    const shared = head.parts.slice(0, -1).reduce((sum, { tokens }) => sum + tokens, 0)
-    return prefillMilliseconds(prompt, Math.max(1, prompt - shared * remoteCachedShare))
+    let held = 0
+    for (const { id, tokens } of head.parts) {
+      if (!this.options.forecasts.holdsPart(region, id)) break
+      held += tokens
+    }
+    return prefillMilliseconds(prompt, Math.max(1, prompt - held))
   }
 }
+
+/** The first part of a prompt, where it is long enough to be worth finding again. */
+const longSharedPart = ({ head }: AdmittedRequest): PromptPart | undefined => {
+  const [first, ...others] = head.parts
+  return first !== undefined && others.length > 0 && first.tokens >= longPartTokens ? first : undefined
+}
--- /dev/null
+++ b/packages/serving/src/publishedRecords.test.ts
@@ -0,0 +1,78 @@
+import fc from 'fast-check'
+import { beforeEach, describe, expect, it } from 'vitest'
+import { PublishedRecords } from './publishedRecords.js'
+import { ManualClock } from './testSupport.js'
+import type { RecordChange } from './publishedRecords.js'
+
+let clock: ManualClock
+let records: PublishedRecords
+beforeEach(() => {
+  clock = new ManualClock()
+  records = new PublishedRecords({ clock, mayLapse: (key) => key.startsWith('upstreams/') })
+})
+
+const keys = (): readonly string[] => [...records.all].map(({ key }) => key).sort()
+const set = (key: string, revision: number, value = `v${revision}`): RecordChange => ({ key, revision, value })
+const removed = (key: string, revision: number): RecordChange => ({ key, revision, value: undefined })
+
+describe('PublishedRecords', () => {
+  it('ignores changes that it knows already', () => {
+    records.apply([set('a', 5)], 5)
+    expect(records.apply([set('a', 3, 'old')], 3)).toBe(false)
+    expect([...records.all][0]?.value).toBe('v5')
+    expect(records.at).toBe(5)
+  })
+
+  it('refuses a snapshot that is older than what it knows', () => {
+    records.apply([set('a', 5)], 5)
+    expect(records.adopt([{ key: 'b', value: 'x', revision: 2 }], 4)).toBe(false)
+    expect(keys()).toEqual(['a'])
+  })
+
+  it('drops what a newer snapshot no longer holds', () => {
+    records.adopt([{ key: 'a', value: 'x', revision: 1 }, { key: 'b', value: 'x', revision: 2 }], 2)
+    records.adopt([{ key: 'b', value: 'x', revision: 2 }], 9)
+    expect(keys()).toEqual(['b'])
+  })
+
+  it('waits for upstreams that lapsed while the store was away, and only for them', () => {
+    records.apply([set('upstreams/1', 1), set('upstreams/2', 2), set('evacuated', 3)], 3)
+    records.storeReturned()
+    records.adopt([], 9)
+    expect(keys()).toEqual(['upstreams/1', 'upstreams/2'])
+    records.apply([set('upstreams/1', 10)], 10)
+    clock.advance(2_600)
+    expect(records.expire()).toBe(true)
+    expect(keys()).toEqual(['upstreams/1'])
+  })
+
+  it('removes at once while the store was not away', () => {
+    records.apply([set('upstreams/1', 1)], 1)
+    records.apply([removed('upstreams/1', 2)], 2)
+    expect(keys()).toEqual([])
+  })
+
+  it('ends with the newest state of each record, whatever order changes and snapshots come in', () => {
+    const history: readonly RecordChange[] = [set('a', 1), set('b', 2), removed('a', 3), set('a', 4), set('c', 5), removed('b', 6), set('a', 7)]
+    const stateAt = (revision: number): Map<string, string> => {
+      const state = new Map<string, string>()
+      for (const { key, value, revision: changedAt } of history) {
+        if (changedAt > revision) break
+        if (value === undefined) state.delete(key)
+        else state.set(key, value)
+      }
+      return state
+    }
+    const snapshot = (revision: number): Array<{ key: string, value: string, revision: number }> =>
+      [...stateAt(revision)].map(([key, value]) => ({ key, value, revision: Number(value.slice(1)) }))
+    const step = fc.record({ isSnapshot: fc.boolean(), revision: fc.integer({ min: 1, max: history.length }) })
+    fc.assert(fc.property(fc.array(step, { maxLength: 20 }), (steps) => {
+      const held = new PublishedRecords({ clock: new ManualClock(), mayLapse: () => false })
+      for (const { isSnapshot, revision } of steps) {
+        if (isSnapshot) held.adopt(snapshot(revision), revision)
+        else if (revision >= held.at) held.apply(history.filter((change) => change.revision > held.at && change.revision <= revision), revision)
+      }
+      expect(new Map([...held.all].map(({ key, value }) => [key, value]))).toEqual(stateAt(held.at))
+    }), { seed: 7, numRuns: 300 })
+  })
+})
--- a/packages/serving/src/regionForecasts.ts
+++ b/packages/serving/src/regionForecasts.ts
@@ -4,7 +4,7 @@
  */
 
 import type { Clock, RegionId } from '@cuminvale/common'
-import type { ServiceName } from './types.js'
+import type { PromptPartId, ServiceName } from './types.js'
 
 export interface ServiceForecast {
   /** Upstreams that take new work. */
@@ -21,9 +21,13 @@
 
 /** Three reports of a VM in another region. */
 const forecastFreshMilliseconds = 1_500
+/** As long as an upstream is believed to hold a part. */
+const partMemoryMilliseconds = 12_000
+const maximumParts = 2_048
 
 export class RegionForecasts {
   private readonly forecasts = new Map<RegionId, Map<ServiceName, HeldForecast>>()
+  private readonly parts = new Map<RegionId, Map<PromptPartId, number>>()
   private readonly underway = new Map<string, number>()
 
   constructor (private readonly clock: Clock) {}
@@ -39,6 +43,25 @@
     return held
   }
 
+  /** Notes that upstreams of a region have read parts. */
+  heardParts (region: RegionId, ids: Iterable<PromptPartId>): void {
+    const now = this.clock.monotonic()
+    const parts = this.parts.get(region) ?? new Map<PromptPartId, number>()
+    for (const id of ids) {
+      parts.delete(id)
+      parts.set(id, now)
+    }
+    for (const id of parts.keys()) {
+      if (parts.size <= maximumParts) break
+      parts.delete(id)
+    }
+    this.parts.set(region, parts)
+  }
+
+  holdsPart (region: RegionId, id: PromptPartId): boolean {
+    return (this.parts.get(region)?.get(id) ?? -Infinity) >= this.clock.monotonic() - partMemoryMilliseconds
+  }
+
   /** Milliseconds of work that this VM has forwarded and not seen answered. */
   underwayTo (region: RegionId, service: ServiceName): number {
     return this.underway.get(`${region} ${service}`) ?? 0
--- a/packages/serving/src/retryAllowance.ts
+++ b/packages/serving/src/retryAllowance.ts
@@ -41,8 +41,13 @@
     return true
   }
 
+  /** A window can see a full balance and a window's refill: each is half of this VM's part of the margin. */
+  private get part (): number {
+    return this.options.margin * usedShare / 2 / Math.max(1, this.options.vmCount())
+  }
+
   private get capacity (): number {
-    return Math.max(1, this.options.margin * usedShare / Math.max(1, this.options.vmCount()))
+    return Math.max(1, this.part)
   }
 
   private balanceOf (service: ServiceName): { level: number, updatedAt: number } {
@@ -54,7 +59,7 @@
       return made
     }
     const seconds = (now - held.updatedAt) / millisecondsPerSecond
-    held.level = Math.min(this.capacity, held.level + seconds * this.capacity / this.options.windowSeconds)
+    held.level = Math.min(this.capacity, held.level + seconds * this.part / this.options.windowSeconds)
     held.updatedAt = now
     return held
   }
--- /dev/null
+++ b/packages/serving/src/servingConfiguration.test.ts
@@ -0,0 +1,75 @@
+import { SeededRandom, toRegionId } from '@cuminvale/common'
+import { describe, expect, it } from 'vitest'
+import { RouteTable } from './routeTable.js'
+import { ServingConfiguration } from './servingConfiguration.js'
+import { desk, engine, head, route, team } from './testSupport.js'
+import type { Route, ServedTeam } from './types.js'
+
+const random = new SeededRandom(1)
+const limits = { headerBytes: 16_384, bodyBytes: 1_000, headerTimeoutMilliseconds: 3_000, idleTimeoutMilliseconds: 15_000 }
+const configuration = (routes: readonly Route[], teams: readonly ServedTeam[] = [team()]): ServingConfiguration =>
+  new ServingConfiguration({ version: 3, routes, services: [], teams, limits })
+
+describe('RouteTable', () => {
+  const short = route({ pathPrefix: '/a/' })
+  const long = route({ pathPrefix: '/a/b/' })
+  const table = new RouteTable([short, long])
+
+  it.each([
+    ['/a/b/c', long], ['/a/b/', long], ['/a/x', short], ['/a/b', short], ['/a/?next=/a/b/', short], ['/b/', undefined], ['/a', undefined]
+  ])('finds the longest prefix of %s', (path, expected) => {
+    expect(table.find('h.example', path)).toBe(expected)
+  })
+
+  it('keeps hosts apart', () => {
+    expect(table.find('other.example', '/a/b/')).toBeUndefined()
+  })
+})
+
+describe('ServingConfiguration.admit', () => {
+  it('tells an unknown route, a missing key and an unknown key apart', () => {
+    const held = configuration([route()])
+    const reasons = [head({ path: '/none/' }), head({ key: undefined }), head({ key: 'key-2' })]
+      .map((each) => held.admit(each, random).match({ Ok: () => 'admitted', Err: ({ reason }) => reason }))
+    expect(reasons).toEqual(['route-unknown', 'key-missing', 'key-unknown'])
+  })
+
+  it('asks for no key on a public route, and names no team there', () => {
+    const result = configuration([route({ isPublic: true })]).admit(head({ key: undefined }), random)
+    expect(result.unwrapOrElse(() => { throw new Error('refused') }).team).toBeUndefined()
+  })
+
+  it('lets the homes of route and team both bind', () => {
+    const [a, b, c] = ['a', 'b', 'c'].map(toRegionId) as [ReturnType<typeof toRegionId>, ReturnType<typeof toRegionId>, ReturnType<typeof toRegionId>]
+    const held = configuration([route({ homes: [a, b] })], [team({ homes: [b, c] })])
+    expect([...held.admit(head(), random).unwrapOrElse(() => { throw new Error('refused') }).regions ?? []]).toEqual([b])
+  })
+
+  it('charges what the request states, or what the plan sets for one that states nothing', () => {
+    const held = configuration([route()])
+    const charges = [head({ tokens: { prompt: 900, output: 80 } }), head()]
+      .map((each) => held.admit(each, random).match({ Ok: ({ charge }) => charge, Err: () => -1 }))
+    expect(charges).toEqual([980, 200])
+  })
+
+  it('takes the priority of the team before that of the route', () => {
+    const held = configuration([route({ priority: 2 })], [team({ priority: 0 })])
+    expect(held.admit(head(), random).match({ Ok: ({ priority }) => priority, Err: () => -1 })).toBe(0)
+  })
+
+  it('only repeats safe requests and resumable streams', () => {
+    const kinds = [route({ kind: 'safe' }), route({ kind: 'order', isResumable: true }), route({ isResumable: true }), route()]
+    const repeatable = kinds.map((each) => configuration([each]).admit(head(), random).match({ Ok: ({ isRepeatable }) => isRepeatable, Err: () => undefined }))
+    expect(repeatable).toEqual([true, false, true, false])
+  })
+
+  it('splits traffic by weight', () => {
+    const held = configuration([route({ targets: [{ service: engine, weight: 90 }, { service: desk, weight: 10 }] })])
+    let toDesk = 0
+    for (let draw = 0; draw < 1_000; draw += 1) {
+      if (held.admit(head(), random).match({ Ok: ({ service }) => service === desk, Err: () => false })) toDesk += 1
+    }
+    expect(toDesk).toBeGreaterThan(60)
+    expect(toDesk).toBeLessThan(140)
+  })
+})
--- /dev/null
+++ b/packages/serving/src/sharedRate.test.ts
@@ -0,0 +1,101 @@
+import { SeededRandom, toIncarnationId, toVmId } from '@cuminvale/common'
+import { describe, expect, it } from 'vitest'
+import { SharedRate } from './sharedRate.js'
+import { ManualClock, team } from './testSupport.js'
+
+const vms = [0, 1, 2, 3].map((index) => ({ vm: toVmId(`vm-${index}`), incarnation: toIncarnationId(`i-${index}`) }))
+const plan = team({ ratePerSecond: 1_000, burst: 1_000 })
+
+interface Fleet {
+  readonly clock: ManualClock
+  readonly rates: SharedRate[]
+  readonly shares: number[]
+  /** Spending in each step of a hundred milliseconds. */
+  readonly spent: number[]
+}
+
+const fleetOf = (size: number): Fleet => {
+  const clock = new ManualClock()
+  const shares = new Array<number>(size).fill(1)
+  return { clock, shares, rates: shares.map((_, index) => new SharedRate({ clock, heardShare: () => shares[index] ?? 1 })), spent: [] }
+}
+
+/** One step: every VM is asked for far more than its part, and those that hear each other report. */
+const step = ({ clock, rates, spent }: Fleet, hears: (from: number, to: number) => boolean): void => {
+  clock.advance(100)
+  let sum = 0
+  rates.forEach((rate) => {
+    for (let request = 0; request < 10; request += 1) {
+      if (rate.spend(plan, 20)) sum += 20
+    }
+  })
+  spent.push(sum)
+  rates.forEach((rate, from) => rates.forEach((other, to) => {
+    const sender = vms[from]
+    if (from !== to && sender !== undefined && hears(from, to)) other.heard({ ...sender, spent: rate.spending() })
+  }))
+}
+
+const mostInWindow = (spent: readonly number[], steps: number): number =>
+  Math.max(...spent.map((_, start) => spent.slice(start, start + steps).reduce((sum, each) => sum + each, 0)))
+
+describe('SharedRate', () => {
+  it('keeps the fleet near the rate while its VMs hear each other', () => {
+    const fleet = fleetOf(4)
+    for (let count = 0; count < 300; count += 1) step(fleet, () => true)
+    expect(mostInWindow(fleet.spent, 80)).toBeLessThanOrEqual((8 * 1_000 + 1_000) * 1.25)
+    expect(fleet.spent.slice(100).reduce((sum, each) => sum + each, 0)).toBeGreaterThan(200 * 100 * 0.9)
+  })
+
+  it('keeps both sides of a partition within the rate together', () => {
+    const fleet = fleetOf(4)
+    for (let count = 0; count < 50; count += 1) step(fleet, () => true)
+    fleet.shares.fill(0.5)
+    for (let count = 0; count < 300; count += 1) step(fleet, (from, to) => (from < 2) === (to < 2))
+    expect(mostInWindow(fleet.spent, 80)).toBeLessThanOrEqual((8 * 1_000 + 1_000) * 1.25)
+  })
+
+  it('has no second burst after a restart', () => {
+    const fleet = fleetOf(1)
+    const { clock, rates } = fleet
+    let first = 0
+    while (rates[0]?.spend(plan, 100) === true) first += 100
+    clock.advance(1)
+    const restarted = new SharedRate({ clock, heardShare: () => 1 / 16 })
+    let second = 0
+    while (restarted.spend(plan, 10)) second += 10
+    expect(first).toBeGreaterThan(900)
+    expect(second).toBeLessThan(100)
+  })
+
+  it('does not charge what other VMs spent before it knew them', () => {
+    const rate = new SharedRate({ clock: new ManualClock(), heardShare: () => 1 })
+    rate.spend(plan, 10)
+    rate.heard({ vm: toVmId('old'), incarnation: toIncarnationId('i'), spent: new Map([[plan.id, 1_000_000]]) })
+    expect(rate.spend(plan, 10)).toBe(true)
+  })
+
+  it('counts a restarted VM from nothing', () => {
+    const rate = new SharedRate({ clock: new ManualClock(), heardShare: () => 1 })
+    const old = { vm: toVmId('peer'), incarnation: toIncarnationId('first') }
+    rate.spend(plan, 10)
+    rate.heard({ ...old, spent: new Map([[plan.id, 500]]) })
+    rate.heard({ ...old, incarnation: toIncarnationId('second'), spent: new Map([[plan.id, 2_000]]) })
+    expect(rate.spend(plan, 1)).toBe(false)
+    expect(rate.millisecondsUntilFilled(plan)).toBeGreaterThan(900)
+  })
+
+  it('returns the charge of a request that never ran', () => {
+    const rate = new SharedRate({ clock: new ManualClock(), heardShare: () => 1 })
+    while (rate.spend(plan, 100)) { /* until empty */ }
+    rate.giveBack(plan, 500)
+    expect(rate.spend(plan, 100)).toBe(true)
+  })
+
+  it('never limits a team without a rate', () => {
+    const rate = new SharedRate({ clock: new ManualClock(), heardShare: () => 0.1 })
+    const free = team({ ratePerSecond: 0 })
+    const random = new SeededRandom(3)
+    for (let request = 0; request < 100; request += 1) expect(rate.spend(free, random.next() * 1e6)).toBe(true)
+  })
+})
--- /dev/null
+++ b/packages/serving/src/testSupport.ts
@@ -0,0 +1,106 @@
+/**
+ * Builders for tests of the serving decisions.
+ */
+
+import { toFailureDomainId, toRegionId, toRouteName, toTeamId, toUpstreamId } from '@cuminvale/common'
+import type { Clock } from '@cuminvale/common'
+import type { AdmittedRequest, AnnouncedUpstream, AttemptId, PromptPartId, RequestHead, Route, ServedTeam, ServiceName, ServiceShape } from './types.js'
+
+/** A clock that only the test moves. */
+export class ManualClock implements Clock {
+  now = 1_000
+
+  monotonic (): number {
+    return this.now
+  }
+
+  wall (): number {
+    return this.now
+  }
+
+  advance (milliseconds: number): void {
+    this.now += milliseconds
+  }
+}
+
+export const engine = 'engine' as ServiceName
+export const desk = 'desk' as ServiceName
+export const north = toRegionId('north')
+export const south = toRegionId('south')
+export const northA = toFailureDomainId('north-a')
+export const southA = toFailureDomainId('south-a')
+
+export const regionOf = (domain: string): ReturnType<typeof toRegionId> => domain.startsWith('north') ? north : south
+
+export const engineShape: ServiceShape = {
+  name: engine, connectionsPerUpstream: 400, coldSeconds: 3, coldRequestsPerSecond: 10, isEngine: true, slots: 64, memoryTokens: 300_000
+}
+
+export const deskShape: ServiceShape = {
+  name: desk, connectionsPerUpstream: 100, coldSeconds: 0, coldRequestsPerSecond: 0, isEngine: false, slots: 6, memoryTokens: 0
+}
+
+export const shapeOf = (service: ServiceName): ServiceShape => service === engine ? engineShape : deskShape
+
+export const announced = (id: string, changes: Partial<AnnouncedUpstream> = {}): AnnouncedUpstream => ({
+  id: toUpstreamId(id),
+  service: engine,
+  host: '127.0.0.1',
+  port: 80,
+  failureDomain: northA,
+  slots: 64,
+  isLeaving: false,
+  leavesInMilliseconds: undefined,
+  coldMilliseconds: 0,
+  startedAt: 1,
+  ...changes
+})
+
+export const route = (changes: Partial<Route> = {}): Route => ({
+  name: toRouteName('r'),
+  host: 'h.example',
+  pathPrefix: '/r/',
+  kind: 'stream',
+  isResumable: false,
+  timeoutMilliseconds: 6_000,
+  objectiveMilliseconds: 800,
+  priority: 1,
+  targets: [{ service: engine, weight: 1 }],
+  maximumAttempts: 1,
+  isPublic: false,
+  homes: [],
+  ...changes
+})
+
+export const team = (changes: Partial<ServedTeam> = {}): ServedTeam => ({
+  id: toTeamId('bindery'), keys: ['key-1'], priority: undefined, countsTokens: true, plainTokens: 200, ratePerSecond: 1_000, burst: 1_000, homes: [], ...changes
+})
+
+export const head = (changes: Partial<RequestHead> = {}): RequestHead => ({
+  attempt: 'a1' as AttemptId,
+  method: 'POST',
+  host: 'h.example',
+  path: '/r/1',
+  key: 'key-1',
+  deadlineMilliseconds: 6_000,
+  tokens: undefined,
+  parts: [],
+  headers: [],
+  ...changes
+})
+
+export const admitted = (changes: Partial<AdmittedRequest> = {}): AdmittedRequest => ({
+  head: head(),
+  attempt: 'a1' as AttemptId,
+  route: route(),
+  service: engine,
+  team: undefined,
+  priority: 1,
+  regions: undefined,
+  isRepeatable: false,
+  charge: 0,
+  configurationVersion: 1,
+  ...changes
+})
+
+export const part = (id: string, tokens: number): { id: PromptPartId, tokens: number } => ({ id: id as PromptPartId, tokens })
