--- /dev/null
+++ b/packages/gateway/src/crashWatch.test.ts
@@ -0,0 +1,65 @@
+import { SeededRandom, toFailureDomainId, toIncarnationId, toRegionId, toTeamId, toUpstreamId, toVmId } from '@cuminvale/common'
+import { afterEach, beforeEach, describe, expect, it, vi } from 'vitest'
+import { CrashWatch } from './crashWatch.js'
+import { service, testRoute, testTeam } from './testSupport.js'
+import type { AdmittedRequest, AnnouncedUpstream, AttemptId } from '@cuminvale/serving'
+
+beforeEach(() => { vi.useFakeTimers() })
+afterEach(() => { vi.useRealTimers() })
+
+const clock = { monotonic: () => performance.now(), wall: () => Date.now() }
+const upstream = (name: string): AnnouncedUpstream => ({
+  id: toUpstreamId(name), service, host: '127.0.0.1', port: 1, failureDomain: toFailureDomainId('d'), slots: 6, isLeaving: false, leavesInMilliseconds: undefined, coldMilliseconds: 0, startedAt: 1
+})
+const request: AdmittedRequest = {
+  head: { attempt: 'a' as AttemptId, method: 'POST', host: 'h', path: '/orders/1', key: undefined, deadlineMilliseconds: undefined, tokens: undefined, parts: [], headers: [] },
+  attempt: 'a' as AttemptId,
+  route: testRoute(),
+  service,
+  team: undefined,
+  priority: 0,
+  regions: undefined,
+  isRepeatable: true,
+  charge: 0,
+  configurationVersion: 1
+}
+const peer = { vm: toVmId('peer'), incarnation: toIncarnationId('i'), region: toRegionId('r'), failureDomain: toFailureDomainId('d') }
+const killer = Buffer.from('killer')
+const bystander = Buffer.from('bystander')
+
+const watch = (isReachable: boolean): CrashWatch => new CrashWatch({
+  clock, random: new SeededRandom(1), peers: () => [toVmId('peer')], probe: async () => await Promise.resolve(isReachable), onDeath: () => { /* not looked at */ }
+})
+
+const breakOn = async (held: CrashWatch, name: string, bodies: readonly Buffer[]): Promise<void> => {
+  for (const body of bodies) held.broke(request, body, upstream(name))
+  await vi.advanceTimersByTimeAsync(4_000)
+}
+
+describe('CrashWatch', () => {
+  it('refuses a request after it has crashed upstreams, and not the one beside it', async () => {
+    const held = watch(false)
+    await breakOn(held, 'u1', [killer, bystander])
+    expect(held.refusalOf(request, killer)).toBeUndefined()
+    await breakOn(held, 'u2', [killer])
+    expect(held.refusalOf(request, killer)?.reason).toBe('crash-suspect')
+    expect(held.refusalOf(request, bystander)).toBeUndefined()
+  })
+
+  it('blames nobody for a connection that was merely reset', async () => {
+    const held = watch(true)
+    for (const name of ['u1', 'u2', 'u3']) await breakOn(held, name, [killer])
+    expect(held.refusalOf(request, killer)).toBeUndefined()
+  })
+
+  it('learns from another VM', async () => {
+    const first = watch(false)
+    const second = watch(false)
+    for (const name of ['u1', 'u2']) await breakOn(first, name, [killer])
+    for (const { message } of first.spread.tick()) {
+      if (message.kind === 'suspicion.report') second.spread.receive(peer, message)
+    }
+    expect(second.refusalOf(request, killer)?.reason).toBe('crash-suspect')
+    expect(second.refusalOf({ ...request, team: testTeam({ id: toTeamId('other') }) }, killer)).toBeUndefined()
+  })
+})
--- /dev/null
+++ b/packages/gateway/src/crashWatch.ts
@@ -0,0 +1,96 @@
+/**
+ * Finds requests that crash the upstreams that run them. A connection that
+ * breaks under a request proves nothing by itself; when the upstream then
+ * takes no new connection, the requests that broke there are blamed for its
+ * death, and the other VMs are told.
+ */
+
+import { connect } from 'node:net'
+import { RefusalReason, refuse, toTeamId } from '@cuminvale/common'
+import { CrashSuspects, SuspicionKind, SuspicionSpread, digestRequest } from '@cuminvale/routing'
+import type { Clock, Random, Refusal, TeamId, UpstreamId, VmId } from '@cuminvale/common'
+import type { RequestDigest } from '@cuminvale/routing'
+import type { AdmittedRequest, AnnouncedUpstream } from '@cuminvale/serving'
+
+export interface CrashWatchOptions {
+  readonly clock: Clock
+  readonly random: Random
+  readonly peers: () => readonly VmId[]
+  /** Whether the upstream takes a connection; asked once after a break. */
+  readonly probe: (upstream: AnnouncedUpstream) => Promise<boolean>
+  readonly onDeath: (upstream: UpstreamId, requests: number) => void
+}
+
+interface BrokenRequest {
+  readonly digest: RequestDigest
+  readonly team: TeamId
+}
+
+const suspectCapacity = 1_000
+/** A crashed upstream refuses connections at once; a busy one may take a moment to accept. */
+const probeDelayMilliseconds = 60
+const probeTimeoutMilliseconds = 400
+const noBody = Buffer.alloc(0)
+
+export const probeUpstream = async ({ host, port }: AnnouncedUpstream): Promise<boolean> => await new Promise((resolve) => {
+  const socket = connect({ host, port, timeout: probeTimeoutMilliseconds })
+  const settle = (isReachable: boolean): void => {
+    socket.destroy()
+    resolve(isReachable)
+  }
+  socket.once('connect', () => settle(true))
+  socket.once('timeout', () => settle(false))
+  socket.once('error', () => settle(false))
+})
+
+export class CrashWatch {
+  readonly spread: SuspicionSpread
+  private readonly suspects: CrashSuspects
+  private readonly broken = new Map<UpstreamId, BrokenRequest[]>()
+
+  constructor (private readonly options: CrashWatchOptions) {
+    const { clock, random, peers } = options
+    this.suspects = new CrashSuspects({ clock, capacity: suspectCapacity })
+    this.spread = new SuspicionSpread({ clock, random, suspects: this.suspects, peers })
+  }
+
+  /** Refuses a request that has crashed upstreams before. */
+  refusalOf (request: AdmittedRequest, body: Buffer | null): Refusal | undefined {
+    if (this.suspects.isEmpty) return undefined
+    const suspicion = this.suspects.suspicionOf(digestOf(request, body))
+    if (suspicion.kind !== SuspicionKind.Convicted) return undefined
+    return refuse(RefusalReason.CrashSuspect, 'upstreams that ran this request crashed', { retryAfterMilliseconds: suspicion.remainingMilliseconds })
+  }
+
+  /** Notes that the connection broke under a request. */
+  broke (request: AdmittedRequest, body: Buffer | null, upstream: AnnouncedUpstream): void {
+    const entry = { digest: digestOf(request, body), team: teamOf(request) }
+    const held = this.broken.get(upstream.id)
+    if (held !== undefined) {
+      held.push(entry)
+      return
+    }
+    this.broken.set(upstream.id, [entry])
+    setTimeout(() => {
+      this.options.probe(upstream).then((isReachable) => this.settle(upstream.id, !isReachable), () => this.settle(upstream.id, true))
+    }, probeDelayMilliseconds)
+  }
+
+  /** Clears a request that an upstream has run to its end. */
+  survived (request: AdmittedRequest, body: Buffer | null): void {
+    if (!this.suspects.isEmpty) this.suspects.survived(digestOf(request, body))
+  }
+
+  private settle (upstream: UpstreamId, isDead: boolean): void {
+    const requests = this.broken.get(upstream) ?? []
+    this.broken.delete(upstream)
+    if (!isDead) return
+    this.options.onDeath(upstream, requests.length)
+    for (const { digest, team } of requests) this.suspects.died(digest, team, upstream)
+  }
+}
+
+const teamOf = ({ team }: AdmittedRequest): TeamId => team?.id ?? toTeamId('')
+
+const digestOf = (request: AdmittedRequest, body: Buffer | null): RequestDigest =>
+  digestRequest({ team: teamOf(request), route: request.route.name, body: body ?? noBody })
--- a/packages/gateway/src/execution.ts
+++ b/packages/gateway/src/execution.ts
@@ -100,7 +100,10 @@
   }
 
   start (): void {
-    this.options.state.retries.started(this.request.service)
+    const { state, body, mayForward } = this.options
+    if (mayForward) state.retries.started(this.request.service)
+    const refusal = state.crashes.refusalOf(this.request, body)
+    if (refusal !== undefined) return this.refuse(refusal)
     this.place()
   }
 
@@ -165,6 +168,7 @@
     if (rest !== undefined) this.options.sink.data(rest)
     this.options.sink.end()
     this.outcome = 'answered'
+    this.options.state.crashes.survived(this.request, this.options.body)
     this.over(false)
   }
 
@@ -324,7 +328,10 @@
   private abandon (attempt: LocalAttempt | ForwardAttempt, detail: string): void {
     attempt.call.abort()
     this.mayHaveRun = true
-    if (attempt.kind === 'local') attempt.belief.failed()
+    if (attempt.kind === 'local') {
+      attempt.belief.failed()
+      this.options.state.crashes.broke(this.request, this.options.body, attempt.belief.announced)
+    }
     if (this.request.isRepeatable && this.tryAgain(attempt, { detail, isAnswered: false })) return
     this.settle(attempt)
     this.detail = detail
--- a/packages/gateway/src/linkMessages.ts
+++ b/packages/gateway/src/linkMessages.ts
@@ -3,6 +3,7 @@
  */
 
 import type { TeamId, UpstreamId } from '@cuminvale/common'
+import type { SuspicionMessage } from '@cuminvale/messages'
 import type { PeerIdentity, PromptPartId, ServiceName } from '@cuminvale/serving'
 
 export interface HelloMessage {
@@ -43,4 +44,4 @@
   readonly records: ReadonlyArray<readonly [string, string, number]>
 }
 
-export type LinkMessage = HelloMessage | HeartbeatMessage | LeavingMessage | RecordsRequestMessage | RecordsMessage
+export type LinkMessage = SuspicionMessage | HelloMessage | HeartbeatMessage | LeavingMessage | RecordsRequestMessage | RecordsMessage
--- a/packages/gateway/src/peerLinks.ts
+++ b/packages/gateway/src/peerLinks.ts
@@ -14,6 +14,9 @@
 
 export const linkPath = '/link'
 
+/** Heartbeats between two reports of requests that crash upstreams. */
+const suspicionEvery = 5
+
 interface OutgoingLink {
   readonly address: string
   socket: WebSocket | undefined
@@ -73,11 +76,21 @@
       link.socket?.terminate()
       this.outgoing.delete(address)
     }
+    if (this.beats % suspicionEvery === 0) this.tellSuspicions()
     for (const peer of state.peers.known) {
       if (state.peers.isSilent(peer.linkAddress)) state.forgetLoads(peer.vm)
     }
   }
 
+  private tellSuspicions (): void {
+    const { state } = this.options
+    for (const { to, message } of state.crashes.spread.tick()) {
+      const peer = state.peers.known.find(({ vm }) => vm === to)
+      const link = peer === undefined ? undefined : this.outgoing.get(peer.linkAddress)
+      if (link !== undefined) this.send(link, pack(message))
+    }
+  }
+
   /** Tells every VM that this one stops. */
   leave (): void {
     const message = pack({ kind: 'leaving' } satisfies LinkMessage)
@@ -208,6 +221,9 @@
           state.forgetLoads(sender.vm)
         }
         return sender
+      case 'suspicion.report':
+        if (sender !== undefined) state.crashes.spread.receive(sender, message)
+        return sender
       case 'records-request':
         socket.send(pack({
           kind: 'records', at: state.records.at, records: [...state.records.all].map(({ key, value, revision }) => [key, value, revision] as const)
--- a/packages/gateway/src/servingState.ts
+++ b/packages/gateway/src/servingState.ts
@@ -4,6 +4,7 @@
  */
 
 import { PeerTable, PlacementChooser, PublishedRecords, RegionForecasts, RetryAllowance, ServingConfiguration, SharedRate, UpstreamBoard, predictWait } from '@cuminvale/serving'
+import { CrashWatch, probeUpstream } from './crashWatch.js'
 import { ForwardPools } from './forwardPools.js'
 import { UpstreamConnections } from './upstreamConnections.js'
 import { farRoundTripMilliseconds } from './constants.js'
@@ -44,6 +45,7 @@
   readonly rate: SharedRate
   readonly peers: PeerTable
   readonly connections: UpstreamConnections
+  readonly crashes: CrashWatch
   readonly forwardPools = new ForwardPools()
   readonly executions = new Set<Execution>()
   configuration: ServingConfiguration | undefined
@@ -71,6 +73,13 @@
       clock, ratio: bounds.retryRatio, margin: bounds.retryMargin, windowSeconds: bounds.retryWindowSeconds, vmCount: () => this.peers.count + spareVms
     })
     this.connections = new UpstreamConnections({ clock, onOpened: () => options.metrics.connections.inc() })
+    this.crashes = new CrashWatch({
+      clock,
+      random,
+      peers: () => this.peers.heardPeers({ readyOnly: false }).map(({ vm }) => vm),
+      probe: probeUpstream,
+      onDeath: (upstream, requests) => options.log.warn('upstream-died', { upstream, requests })
+    })
     this.placement = new PlacementChooser({
       clock,
       random,
--- a/packages/placement/src/index.ts
+++ /dev/null
@@ -1,2 +0,0 @@
-export * from './types.js'
-export * from './staticPlanner.js'
--- a/packages/repository/src/packageLayers.ts
+++ b/packages/repository/src/packageLayers.ts
@@ -6,7 +6,7 @@
   ['repository', 'common'],
   ['documents'],
   ['messages'],
-  ['keys', 'orders', 'configuration', 'limits', 'entries', 'admission', 'routing', 'membership', 'placement', 'metering'],
+  ['keys', 'orders', 'configuration', 'limits', 'entries', 'admission', 'routing', 'membership', 'metering'],
   ['serving', 'logs'],
   ['services', 'simulation', 'gateway'],
   ['fakes', 'caller'],
