Take a reset for no end of an answer, and never join two answers to a safe request

Change: connections remember a reset or an early close, and a call that saw one has failed; a safe answer up to 64 KB is kept until it is whole, so that it can be asked for again, and nothing is repeated once a head was passed on, except a stream that can resume. The tests fail without the change.

--- a/packages/gateway/src/execution.test.ts
+++ b/packages/gateway/src/execution.test.ts
@@ -1,5 +1,6 @@
 import { afterEach, describe, expect, it } from 'vitest'
 import { callGateway, sealedHead, startTestGateway, startUpstream, testDocument, testHeaders, testRoute } from './testSupport.js'
+import type { Socket } from 'node:net'
 import type { ServingDocument } from '@cuminvale/serving'
 import type { ScriptedUpstream, TestGateway, UpstreamScript } from './testSupport.js'
 
@@ -82,6 +83,26 @@
     expect((await call()).isWhole).toBe(false)
   })
 
+  it.each([
+    ['a reset ends an answer without a length', '', (socket: Socket) => socket.resetAndDestroy()],
+    ['a close cuts a chunked answer', 'transfer-encoding: chunked\r\n', (socket: Socket) => socket.end()]
+  ])('does not look whole when %s', async (_case, framing, finish) => {
+    await start(testDocument([order]), ({ socket, headers }) => {
+      const text = framing === '' ? 'half' : '4\r\nhalf\r\n'
+      socket.write(`HTTP/1.1 200 OK\r\n${testHeaders.attempt}: ${String(headers[testHeaders.attempt])}\r\n${testHeaders.seal}: s1\r\nconnection: close\r\n${framing}\r\n${text}`)
+      setTimeout(() => finish(socket), 20)
+    })
+    const answer = await call()
+    expect(answer.isWhole && answer.status === 200).toBe(false)
+  })
+
+  it('is whole when a close ends an answer without a length', async () => {
+    await start(testDocument([order]), ({ socket, headers }) => {
+      socket.end(`HTTP/1.1 200 OK\r\n${testHeaders.attempt}: ${String(headers[testHeaders.attempt])}\r\n${testHeaders.seal}: s1\r\nconnection: close\r\n\r\nall of it`)
+    })
+    expect(await call()).toMatchObject({ status: 200, isWhole: true, body: 'all of it' })
+  })
+
   it('goes to another upstream when no connection could be made', async () => {
     const upstreams = await start(testDocument([order]), answers, answers)
     const [dead, alive] = upstreams
@@ -100,6 +121,19 @@
     expect(upstreams[0]?.seen.length).toBeGreaterThan(0)
   })
 
+  it('is never put together from two answers when the first breaks off in its body', async () => {
+    const half: UpstreamScript = (request, response) => {
+      response.writeHead(200, { ...sealedHead(request), 'content-length': '100', 'x-of': 'half' })
+      response.write('half')
+      setTimeout(() => response.destroy(), 20)
+    }
+    await start(testDocument([safe]), half, answers)
+    for (let attempt = 0; attempt < 6; attempt += 1) {
+      const answer = await call({ attempt: `a${attempt}` })
+      expect([answer.status, answer.body, answer.isWhole, answer.headers['x-of']]).toEqual([200, 'done', true, undefined])
+    }
+  })
+
   it('is sent to no more upstreams than its route allows, and the last failure is passed on whole', async () => {
     const upstreams = await start(testDocument([safe]), fails, fails, fails)
     const answer = await call()
--- a/packages/gateway/src/execution.ts
+++ b/packages/gateway/src/execution.ts
@@ -46,6 +46,17 @@
   readonly onOver: (execution: Execution) => void
 }
 
+/** A safe answer that has not been passed on yet. */
+interface HeldAnswer {
+  readonly status: number
+  readonly headers: readonly string[]
+  readonly chunks: Buffer[]
+  bytes: number
+}
+
+/** Longer answers are passed on as they come. */
+const mostHeldBytes = 65_536
+
 interface LocalAttempt {
   readonly kind: 'local'
   readonly call: UpstreamCall
@@ -78,6 +89,7 @@
   target = ''
   firstAnswerAt: number | undefined
   expectedMilliseconds = 0
+  private held: HeldAnswer | undefined
   private attempt: LocalAttempt | ForwardAttempt | undefined
   private attemptsLeft: number
   private unsentTries = 0
@@ -158,12 +170,14 @@
     this.lastDataAt = this.now
     const { attempt } = this
     if (attempt?.kind === 'local') attempt.belief.lastAnswerAt = this.lastDataAt
+    if (this.held !== undefined) return this.hold(this.held, chunk)
     if (this.cutter === undefined || !isSuccess(this.status)) return this.options.sink.data(chunk)
     const whole = this.cutter.push(chunk)
     return whole === undefined || this.options.sink.data(whole)
   }
 
   onEnd (): void {
+    this.passHeld()
     const rest = this.cutter?.rest()
     if (rest !== undefined) this.options.sink.data(rest)
     this.options.sink.end()
@@ -281,6 +295,10 @@
 
   private passHead (status: number, headers: readonly string[]): void {
     this.firstAnswerAt ??= this.now
+    if (this.request.route.kind === RequestKind.Safe) {
+      this.held = { status, headers, chunks: [], bytes: 0 }
+      return
+    }
     if (this.headSent) {
       // The caller has the first run's head already; only a successful run can go on in its body.
       if (!isSuccess(status)) {
@@ -291,11 +309,31 @@
       }
       return
     }
+    this.sendHead(status, headers)
+  }
+
+  private sendHead (status: number, headers: readonly string[]): void {
     this.headSent = true
     this.status = status
     this.options.sink.head(status, headers)
   }
 
+  /** Keeps a short answer back until it is whole, so that a broken one can be asked for again. */
+  private hold (held: HeldAnswer, chunk: Buffer): boolean {
+    held.chunks.push(chunk)
+    held.bytes += chunk.length
+    if (held.bytes > mostHeldBytes) this.passHeld()
+    return true
+  }
+
+  private passHeld (): void {
+    const { held } = this
+    if (held === undefined) return
+    this.held = undefined
+    this.sendHead(held.status, held.headers)
+    for (const chunk of held.chunks) this.options.sink.data(chunk)
+  }
+
   private notRun (attempt: LocalAttempt, status: number): void {
     attempt.belief.failed(status === misdirectedStatus ? 0 : declinedWeight)
     // The rest of the declined answer is nobody's; its connection stays good.
@@ -347,6 +385,7 @@
   /** Sends a repeatable request once more; false where nothing allows it. */
   private tryAgain (attempt: LocalAttempt | ForwardAttempt, { detail, isAnswered }: { detail: string, isAnswered: boolean }): boolean {
     const { state } = this.options
+    if (this.headSent && this.cutter === undefined) return false
     if (this.attemptsLeft <= 0 || this.options.deadlineAt - this.now < leastRetryMilliseconds || !state.retries.take(this.request.service)) return false
     if (isAnswered) attempt.call.ignore()
     else attempt.call.abort()
@@ -358,6 +397,7 @@
       this.attemptsLeft -= 1
     }
     this.mayHaveRun = true
+    this.held = undefined
     this.cutter?.dropPartial()
     this.place()
     return true
--- a/packages/gateway/src/upstreamCall.ts
+++ b/packages/gateway/src/upstreamCall.ts
@@ -25,6 +25,7 @@
   private controller: Dispatcher.DispatchController | undefined
   private isOver = false
   private isIgnored = false
+  private isChunked = false
 
   constructor (
     private readonly connections: UpstreamConnections,
@@ -59,6 +60,7 @@
   }
 
   onResponseStart (_controller: Dispatcher.DispatchController, status: number, headers: Readonly<Record<string, string | string[] | undefined>>): void {
+    this.isChunked = headers['transfer-encoding'] !== undefined
     if (!this.isOver && !this.isIgnored && status >= 200) this.listener.onHead(status, headers)
   }
 
@@ -68,17 +70,20 @@
 
   onResponseEnd (): void {
     if (this.isOver) return
+    const { wasReset, wasEnded } = this.connection
+    if (wasReset || (wasEnded && this.isChunked)) return this.fail(CallFailureKind.Broken, 'the connection ended before the answer did')
     this.isOver = true
     this.connections.release(this.connection)
     if (!this.isIgnored) this.listener.onEnd()
   }
 
   onResponseError (_controller: Dispatcher.DispatchController, error: Error): void {
-    if (this.isOver) return
+    if (!this.isOver) this.fail(this.controller === undefined ? CallFailureKind.NotSent : CallFailureKind.Broken, error.message)
+  }
+
+  private fail (kind: CallFailureKind, detail: string): void {
     this.isOver = true
     this.connections.drop(this.connection)
-    if (this.isIgnored) return
-    const kind = this.controller === undefined ? CallFailureKind.NotSent : CallFailureKind.Broken
-    this.listener.onFailure(new CallFailure(kind, error.message))
+    if (!this.isIgnored) this.listener.onFailure(new CallFailure(kind, detail))
   }
 }
--- a/packages/gateway/src/upstreamConnections.ts
+++ b/packages/gateway/src/upstreamConnections.ts
@@ -4,7 +4,7 @@
  * the next request.
  */
 
-import { Client } from 'undici'
+import { Client, buildConnector } from 'undici'
 import { orderIdleMilliseconds, upstreamConnectMilliseconds, upstreamIdleMilliseconds } from './constants.js'
 import type { Clock, UpstreamId } from '@cuminvale/common'
 import type { AnnouncedUpstream } from '@cuminvale/serving'
@@ -13,6 +13,10 @@
   readonly client: Client
   readonly upstream: UpstreamId
   idleSince: number
+  /** Whether the socket failed; undici takes a reset for the end of an answer that has no length. */
+  wasReset: boolean
+  /** Whether the upstream closed its side; undici takes that for the end of a chunked answer, too. */
+  wasEnded: boolean
 }
 
 export interface UpstreamConnectionsOptions {
@@ -20,6 +24,8 @@
   readonly onOpened: () => void
 }
 
+const connector = buildConnector({ timeout: upstreamConnectMilliseconds })
+
 export class UpstreamConnections {
   private readonly idle = new Map<UpstreamId, UpstreamConnection[]>()
 
@@ -70,14 +76,21 @@
   }
 
   private open (upstream: AnnouncedUpstream): UpstreamConnection {
+    const connection = { upstream: upstream.id, idleSince: 0, wasReset: false, wasEnded: false }
     const client = new Client(`http://${upstream.host}:${upstream.port}`, {
       pipelining: 1,
       headersTimeout: 0,
       bodyTimeout: 0,
       keepAliveTimeout: upstreamIdleMilliseconds + 1_000,
-      connect: { timeout: upstreamConnectMilliseconds }
+      connect: (options, callback) => connector(options, (error, socket) => {
+        if (error !== null) return callback(error, null)
+        connection.wasReset = connection.wasEnded = false
+        socket.on('error', () => { connection.wasReset = true })
+        socket.on('end', () => { connection.wasEnded = true })
+        callback(null, socket)
+      })
     })
     client.on('connect', this.options.onOpened)
-    return { client, upstream: upstream.id, idleSince: 0 }
+    return Object.assign(connection, { client })
   }
 }
