Start what will be on time and refuse the rest at once, and start the process faster

After a restart 40 requests whose homes are elsewhere were refused within 100 ms, before the first word of another VM. A start cost 0.36 s of processor time, of which bare Node takes 0.12. Ruled out: wrong predictions. Expected and seen times to the first answer agree within some 20 ms at the median in calm and burst. Change: a request that would be late is started only where the wait is below 0.4 of its objective; what a caller has waited before is read from its remaining time; refusals spread their returns. A VM in its first 1.5 s lets requests that need another VM wait up to 0.3 s.

--- a/packages/gateway/src/callerServer.ts
+++ b/packages/gateway/src/callerServer.ts
@@ -153,6 +153,7 @@
       request,
       body,
       deadlineAt: receivedAt + Math.min(head.deadlineMilliseconds ?? Infinity, route.timeoutMilliseconds),
+      onTimeUntil: receivedAt + route.objectiveMilliseconds - state.ages.waited(route.name, head.deadlineMilliseconds),
       mayForward: true,
       attemptsLeft: route.maximumAttempts,
       sink,
--- a/packages/gateway/src/constants.ts
+++ b/packages/gateway/src/constants.ts
@@ -56,3 +56,7 @@
 export const leavingReserveMilliseconds = 800
 /** Difference between the clocks' steps that shows a suspended machine; far above a busy event loop's. */
 export const suspensionMilliseconds = 1_000
+/** After its start a VM hears of the others; links are made within two round trips between regions. */
+export const settlingMilliseconds = 1_500
+/** Longest that a request waits for the first word of other VMs. */
+export const settlingWaitMilliseconds = 300
--- a/packages/gateway/src/execution.ts
+++ b/packages/gateway/src/execution.ts
@@ -10,11 +10,13 @@
 import { EventCutter } from './eventCutter.js'
 import { FailureKind } from './answerSink.js'
 import { ForwardCall } from './forwardCall.js'
+import { HeldAnswer } from './heldAnswer.js'
 import { UpstreamCall } from './upstreamCall.js'
-import { maximumUnsentTries, upstreamSilentMilliseconds } from './constants.js'
+import { maximumUnsentTries, settlingWaitMilliseconds, upstreamSilentMilliseconds } from './constants.js'
 import type { Refusal, RegionId, UpstreamId } from '@cuminvale/common'
-import type { AdmittedRequest, Placement, UpstreamBelief } from '@cuminvale/serving'
+import type { AdmittedRequest, Placement } from '@cuminvale/serving'
 import type { AnswerSink } from './answerSink.js'
+import type { Attempt, ForwardAttempt, LocalAttempt } from './attempts.js'
 import type { CallFailure } from './errors.js'
 import type { ForwardListener } from './forwardCall.js'
 import type { CallListener } from './upstreamCall.js'
@@ -37,6 +39,8 @@
   readonly body: Buffer | null
   /** Monotonic time at which it is given up. */
   readonly deadlineAt: number
+  /** Monotonic time at which its first answer would be late. */
+  readonly onTimeUntil: number
   readonly mayForward: boolean
   /** Upstreams that may be sent it. */
   readonly attemptsLeft: number
@@ -46,40 +50,6 @@
   readonly onOver: (execution: Execution) => void
 }
 
-/** A safe answer that has not been passed on yet. */
-interface HeldAnswer {
-  readonly status: number
-  readonly headers: readonly string[]
-  readonly chunks: Buffer[]
-  bytes: number
-}
-
-/** Longer answers are passed on as they come. */
-const mostHeldBytes = 65_536
-
-interface LocalAttempt {
-  readonly kind: 'local'
-  readonly call: UpstreamCall
-  readonly belief: UpstreamBelief
-  readonly predictedMilliseconds: number
-  readonly sentAt: number
-  pendingTokens: number
-  isAnswered: boolean
-  /** Silent, but nothing allows another send. */
-  isLeftWaiting: boolean
-}
-
-interface ForwardAttempt {
-  readonly kind: 'forward'
-  readonly call: ForwardCall
-  readonly region: RegionId
-  readonly workMilliseconds: number
-  readonly sentAt: number
-  isAnswered: boolean
-  /** Silent, but nothing allows another send. */
-  isLeftWaiting: boolean
-}
-
 export class Execution implements CallListener, ForwardListener {
   /** For the log: how the request ended, and why. */
   outcome = 'under-way'
@@ -90,7 +60,8 @@
   firstAnswerAt: number | undefined
   expectedMilliseconds = 0
   private held: HeldAnswer | undefined
-  private attempt: LocalAttempt | ForwardAttempt | undefined
+  private parkedUntil: number | undefined
+  private attempt: Attempt | undefined
   private attemptsLeft: number
   private unsentTries = 0
   private mayHaveRun = false
@@ -136,6 +107,7 @@
     if (this.isOver) return
     if (now >= this.options.deadlineAt) return this.giveUp()
     const { attempt } = this
+    if (attempt === undefined && this.parkedUntil !== undefined) return this.place()
     if (attempt === undefined || !this.request.isRepeatable) return
     if (attempt.kind === 'forward') {
       if (attempt.call.isSilent(now)) this.moveOn(attempt, 'the VM it was forwarded to is silent')
@@ -170,7 +142,11 @@
     this.lastDataAt = this.now
     const { attempt } = this
     if (attempt?.kind === 'local') attempt.belief.lastAnswerAt = this.lastDataAt
-    if (this.held !== undefined) return this.hold(this.held, chunk)
+    if (this.held !== undefined) {
+      this.held.push(chunk)
+      if (this.held.isOverlong) this.passHeld()
+      return true
+    }
     if (this.cutter === undefined || !isSuccess(this.status)) return this.options.sink.data(chunk)
     const whole = this.cutter.push(chunk)
     return whole === undefined || this.options.sink.data(whole)
@@ -228,16 +204,30 @@
   }
 
   private place (lastRefusal?: Refusal): void {
-    const { state, request, deadlineAt, mayForward } = this.options
-    const remainingMilliseconds = deadlineAt - this.now
+    const { state, request, deadlineAt, onTimeUntil, mayForward } = this.options
+    const { now } = this
     const placement = state.placement.choose({
-      request, remainingMilliseconds, mayForward, excluded: this.excluded, excludedRegions: this.excludedRegions
+      request,
+      remainingMilliseconds: deadlineAt - now,
+      onTimeMilliseconds: onTimeUntil - now,
+      mayForward,
+      excluded: this.excluded,
+      excludedRegions: this.excludedRegions
     })
     if (placement.kind === PlacementKind.Run) return this.sendTo(placement)
     if (placement.kind === PlacementKind.Forward) return this.forwardTo(placement)
+    if (lastRefusal === undefined && this.mayPark(now)) return
     this.refuseOrFail(lastRefusal ?? refuse(RefusalReason.NoUpstream, placement.reason, { retryAfterMilliseconds: placement.retryAfterMilliseconds }))
   }
 
+  /** A VM that has just started hears of the others within moments; what needs them waits for that. */
+  private mayPark (now: number): boolean {
+    const { state, mayForward } = this.options
+    if (!mayForward || !state.isSettling) return false
+    this.parkedUntil ??= now + settlingWaitMilliseconds
+    return now < this.parkedUntil
+  }
+
   private sendTo ({ belief, prediction }: Extract<Placement, { kind: 'run' }>): void {
     const { state, request, body, deadlineAt } = this.options
     const { announced } = belief
@@ -285,7 +275,7 @@
     this.expectedMilliseconds = Math.round(milliseconds)
     state.forecasts.forwarded(region, request.service, workMilliseconds)
     state.notePartsAway(region, request.head.parts)
-    call.send({ request, body, remainingMilliseconds: deadlineAt - this.now, attemptsLeft: this.attemptsLeft, resumeAfter: this.resumeAfter })
+    call.send({ request, body, remainingMilliseconds: deadlineAt - this.now, onTimeMilliseconds: this.options.onTimeUntil - this.now, attemptsLeft: this.attemptsLeft, resumeAfter: this.resumeAfter })
   }
 
   /** What the next send has to go on from. */
@@ -296,7 +286,7 @@
   private passHead (status: number, headers: readonly string[]): void {
     this.firstAnswerAt ??= this.now
     if (this.request.route.kind === RequestKind.Safe) {
-      this.held = { status, headers, chunks: [], bytes: 0 }
+      this.held = new HeldAnswer(status, headers)
       return
     }
     if (this.headSent) {
@@ -318,20 +308,12 @@
     this.options.sink.head(status, headers)
   }
 
-  /** Keeps a short answer back until it is whole, so that a broken one can be asked for again. */
-  private hold (held: HeldAnswer, chunk: Buffer): boolean {
-    held.chunks.push(chunk)
-    held.bytes += chunk.length
-    if (held.bytes > mostHeldBytes) this.passHeld()
-    return true
-  }
-
   private passHeld (): void {
     const { held } = this
     if (held === undefined) return
     this.held = undefined
     this.sendHead(held.status, held.headers)
-    for (const chunk of held.chunks) this.options.sink.data(chunk)
+    held.passBody(this.options.sink)
   }
 
   private notRun (attempt: LocalAttempt, status: number): void {
@@ -347,7 +329,7 @@
     this.place(refusal)
   }
 
-  private notSent (attempt: LocalAttempt | ForwardAttempt, detail: string): void {
+  private notSent (attempt: Attempt, detail: string): void {
     this.settle(attempt)
     this.detail = detail
     if (attempt.kind === 'local') {
@@ -363,7 +345,7 @@
   }
 
   /** Leaves an attempt that went wrong after it was sent. */
-  private abandon (attempt: LocalAttempt | ForwardAttempt, detail: string): void {
+  private abandon (attempt: Attempt, detail: string): void {
     attempt.call.abort()
     this.mayHaveRun = true
     if (attempt.kind === 'local') {
@@ -376,14 +358,14 @@
     this.failNow(FailureKind.UpstreamBroke)
   }
 
-  private moveOn (attempt: LocalAttempt | ForwardAttempt, detail: string): void {
+  private moveOn (attempt: Attempt, detail: string): void {
     if (attempt.isLeftWaiting) return
     if (attempt.kind === 'local') attempt.belief.failed(silenceWeight)
     if (!this.tryAgain(attempt, { detail, isAnswered: false })) attempt.isLeftWaiting = true
   }
 
   /** Sends a repeatable request once more; false where nothing allows it. */
-  private tryAgain (attempt: LocalAttempt | ForwardAttempt, { detail, isAnswered }: { detail: string, isAnswered: boolean }): boolean {
+  private tryAgain (attempt: Attempt, { detail, isAnswered }: { detail: string, isAnswered: boolean }): boolean {
     const { state } = this.options
     if (this.headSent && this.cutter === undefined) return false
     if (this.attemptsLeft <= 0 || this.options.deadlineAt - this.now < leastRetryMilliseconds || !state.retries.take(this.request.service)) return false
@@ -460,7 +442,7 @@
   }
 
   /** Takes an attempt off the books. */
-  private settle (attempt: LocalAttempt | ForwardAttempt): void {
+  private settle (attempt: Attempt): void {
     if (this.attempt !== attempt) return
     this.attempt = undefined
     if (attempt.kind === 'forward') return this.noteForwardAnswer(attempt)
--- a/packages/gateway/src/forwardCall.ts
+++ b/packages/gateway/src/forwardCall.ts
@@ -34,6 +34,7 @@
   readonly request: AdmittedRequest
   readonly body: Buffer | null
   readonly remainingMilliseconds: number
+  readonly onTimeMilliseconds: number
   readonly attemptsLeft: number
   readonly resumeAfter: string | undefined
 }
@@ -48,13 +49,14 @@
 
   constructor (private readonly options: ForwardCallOptions) {}
 
-  send ({ request, body, remainingMilliseconds, attemptsLeft, resumeAfter }: ForwardOptions): void {
+  send ({ request, body, remainingMilliseconds, onTimeMilliseconds, attemptsLeft, resumeAfter }: ForwardOptions): void {
     this.sentAt = this.options.clock.monotonic()
     // The key stays with the VM that checked it.
     const head = { ...request.head, key: undefined }
     const envelope = {
       request: { ...request, head, team: request.team === undefined ? undefined : { ...request.team, keys: [] }, regions: request.regions === undefined ? undefined : [...request.regions] },
       remainingMilliseconds,
+      onTimeMilliseconds,
       attemptsLeft,
       resumeAfter
     }
--- a/packages/gateway/src/forwardFrames.ts
+++ b/packages/gateway/src/forwardFrames.ts
@@ -24,6 +24,7 @@
 export interface ForwardEnvelope {
   readonly request: Omit<AdmittedRequest, 'regions'> & { readonly regions: readonly string[] | undefined }
   readonly remainingMilliseconds: number
+  readonly onTimeMilliseconds: number
   readonly attemptsLeft: number
   readonly resumeAfter: string | undefined
 }
--- a/packages/gateway/src/forwardServer.ts
+++ b/packages/gateway/src/forwardServer.ts
@@ -74,6 +74,7 @@
       request,
       body,
       deadlineAt: receivedAt + envelope.remainingMilliseconds,
+      onTimeUntil: receivedAt + envelope.onTimeMilliseconds,
       mayForward: false,
       attemptsLeft: envelope.attemptsLeft,
       resumeAfter: envelope.resumeAfter,
--- a/packages/gateway/src/servingState.ts
+++ b/packages/gateway/src/servingState.ts
@@ -3,11 +3,11 @@
  * in step with the published records and with what other VMs report.
  */
 
-import { PeerTable, PlacementChooser, PublishedRecords, RegionForecasts, RetryAllowance, ServingConfiguration, SharedRate, UpstreamBoard, predictWait } from '@cuminvale/serving'
+import { AttemptAges, PeerTable, PlacementChooser, PublishedRecords, RegionForecasts, RetryAllowance, ServingConfiguration, SharedRate, UpstreamBoard, predictWait } from '@cuminvale/serving'
 import { CrashWatch, probeUpstream } from './crashWatch.js'
 import { ForwardPools } from './forwardPools.js'
 import { UpstreamConnections } from './upstreamConnections.js'
-import { farRoundTripMilliseconds } from './constants.js'
+import { farRoundTripMilliseconds, settlingMilliseconds } from './constants.js'
 import type { Clock, Random, RegionId, UpstreamId, VmId } from '@cuminvale/common'
 import type { Log } from '@cuminvale/logs'
 import type { OthersLoad, PeerIdentity, PromptPart, PromptPartId, ServiceForecast, ServiceName, ServiceShape, UpstreamBelief } from '@cuminvale/serving'
@@ -46,18 +46,21 @@
   readonly peers: PeerTable
   readonly connections: UpstreamConnections
   readonly crashes: CrashWatch
+  readonly ages = new AttemptAges()
   readonly forwardPools = new ForwardPools()
   readonly executions = new Set<Execution>()
   configuration: ServingConfiguration | undefined
   isLeaving = false
   private readonly othersLoads = new Map<VmId, ReadonlyMap<UpstreamId, OthersLoad>>()
   private readonly lostUpstreams = new Set<UpstreamId>()
+  private readonly startedAt: number
   private partsToTell = new Map<UpstreamId, Set<PromptPartId>>()
   private readonly partsToTellAway = new Set<PromptPartId>()
 
   constructor (private readonly options: ServingStateOptions) {
     const { settings, self, clock, random, decoder } = options
     this.settings = settings
+    this.startedAt = clock.monotonic()
     this.clock = clock
     this.random = random
     this.codec = options.codec
@@ -99,6 +102,11 @@
     return this.configuration !== undefined && !this.isLeaving
   }
 
+  /** Whether this VM has started a moment ago, and may not have heard of the others yet. */
+  get isSettling (): boolean {
+    return this.clock.monotonic() - this.startedAt < settlingMilliseconds
+  }
+
   /** Brings the beliefs in step with the published records. */
   adoptRecords (): void {
     const { decoder, log, metrics } = this.options
--- a/packages/logs/src/log.ts
+++ b/packages/logs/src/log.ts
@@ -4,8 +4,8 @@
  */
 
 import { write as writeFile, writeSync } from 'node:fs'
-import { createConsola } from 'consola'
-import type { ConsolaInstance, ConsolaOptions, LogObject } from 'consola'
+import { createConsola } from 'consola/core'
+import type { ConsolaInstance, ConsolaOptions, LogObject } from 'consola/core'
 import type { VmId } from '@cuminvale/common'
 import { LineBuffer } from './lineBuffer.js'
 
--- /dev/null
+++ b/packages/serving/src/attemptAges.ts
@@ -0,0 +1,21 @@
+/**
+ * How long a caller has waited before this attempt. Callers of a route wait
+ * equally long; one that asks again states what is left of it.
+ */
+
+import type { RouteName } from '@cuminvale/common'
+
+export class AttemptAges {
+  private readonly patience = new Map<RouteName, number>()
+
+  /** Milliseconds since the caller's first attempt, from the time that it still waits. */
+  waited (route: RouteName, deadlineMilliseconds: number | undefined): number {
+    if (deadlineMilliseconds === undefined) return 0
+    const longest = this.patience.get(route) ?? 0
+    if (deadlineMilliseconds >= longest) {
+      this.patience.set(route, deadlineMilliseconds)
+      return 0
+    }
+    return longest - deadlineMilliseconds
+  }
+}
--- a/packages/serving/src/placement.test.ts
+++ b/packages/serving/src/placement.test.ts
@@ -32,7 +32,7 @@
 })
 
 const query = (changes: Partial<PlacementQuery> = {}): PlacementQuery => ({
-  request: admitted(), remainingMilliseconds: 4_000, mayForward: true, excluded: new Set(), excludedRegions: new Set(), ...changes
+  request: admitted(), remainingMilliseconds: 4_000, onTimeMilliseconds: 800, mayForward: true, excluded: new Set(), excludedRegions: new Set(), ...changes
 })
 const targetOf = (placement: Placement): string =>
   placement.kind === 'run' ? placement.belief.announced.id : placement.kind === 'forward' ? `to ${placement.region}` : 'refused'
@@ -144,6 +144,46 @@
     expect(placement.kind === 'refuse' ? placement.retryAfterMilliseconds : 0).toBeGreaterThanOrEqual(100)
   })
 
+  it('answers a burst beyond all capacity by starting what will be on time, and refusing the rest at once', () => {
+    board.sync([announced('a')], new Set())
+    reachable = []
+    const request = admitted({ head: head({ tokens: { prompt: 400, output: 50 } }) })
+    let started = 0
+    let refused = 0
+    for (let count = 0; count < 400; count += 1) {
+      const placement = chooser.choose(query({ request, onTimeMilliseconds: 600 }))
+      if (placement.kind === 'run') {
+        expect(placement.prediction.milliseconds).toBeLessThanOrEqual(600)
+        placement.belief.ownInFlight += 1
+        placement.belief.ownPendingTokens += placement.prediction.unreadTokens
+        started += 1
+      } else {
+        refused += 1
+      }
+    }
+    expect(started).toBeGreaterThan(40)
+    expect(refused).toBeGreaterThan(200)
+  })
+
+  it('still starts a late request while little waits', () => {
+    board.sync([announced('a')], new Set())
+    reachable = []
+    expect(chooser.choose(query({ onTimeMilliseconds: -200 })).kind).toBe('run')
+    belief('a').ownPendingTokens = 30_000
+    expect(chooser.choose(query({ onTimeMilliseconds: -200 })).kind).toBe('refuse')
+  })
+
+  it('spreads the return of those that it refuses', () => {
+    board.sync([announced('a')], new Set())
+    reachable = []
+    belief('a').ownPendingTokens = 100_000
+    const times = Array.from({ length: 50 }, () => {
+      const placement = chooser.choose(query())
+      return placement.kind === 'refuse' ? placement.retryAfterMilliseconds : 0
+    })
+    expect(Math.max(...times)).toBeGreaterThan(Math.min(...times) * 1.5)
+  })
+
   it('sends nothing to an evacuated domain', () => {
     board.sync([announced('a')], new Set([northA]))
     reachable = []
--- a/packages/serving/src/placement.ts
+++ b/packages/serving/src/placement.ts
@@ -23,6 +23,8 @@
 export interface PlacementQuery {
   readonly request: AdmittedRequest
   readonly remainingMilliseconds: number
+  /** What is left of the route's objective, for this caller; negative where it is late already. */
+  readonly onTimeMilliseconds: number
   /** Whether the request may go to another region from here. */
   readonly mayForward: boolean
   readonly excluded: ReadonlySet<UpstreamId>
@@ -54,6 +56,7 @@
 interface AwayCandidate {
   readonly region: RegionId
   readonly milliseconds: number
+  readonly waitMilliseconds: number
   readonly workMilliseconds: number
   readonly cost: number
 }
@@ -62,6 +65,10 @@
 const awayMarginMilliseconds = 40
 /** Part of the remaining time that may pass before an upstream begins; later it would be late anyway. */
 const latestStartShare = 0.8
+/** Part of the objective that a request may wait although it will be late. */
+const lateWaitShare = 0.4
+/** The same for one that another VM chose to forward; sending it back costs it another round trip. */
+const forwardedWaitShare = 1
 /** Advantage of the upstream that rendezvous hashing names for a shared part that nobody is known to hold. */
 const homeAdvantageMilliseconds = 30
 /** Parts shorter than this are read faster than their placement is worth. */
@@ -70,7 +77,7 @@
 const rereadMilliseconds = 200
 /** A region of which nothing was heard yet is taken only where no other can serve. */
 const unknownWaitMilliseconds = 400
-const leastRetryAfterMilliseconds = 100
+const leastRetryAfterMilliseconds = 150
 const longestRetryAfterMilliseconds = 2_000
 
 export class PlacementChooser {
@@ -82,19 +89,38 @@
     const mayRunHere = request.regions?.has(region) ?? true
     const local = mayRunHere ? this.bestLocal(query) : undefined
     const away = query.mayForward ? this.bestAway(query) : undefined
-    const latest = query.remainingMilliseconds * latestStartShare
-    const isLocalTimely = local !== undefined && local.prediction.waitMilliseconds <= latest
+    const isLocalTaken = local !== undefined && this.isWorthStarting(query, local.prediction)
     const margin = awayMarginMilliseconds * (1 + random.next())
-    if (away !== undefined && away.milliseconds <= latest && (!isLocalTimely || away.cost + margin < local.cost)) {
+    if (away !== undefined && this.isWorthStarting(query, away) && (!isLocalTaken || away.cost + margin < local.cost)) {
       const { region: target, milliseconds, workMilliseconds } = away
       return { kind: PlacementKind.Forward, region: target, milliseconds, workMilliseconds }
     }
-    if (isLocalTimely) return { kind: PlacementKind.Run, belief: local.belief, prediction: local.prediction }
-    const wait = Math.min(local?.prediction.waitMilliseconds ?? Infinity, away?.milliseconds ?? Infinity)
+    if (isLocalTaken) return { kind: PlacementKind.Run, belief: local.belief, prediction: local.prediction }
+    return this.refuse(query, Math.min(local?.prediction.waitMilliseconds ?? Infinity, away?.waitMilliseconds ?? Infinity))
+  }
+
+  /**
+   * Whether a request should be started. Where many wait, those that would be
+   * late anyway make all others late, too; where few do, late is better than
+   * never.
+   */
+  private isWorthStarting (query: PlacementQuery, { milliseconds, waitMilliseconds }: { milliseconds: number, waitMilliseconds: number }): boolean {
+    if (waitMilliseconds > query.remainingMilliseconds * latestStartShare) return false
+    if (milliseconds <= query.onTimeMilliseconds) return true
+    const { objectiveMilliseconds } = query.request.route
+    const lateWait = objectiveMilliseconds * (query.mayForward ? lateWaitShare : forwardedWaitShare)
+    return waitMilliseconds <= Math.min(lateWait, query.remainingMilliseconds * latestStartShare)
+  }
+
+  private refuse (query: PlacementQuery, waitMilliseconds: number): Placement {
+    const isServed = waitMilliseconds !== Infinity
+    const excess = isServed ? waitMilliseconds - query.request.route.objectiveMilliseconds * lateWaitShare : 0
+    const bounded = Math.min(longestRetryAfterMilliseconds, Math.max(leastRetryAfterMilliseconds, excess))
     return {
       kind: PlacementKind.Refuse,
-      reason: wait === Infinity ? 'no upstream of a permitted region takes work' : `the least wait is ${Math.round(wait)} ms`,
-      retryAfterMilliseconds: Math.min(longestRetryAfterMilliseconds, Math.max(leastRetryAfterMilliseconds, wait === Infinity ? 0 : wait - latest))
+      reason: isServed ? `the least wait is ${Math.round(waitMilliseconds)} ms` : 'no upstream of a permitted region takes work',
+      // Spread, so that those refused together do not return together.
+      retryAfterMilliseconds: bounded * (1 + this.options.random.next())
     }
   }
 
@@ -138,9 +164,10 @@
       const underway = forecasts.underwayTo(region, request.service) / Math.max(1, parallel ?? 1)
       const workMilliseconds = this.remoteWork(request, region, shape)
       const wait = forecast?.waitMilliseconds ?? unknownWaitMilliseconds
-      const milliseconds = roundTripMilliseconds(region) + wait + underway + workMilliseconds
+      const waitMilliseconds = wait + underway
+      const milliseconds = roundTripMilliseconds(region) + waitMilliseconds + workMilliseconds
       const cost = milliseconds + (shared === undefined || forecasts.holdsPart(region, shared.id) ? 0 : rereadMilliseconds)
-      if (best === undefined || cost < best.cost) best = { region, milliseconds, workMilliseconds, cost }
+      if (best === undefined || cost < best.cost) best = { region, milliseconds, waitMilliseconds, workMilliseconds, cost }
     }
     return best
   }
