Send refused callers back when they can be served, let less urgent work yield, and forward fewer bytes

Ruled out: short returns for all; only a caller that can still be on time gains by them. Change: a refused caller that will be late is asked to return near the third of its time that callers honour, spread; requests yield a part of their objective where more urgent routes share the service; an upstream that another one answers for is not used again; a forwarded request is one row of values without the team's plan.

--- a/packages/gateway/src/crashWatch.test.ts
+++ b/packages/gateway/src/crashWatch.test.ts
@@ -18,6 +18,7 @@
   service,
   team: undefined,
   priority: 0,
+  yields: false,
   regions: undefined,
   isRepeatable: true,
   charge: 0,
--- a/packages/gateway/src/execution.ts
+++ b/packages/gateway/src/execution.ts
@@ -322,7 +322,10 @@
     attempt.call.ignore()
     this.settle(attempt)
     this.excluded.add(attempt.belief.announced.id)
-    if (status === misdirectedStatus) this.attemptsLeft += 1
+    if (status === misdirectedStatus) {
+      this.attemptsLeft += 1
+      attempt.belief.isReplaced = true
+    }
     const refusal = refuse(RefusalReason.NoUpstream, `upstream ${attempt.belief.announced.id} declined with ${status}`, { retryAfterMilliseconds: declinedRetryAfterMilliseconds })
     const { state } = this.options
     if (this.attemptsLeft <= 0 || !state.retries.take(this.request.service)) return this.refuseOrFail(refusal)
--- a/packages/gateway/src/forwardCall.ts
+++ b/packages/gateway/src/forwardCall.ts
@@ -51,15 +51,7 @@
 
   send ({ request, body, remainingMilliseconds, onTimeMilliseconds, attemptsLeft, resumeAfter }: ForwardOptions): void {
     this.sentAt = this.options.clock.monotonic()
-    // The key stays with the VM that checked it.
-    const head = { ...request.head, key: undefined }
-    const envelope = {
-      request: { ...request, head, team: request.team === undefined ? undefined : { ...request.team, keys: [] }, regions: request.regions === undefined ? undefined : [...request.regions] },
-      remainingMilliseconds,
-      onTimeMilliseconds,
-      attemptsLeft,
-      resumeAfter
-    }
+    const envelope = { request, remainingMilliseconds, onTimeMilliseconds, attemptsLeft, resumeAfter }
     this.options.pool.dispatch({ method: 'POST', path: forwardPath, body: packForward(envelope, body) }, this)
   }
 
--- /dev/null
+++ b/packages/gateway/src/forwardFrames.test.ts
@@ -0,0 +1,70 @@
+import { toRegionId, toTeamId } from '@cuminvale/common'
+import fc from 'fast-check'
+import { describe, expect, it } from 'vitest'
+import { FrameKind, FrameReader, frameOf, packForward, unpackForward } from './forwardFrames.js'
+import { service, testRoute, testTeam } from './testSupport.js'
+import type { ForwardEnvelope } from './forwardFrames.js'
+import type { AttemptId, PromptPartId } from '@cuminvale/serving'
+
+const envelope = (changes: Partial<ForwardEnvelope['request']> = {}): ForwardEnvelope => ({
+  request: {
+    head: {
+      attempt: 'a1' as AttemptId, method: 'POST', host: 'h', path: '/orders/1?x=2', key: 'secret-key', deadlineMilliseconds: 900, tokens: { prompt: 10, output: 2 }, parts: [{ id: 'p' as PromptPartId, tokens: 8 }], headers: ['x-a', 'b']
+    },
+    attempt: 'a1' as AttemptId,
+    route: testRoute({ kind: 'stream', isResumable: true }),
+    service,
+    team: testTeam({ id: toTeamId('bindery'), keys: ['secret-key'] }),
+    priority: 1,
+    yields: false,
+    regions: new Set([toRegionId('north')]),
+    isRepeatable: true,
+    charge: 12,
+    configurationVersion: 4,
+    ...changes
+  },
+  remainingMilliseconds: 800,
+  onTimeMilliseconds: -20,
+  attemptsLeft: 2,
+  resumeAfter: '7'
+})
+
+describe('a forwarded request', () => {
+  it('arrives with everything that its execution needs, and without the key', () => {
+    const packed = packForward(envelope(), Buffer.from('body'))
+    expect(packed.includes('secret-key')).toBe(false)
+    const { envelope: { request, ...times }, body } = unpackForward(packed)
+    expect(body?.toString()).toBe('body')
+    expect(times).toEqual({ remainingMilliseconds: 800, onTimeMilliseconds: -20, attemptsLeft: 2, resumeAfter: '7' })
+    expect(request).toMatchObject({ attempt: 'a1', service, priority: 1, isRepeatable: true, configurationVersion: 4, regions: new Set(['north']), team: { id: 'bindery' } })
+    expect(request.head).toMatchObject({ method: 'POST', path: '/orders/1?x=2', tokens: { prompt: 10, output: 2 }, parts: [{ id: 'p', tokens: 8 }], headers: ['x-a', 'b'] })
+    expect(request.route).toMatchObject({ kind: 'stream', isResumable: true, objectiveMilliseconds: 500 })
+  })
+
+  it('keeps absent values absent', () => {
+    const { envelope: { request }, body } = unpackForward(packForward(envelope({ team: undefined, regions: undefined }), null))
+    expect([request.team, request.regions, body]).toEqual([undefined, undefined, null])
+  })
+
+  it.each([Buffer.alloc(0), Buffer.from([0, 0, 1, 0, 1]), Buffer.concat([Buffer.from([0, 0, 0, 1]), Buffer.from([0x91]), Buffer.from('x')])])('is refused when it can not be read', (message) => {
+    expect(() => unpackForward(message)).toThrow()
+  })
+})
+
+describe('FrameReader', () => {
+  it('puts frames together however they are cut', () => {
+    fc.assert(fc.property(fc.array(fc.uint8Array({ maxLength: 40 }), { maxLength: 6 }), fc.integer({ min: 1, max: 11 }), (contents, piece) => {
+      const wire = Buffer.concat(contents.map((content) => frameOf(FrameKind.Data, Buffer.from(content))))
+      const reader = new FrameReader()
+      const seen: Buffer[] = []
+      for (let start = 0; start < wire.length; start += piece) {
+        for (const { content } of reader.push(wire.subarray(start, start + piece))) seen.push(Buffer.from(content))
+      }
+      expect(seen).toEqual(contents.map((content) => Buffer.from(content)))
+    }), { seed: 11, numRuns: 200 })
+  })
+
+  it('refuses a frame that is longer than any', () => {
+    expect(() => new FrameReader().push(Buffer.from([3, 0xff, 0xff, 0xff, 0xff]))).toThrow(RangeError)
+  })
+})
--- a/packages/gateway/src/forwardFrames.ts
+++ b/packages/gateway/src/forwardFrames.ts
@@ -5,8 +5,8 @@
 
 import { pack, unpack } from 'msgpackr'
 import type { FailureKind } from './answerSink.js'
-import type { Refusal } from '@cuminvale/common'
-import type { AdmittedRequest } from '@cuminvale/serving'
+import type { Refusal, RegionId, RouteName, TeamId } from '@cuminvale/common'
+import type { AdmittedRequest, AttemptId, PromptPartId, RequestKind, ServiceName } from '@cuminvale/serving'
 
 export const FrameKind = { Received: 1, Head: 2, Data: 3, End: 4, Refused: 5, Failed: 6 } as const
 export type FrameKind = typeof FrameKind[keyof typeof FrameKind]
@@ -21,8 +21,9 @@
   readonly detail: string
 }
 
+/** What the other VM needs of an admitted request; it decides neither route nor key again. */
 export interface ForwardEnvelope {
-  readonly request: Omit<AdmittedRequest, 'regions'> & { readonly regions: readonly string[] | undefined }
+  readonly request: AdmittedRequest
   readonly remainingMilliseconds: number
   readonly onTimeMilliseconds: number
   readonly attemptsLeft: number
@@ -67,9 +68,75 @@
   }
 }
 
+/** One row of values, since names would be half of the bytes that cross between regions. */
+const toRow = ({ request, remainingMilliseconds, onTimeMilliseconds, attemptsLeft, resumeAfter }: ForwardEnvelope): readonly unknown[] => {
+  const { head, route } = request
+  return [
+    request.attempt, head.method, head.path, head.headers, head.tokens?.prompt, head.tokens?.output,
+    head.parts.map(({ id, tokens }) => [id, tokens]),
+    route.name, route.kind, route.isResumable, route.objectiveMilliseconds, route.timeoutMilliseconds, route.maximumAttempts,
+    request.service, request.team?.id, request.priority, request.regions === undefined ? undefined : [...request.regions],
+    request.isRepeatable, request.configurationVersion,
+    Math.round(remainingMilliseconds), Math.round(onTimeMilliseconds), attemptsLeft, resumeAfter
+  ]
+}
+
+type Row = readonly [
+  AttemptId, string, string, readonly string[], number | undefined, number | undefined,
+  ReadonlyArray<readonly [PromptPartId, number]>,
+  RouteName, RequestKind, boolean, number, number, number,
+  ServiceName, TeamId | undefined, number, readonly RegionId[] | undefined,
+  boolean, number,
+  number, number, number, string | undefined
+]
+
+const rowLength = 23
+
+const fromRow = (row: Row): ForwardEnvelope => {
+  if (row.length !== rowLength) throw new RangeError(`a forwarded request of ${row.length} values, not ${rowLength}`)
+  const [
+    attempt, method, path, headers, prompt, output, parts, name, kind, isResumable, objectiveMilliseconds, timeoutMilliseconds, maximumAttempts,
+    service, teamId, priority, regions, isRepeatable, configurationVersion, remainingMilliseconds, onTimeMilliseconds, attemptsLeft, resumeAfter
+  ] = row
+  return {
+    request: {
+      head: {
+        attempt,
+        method,
+        host: '',
+        path,
+        key: undefined,
+        deadlineMilliseconds: remainingMilliseconds,
+        tokens: prompt == null || output == null ? undefined : { prompt, output },
+        parts: parts.map(([id, tokens]) => ({ id, tokens })),
+        headers
+      },
+      attempt,
+      route: {
+        name, kind, isResumable, objectiveMilliseconds, timeoutMilliseconds, maximumAttempts, host: '', pathPrefix: '', priority, targets: [], isPublic: false, homes: []
+      },
+      service,
+      team: teamId == null ? undefined : { ...forwardedTeam, id: teamId },
+      priority,
+      yields: false,
+      regions: regions == null ? undefined : new Set(regions),
+      isRepeatable,
+      charge: 0,
+      configurationVersion
+    },
+    remainingMilliseconds,
+    onTimeMilliseconds,
+    attemptsLeft,
+    resumeAfter: resumeAfter ?? undefined
+  }
+}
+
+/** The team's rate and keys stay with the VM that checked them. */
+const forwardedTeam = { keys: [], priority: undefined, countsTokens: false, plainTokens: 0, ratePerSecond: 0, burst: 0, homes: [] } as const
+
 /** A forwarded request on the wire: the envelope's length, the envelope, the body. */
 export const packForward = (envelope: ForwardEnvelope, body: Buffer | null): Buffer => {
-  const packed = pack(envelope)
+  const packed = pack(toRow(envelope))
   const length = Buffer.allocUnsafe(4)
   length.writeUInt32BE(packed.length, 0)
   return body === null ? Buffer.concat([length, packed]) : Buffer.concat([length, packed, body])
@@ -79,6 +146,6 @@
   if (message.length < 4) throw new RangeError('a forwarded request without an envelope')
   const end = 4 + message.readUInt32BE(0)
   if (end > message.length) throw new RangeError(`an envelope of ${end} bytes in a message of ${message.length}`)
-  const envelope = unpack(message.subarray(4, end)) as ForwardEnvelope
+  const envelope = fromRow(unpack(message.subarray(4, end)) as Row)
   return { envelope, body: end === message.length ? null : message.subarray(end) }
 }
--- a/packages/gateway/src/forwardServer.ts
+++ b/packages/gateway/src/forwardServer.ts
@@ -3,10 +3,10 @@
  * The regions of the request are checked again here; it is never forwarded on.
  */
 
-import { RefusalReason, refuse, toRegionId } from '@cuminvale/common'
+import { RefusalReason, refuse } from '@cuminvale/common'
 import { Execution } from './execution.js'
 import { FrameKind, frameOf, packedFrame, unpackForward } from './forwardFrames.js'
-import type { Refusal, RegionId } from '@cuminvale/common'
+import type { Refusal } from '@cuminvale/common'
 import type { IncomingMessage, ServerResponse } from 'node:http'
 import type { AnswerSink, FailureKind } from './answerSink.js'
 import type { RequestLog } from './requestLog.js'
@@ -62,8 +62,7 @@
     const { state } = this
     response.writeHead(200)
     response.write(frameOf(FrameKind.Received))
-    const regions = envelope.request.regions
-    const request = { ...envelope.request, regions: regions === undefined ? undefined : new Set<RegionId>(regions.map(toRegionId)) }
+    const { request } = envelope
     const sink = new FrameSink(response)
     if (request.regions?.has(state.settings.region) === false) {
       return sink.refuse(refuse(RefusalReason.RegionNotAllowed, 'this region is not a home of the request'))
--- a/packages/serving/src/placement.ts
+++ b/packages/serving/src/placement.ts
@@ -77,6 +77,10 @@
 const rereadMilliseconds = 200
 /** A region of which nothing was heard yet is taken only where no other can serve. */
 const unknownWaitMilliseconds = 400
+/** Callers wait no more than a third of what they have left. */
+const lateReturnShare = 0.33
+/** Part of its objective that a request may use where more urgent ones share the upstreams. */
+const urgencyShare = 0.7
 const leastRetryAfterMilliseconds = 150
 const longestRetryAfterMilliseconds = 2_000
 
@@ -106,24 +110,38 @@
    */
   private isWorthStarting (query: PlacementQuery, { milliseconds, waitMilliseconds }: { milliseconds: number, waitMilliseconds: number }): boolean {
     if (waitMilliseconds > query.remainingMilliseconds * latestStartShare) return false
-    if (milliseconds <= query.onTimeMilliseconds) return true
-    const { objectiveMilliseconds } = query.request.route
-    const lateWait = objectiveMilliseconds * (query.mayForward ? lateWaitShare : forwardedWaitShare)
+    const { route: { objectiveMilliseconds }, yields } = query.request
+    // What is more urgent must not be refused while less urgent work fills the same upstreams.
+    const share = yields && query.mayForward ? urgencyShare : 1
+    if (milliseconds <= query.onTimeMilliseconds * share) return true
+    const lateWait = objectiveMilliseconds * (query.mayForward ? lateWaitShare * share : forwardedWaitShare)
     return waitMilliseconds <= Math.min(lateWait, query.remainingMilliseconds * latestStartShare)
   }
 
   private refuse (query: PlacementQuery, waitMilliseconds: number): Placement {
     const isServed = waitMilliseconds !== Infinity
-    const excess = isServed ? waitMilliseconds - query.request.route.objectiveMilliseconds * lateWaitShare : 0
-    const bounded = Math.min(longestRetryAfterMilliseconds, Math.max(leastRetryAfterMilliseconds, excess))
     return {
       kind: PlacementKind.Refuse,
       reason: isServed ? `the least wait is ${Math.round(waitMilliseconds)} ms` : 'no upstream of a permitted region takes work',
-      // Spread, so that those refused together do not return together.
-      retryAfterMilliseconds: bounded * (1 + this.options.random.next())
+      retryAfterMilliseconds: this.retryAfter(query, isServed ? waitMilliseconds : 0)
     }
   }
 
+  /**
+   * Soon where a caller can still be on time. Otherwise as late as leaves it
+   * time to be served: whatever is refused now returns to the same queue, and
+   * finds it shorter the later it comes. Spread, so that those refused
+   * together do not return together.
+   */
+  private retryAfter (query: PlacementQuery, waitMilliseconds: number): number {
+    const spread = this.options.random.next()
+    const soon = leastRetryAfterMilliseconds * (1 + spread)
+    const excess = waitMilliseconds - query.request.route.objectiveMilliseconds * lateWaitShare
+    if (excess <= 0 || soon + excess < query.onTimeMilliseconds / 2) return soon
+    const late = query.remainingMilliseconds * lateReturnShare * (1 - spread / 2)
+    return Math.min(longestRetryAfterMilliseconds, Math.max(soon, late))
+  }
+
   private bestLocal (query: PlacementQuery): Candidate | undefined {
     const { request } = query
     const { board, region, shapeOf } = this.options
--- a/packages/serving/src/servingConfiguration.test.ts
+++ b/packages/serving/src/servingConfiguration.test.ts
@@ -57,6 +57,14 @@
     expect(held.admit(head(), random).match({ Ok: ({ priority }) => priority, Err: () => -1 })).toBe(0)
   })
 
+  it('lets a request yield only where more urgent routes share its service', () => {
+    const urgent = route({ pathPrefix: '/u/', priority: 0 })
+    const other = route({ pathPrefix: '/o/', priority: 2, targets: [{ service: desk, weight: 1 }] })
+    const held = configuration([route({ priority: 1 }), urgent, other])
+    const yields = ['/r/1', '/u/1', '/o/1'].map((path) => held.admit(head({ path }), random).match({ Ok: (request) => request.yields, Err: () => undefined }))
+    expect(yields).toEqual([true, false, false])
+  })
+
   it('only repeats safe requests and resumable streams', () => {
     const kinds = [route({ kind: 'safe' }), route({ kind: 'order', isResumable: true }), route({ isResumable: true }), route()]
     const repeatable = kinds.map((each) => configuration([each]).admit(head(), random).match({ Ok: ({ isRepeatable }) => isRepeatable, Err: () => undefined }))
--- a/packages/serving/src/servingConfiguration.ts
+++ b/packages/serving/src/servingConfiguration.ts
@@ -14,6 +14,7 @@
   private readonly routes: RouteTable
   private readonly teamsByKey = new Map<string, ServedTeam>()
   private readonly services = new Map<ServiceName, ServiceShape>()
+  private readonly mostUrgent = new Map<ServiceName, number>()
 
   constructor (readonly document: ServingDocument) {
     this.version = document.version
@@ -21,6 +22,9 @@
     for (const team of document.teams) {
       for (const key of team.keys) this.teamsByKey.set(key, team)
     }
+    for (const { targets, priority } of document.routes) {
+      for (const { service } of targets) this.mostUrgent.set(service, Math.min(this.mostUrgent.get(service) ?? Infinity, priority))
+    }
     for (const service of document.services) this.services.set(service.name, service)
   }
 
@@ -42,13 +46,15 @@
     if (needsKey && team === undefined) return Result.err(refuse(RefusalReason.KeyUnknown, 'the key is not in the configuration'))
     if (head.attempt === undefined) return Result.err(refuse(RefusalReason.RequestInvalid, 'the request carries no attempt id'))
     const payer = route.isPublic ? undefined : team
+    const service = pickService(route, random)
     return Result.ok({
       head,
       attempt: head.attempt,
       route,
-      service: pickService(route, random),
+      service,
       team: payer,
       priority: payer?.priority ?? route.priority,
+      yields: route.priority > (this.mostUrgent.get(service) ?? 0),
       regions: permittedRegions(route, payer),
       isRepeatable: route.kind === RequestKind.Safe || (route.kind === RequestKind.Stream && route.isResumable),
       charge: payer === undefined ? 0 : chargeOf(payer, head),
--- a/packages/serving/src/testSupport.ts
+++ b/packages/serving/src/testSupport.ts
@@ -96,6 +96,7 @@
   service: engine,
   team: undefined,
   priority: 1,
+  yields: false,
   regions: undefined,
   isRepeatable: false,
   charge: 0,
--- a/packages/serving/src/types.ts
+++ b/packages/serving/src/types.ts
@@ -133,6 +133,8 @@
   readonly service: ServiceName
   readonly team: ServedTeam | undefined
   readonly priority: number
+  /** Whether more urgent routes are served by the same service. */
+  readonly yields: boolean
   /** Regions that may run it; undefined where all may. */
   readonly regions: ReadonlySet<RegionId> | undefined
   /** Whether it may be sent again after it may have run. */
--- a/packages/serving/src/upstreamBelief.ts
+++ b/packages/serving/src/upstreamBelief.ts
@@ -40,7 +40,8 @@
   slowness = 1
   coldUntil = 0
   lastAnswerAt = -Infinity
-  oldestUnansweredAt = Infinity
+  /** Whether another upstream has answered at its address: it is gone, whatever its entry says. */
+  isReplaced = false
   readonly sends: SendWindow
   private load: (ReportedLoad & { readonly at: number, readonly ownThen: number }) | undefined
   private failures = 0
--- a/packages/serving/src/upstreamBoard.test.ts
+++ b/packages/serving/src/upstreamBoard.test.ts
@@ -31,6 +31,16 @@
     expect(board.find(toUpstreamId('late'))?.isCold).toBe(false)
   })
 
+  it('does not use an upstream whose address another one has taken, until it starts anew', () => {
+    board.sync([announced('a')], none)
+    const belief = board.find(toUpstreamId('a'))
+    if (belief !== undefined) belief.isReplaced = true
+    board.sync([announced('a')], none)
+    expect(usable()).toEqual([])
+    board.sync([announced('a', { startedAt: 9 })], none)
+    expect(usable()).toEqual(['a'])
+  })
+
   it('forgets what it believed of an upstream that started anew under its old name', () => {
     board.sync([announced('a')], none)
     board.find(toUpstreamId('a'))?.readParts([part('p', 100).id])
--- a/packages/serving/src/upstreamBoard.ts
+++ b/packages/serving/src/upstreamBoard.ts
@@ -50,7 +50,7 @@
     const found: UpstreamBelief[] = []
     for (const belief of this.beliefs.values()) {
       const { announced } = belief
-      if (announced.service !== service || announced.isLeaving) continue
+      if (announced.service !== service || announced.isLeaving || belief.isReplaced) continue
       if (this.evacuated.has(announced.failureDomain) || this.options.regionOf(announced.failureDomain) !== region) continue
       found.push(belief)
     }
