Damp the forecasts of other regions, start late work up to 0.7 of its objective, and log what placement believes

Change: reports go out each 200 ms and are averaged; slowness is averaged by ratio; only engines' requests yield; a request that will be late is started while the wait is below 0.7 of its objective (0.4 before); one line every second with the inputs of placement.

--- a/packages/gateway/src/constants.ts
+++ b/packages/gateway/src/constants.ts
@@ -12,8 +12,8 @@
 export const checkIntervalMilliseconds = 25
 /** Interval of the messages between VMs of a region. */
 export const nearHeartbeatMilliseconds = 200
-/** Heartbeats to other regions go out with every second one. */
-export const farHeartbeatEvery = 2
+/** Heartbeats to other regions go out with each of those; rarer ones made all VMs swing between sending all and nothing. */
+export const farHeartbeatEvery = 1
 /** Longest a connection between VMs may take: a round trip between regions, and a lost packet. */
 export const peerConnectMilliseconds = 1_000
 /** Unanswered ping after which a link between VMs is made anew. */
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -150,7 +150,18 @@
     const now = state.clock.monotonic()
     for (const execution of state.executions) execution.check(now)
     this.checks += 1
-    if (this.checks % sweepEvery === 0) state.connections.sweep()
+    if (this.checks % sweepEvery === 0) {
+      state.connections.sweep()
+      this.logBeliefs()
+    }
+  }
+
+  /** The inputs of placement, for whoever asks later why a request went where it did. */
+  private logBeliefs (): void {
+    const { state } = this
+    const beliefs = [...state.board.all].filter(({ ownInFlight, others }) => ownInFlight + others.inFlight > 0).map((belief) =>
+      `${belief.announced.id}:${belief.ownInFlight}+${belief.others.inFlight}/${belief.occupancy}:${Math.round(belief.ownPendingTokens)}+${Math.round(belief.others.pendingTokens)}:x${belief.slowness.toFixed(2)}`)
+    if (beliefs.length > 0) this.options.log.info('beliefs', { upstreams: beliefs.join(' '), peers: state.peers.heardPeers({ readyOnly: true }).length, share: state.peers.heardShare() })
   }
 
   private beat (): void {
--- a/packages/serving/src/placement.ts
+++ b/packages/serving/src/placement.ts
@@ -66,7 +66,7 @@
 /** Part of the remaining time that may pass before an upstream begins; later it would be late anyway. */
 const latestStartShare = 0.8
 /** Part of the objective that a request may wait although it will be late. */
-const lateWaitShare = 0.4
+const lateWaitShare = 0.7
 /** The same for one that another VM chose to forward; sending it back costs it another round trip. */
 const forwardedWaitShare = 1
 /** Advantage of the upstream that rendezvous hashing names for a shared part that nobody is known to hold. */
--- /dev/null
+++ b/packages/serving/src/regionForecasts.test.ts
@@ -0,0 +1,49 @@
+import { beforeEach, describe, expect, it } from 'vitest'
+import { RegionForecasts } from './regionForecasts.js'
+import { ManualClock, engine, part, south } from './testSupport.js'
+
+let clock: ManualClock
+let forecasts: RegionForecasts
+beforeEach(() => {
+  clock = new ManualClock()
+  forecasts = new RegionForecasts(clock)
+})
+
+const report = (waitMilliseconds: number): void => {
+  forecasts.heard(south, new Map([[engine, { upstreams: 2, waitMilliseconds, freeSlots: 10 }]]))
+}
+const wait = (): number | undefined => forecasts.find(south, engine)?.waitMilliseconds
+
+describe('RegionForecasts', () => {
+  it('does not swing with a single report', () => {
+    report(0)
+    clock.advance(200)
+    report(600)
+    expect(wait()).toBeGreaterThan(100)
+    expect(wait()).toBeLessThan(400)
+    for (let count = 0; count < 8; count += 1) report(600)
+    expect(wait()).toBeGreaterThan(550)
+  })
+
+  it('starts anew after a silence, and says nothing during one', () => {
+    report(600)
+    clock.advance(1_501)
+    expect(wait()).toBeUndefined()
+    report(20)
+    expect(wait()).toBe(20)
+  })
+
+  it('remembers for some seconds which parts a region has read', () => {
+    forecasts.heardParts(south, [part('p', 1).id])
+    expect(forecasts.holdsPart(south, part('p', 1).id)).toBe(true)
+    clock.advance(12_001)
+    expect(forecasts.holdsPart(south, part('p', 1).id)).toBe(false)
+  })
+
+  it('takes back what it has forwarded once it is answered', () => {
+    forecasts.forwarded(south, engine, 40)
+    forecasts.forwarded(south, engine, 60)
+    forecasts.answered(south, engine, 40)
+    expect(forecasts.underwayTo(south, engine)).toBe(60)
+  })
+})
--- a/packages/serving/src/regionForecasts.ts
+++ b/packages/serving/src/regionForecasts.ts
@@ -21,6 +21,8 @@
 
 /** Three reports of a VM in another region. */
 const forecastFreshMilliseconds = 1_500
+/** Weight of the newest report of a region's wait; two or three VMs report it in turn. */
+const reportWeight = 0.4
 /** As long as an upstream is believed to hold a part. */
 const partMemoryMilliseconds = 12_000
 const maximumParts = 2_048
@@ -32,9 +34,22 @@
 
   constructor (private readonly clock: Clock) {}
 
+  /**
+   * Takes over a report. Waits are averaged with those of the last reports:
+   * all VMs act on the same ones, and would otherwise send everything or
+   * nothing until the next one.
+   */
   heard (region: RegionId, services: ReadonlyMap<ServiceName, ServiceForecast>): void {
     const at = this.clock.monotonic()
-    this.forecasts.set(region, new Map([...services].map(([service, forecast]) => [service, { ...forecast, at }])))
+    const held = this.forecasts.get(region)
+    this.forecasts.set(region, new Map([...services].map(([service, forecast]) => {
+      const before = held?.get(service)
+      const isFresh = before !== undefined && at - before.at <= forecastFreshMilliseconds
+      const waitMilliseconds = isFresh
+        ? before.waitMilliseconds + (forecast.waitMilliseconds - before.waitMilliseconds) * reportWeight
+        : forecast.waitMilliseconds
+      return [service, { ...forecast, waitMilliseconds, at }]
+    })))
   }
 
   find (region: RegionId, service: ServiceName): ServiceForecast | undefined {
--- a/packages/serving/src/servingConfiguration.test.ts
+++ b/packages/serving/src/servingConfiguration.test.ts
@@ -2,7 +2,7 @@
 import { describe, expect, it } from 'vitest'
 import { RouteTable } from './routeTable.js'
 import { ServingConfiguration } from './servingConfiguration.js'
-import { desk, engine, head, route, team } from './testSupport.js'
+import { desk, deskShape, engine, engineShape, head, route, team } from './testSupport.js'
 import type { Route, ServedTeam } from './types.js'
 
 const random = new SeededRandom(1)
@@ -60,7 +60,7 @@
   it('lets a request yield only where more urgent routes share its service', () => {
     const urgent = route({ pathPrefix: '/u/', priority: 0 })
     const other = route({ pathPrefix: '/o/', priority: 2, targets: [{ service: desk, weight: 1 }] })
-    const held = configuration([route({ priority: 1 }), urgent, other])
+    const held = new ServingConfiguration({ version: 3, routes: [route({ priority: 1 }), urgent, other], services: [engineShape, deskShape], teams: [team()], limits })
     const yields = ['/r/1', '/u/1', '/o/1'].map((path) => held.admit(head({ path }), random).match({ Ok: (request) => request.yields, Err: () => undefined }))
     expect(yields).toEqual([true, false, false])
   })
--- a/packages/serving/src/servingConfiguration.ts
+++ b/packages/serving/src/servingConfiguration.ts
@@ -54,7 +54,7 @@
       service,
       team: payer,
       priority: payer?.priority ?? route.priority,
-      yields: route.priority > (this.mostUrgent.get(service) ?? 0),
+      yields: this.services.get(service)?.isEngine === true && route.priority > (this.mostUrgent.get(service) ?? 0),
       regions: permittedRegions(route, payer),
       isRepeatable: route.kind === RequestKind.Safe || (route.kind === RequestKind.Stream && route.isResumable),
       charge: payer === undefined ? 0 : chargeOf(payer, head),
--- a/packages/serving/src/upstreamBelief.ts
+++ b/packages/serving/src/upstreamBelief.ts
@@ -23,9 +23,9 @@
 const loadFreshMilliseconds = 400
 /** The users price a part as read again only within ten seconds of its last use. */
 const partMemoryMilliseconds = 12_000
-/** Weight of the newest observation in the moving averages. */
-const observationWeight = 0.15
-const slownessRange = { least: 0.6, most: 10 } as const
+/** Weight of the newest observation in the moving average; a slow upstream shows within some fifteen answers. */
+const observationWeight = 0.12
+const slownessRange = { least: 0.6, most: 8 } as const
 const firstPenaltyMilliseconds = 600
 const longestPenaltyMilliseconds = 5_000
 const failuresBeforePenalty = 3
@@ -85,7 +85,8 @@
   observed (seenMilliseconds: number, predictedMilliseconds: number): void {
     const ratio = seenMilliseconds / Math.max(1, predictedMilliseconds / this.slowness)
     const bounded = Math.min(slownessRange.most, Math.max(slownessRange.least, ratio))
-    this.slowness += (bounded - this.slowness) * observationWeight
+    // Averages ratios, not times: a few answers behind a queue that nobody reported yet say little about the upstream.
+    this.slowness *= (bounded / this.slowness) ** observationWeight
   }
 
   succeeded (): void {
