Let the test of late requests wait behind more

Cause: the bound of the wait is 0.7 of the objective now, 560 ms in this test; the prompt tokens that it put ahead take 485 ms. Change: 40,000 tokens ahead, 647 ms. The expectation is the same.

--- a/packages/serving/src/placement.test.ts
+++ b/packages/serving/src/placement.test.ts
@@ -169,7 +169,7 @@
     board.sync([announced('a')], new Set())
     reachable = []
     expect(chooser.choose(query({ onTimeMilliseconds: -200 })).kind).toBe('run')
-    belief('a').ownPendingTokens = 30_000
+    belief('a').ownPendingTokens = 40_000
     expect(chooser.choose(query({ onTimeMilliseconds: -200 })).kind).toBe('refuse')
   })
 
