Move repeatable work away from an upstream that answers others only

A request counted as stuck only when its upstream answered nobody; an upstream that hangs some of its requests never looked silent, although the route allowed another try. Ruled out: the retry budget, which was not spent. Change: a repeatable request without an answer moves on after four times its predicted time, 1.2 s at least. The test fails without the change.

--- a/packages/gateway/src/constants.ts
+++ b/packages/gateway/src/constants.ts
@@ -60,3 +60,7 @@
 export const settlingMilliseconds = 1_500
 /** Longest that a request waits for the first word of other VMs. */
 export const settlingWaitMilliseconds = 300
+/** Time after which a single repeatable request counts as stuck at an upstream that answers others; callers give up after two seconds. */
+export const requestSilentMilliseconds = 1_200
+/** Times the predicted time that a request may take before it counts as stuck. */
+export const predictionSlack = 4
--- a/packages/gateway/src/execution.test.ts
+++ b/packages/gateway/src/execution.test.ts
@@ -123,6 +123,25 @@
     expect(upstreams[0]?.seen.length).toBeGreaterThan(0)
   })
 
+  it('moves on from an upstream that answers others but not this one', async () => {
+    const stuckOnce: UpstreamScript = (request, response) => {
+      if (request.headers[testHeaders.attempt] !== 'stuck') answers(request, response, '')
+    }
+    const upstreams = await start(testDocument([safe]), stuckOnce, stuckOnce)
+    const load = { isOver: false }
+    const others = (async () => {
+      for (let attempt = 0; !load.isOver; attempt += 1) {
+        await call({ attempt: `o${attempt}` })
+        await new Promise((resolve) => setTimeout(resolve, 20))
+      }
+    })()
+    await call({ attempt: 'stuck' })
+    load.isOver = true
+    await others
+    const tried = upstreams.filter(({ seen }) => seen.some(({ headers }) => headers[testHeaders.attempt] === 'stuck'))
+    expect(tried).toHaveLength(2)
+  })
+
   it('is never put together from two answers when the first breaks off in its body', async () => {
     const half: UpstreamScript = (request, response) => {
       response.writeHead(200, { ...sealedHead(request), 'content-length': '100', 'x-of': 'half' })
--- a/packages/gateway/src/execution.ts
+++ b/packages/gateway/src/execution.ts
@@ -12,7 +12,7 @@
 import { ForwardCall } from './forwardCall.js'
 import { HeldAnswer } from './heldAnswer.js'
 import { UpstreamCall } from './upstreamCall.js'
-import { maximumUnsentTries, settlingWaitMilliseconds, upstreamSilentMilliseconds } from './constants.js'
+import { maximumUnsentTries, predictionSlack, requestSilentMilliseconds, settlingWaitMilliseconds, upstreamSilentMilliseconds } from './constants.js'
 import type { Refusal, RegionId, UpstreamId } from '@cuminvale/common'
 import type { AdmittedRequest, Placement } from '@cuminvale/serving'
 import type { AnswerSink } from './answerSink.js'
@@ -113,8 +113,10 @@
       if (attempt.call.isSilent(now)) this.moveOn(attempt, 'the VM it was forwarded to is silent')
       return
     }
-    const since = Math.max(attempt.sentAt, this.lastDataAt, attempt.belief.lastAnswerAt)
-    if (now - since > upstreamSilentMilliseconds + attempt.predictedMilliseconds) this.moveOn(attempt, 'the upstream is silent')
+    const since = Math.max(attempt.sentAt, this.lastDataAt)
+    const isUpstreamSilent = attempt.belief.lastAnswerAt <= since
+    const patience = isUpstreamSilent ? upstreamSilentMilliseconds + attempt.predictedMilliseconds : Math.max(requestSilentMilliseconds, attempt.predictedMilliseconds * predictionSlack)
+    if (now - since > patience) this.moveOn(attempt, isUpstreamSilent ? 'the upstream is silent' : 'the upstream answers others only')
   }
 
   onHead (status: number, rawHeaders: Readonly<Record<string, string | string[] | undefined>>): void {
@@ -363,7 +365,7 @@
 
   private moveOn (attempt: Attempt, detail: string): void {
     if (attempt.isLeftWaiting) return
-    if (attempt.kind === 'local') attempt.belief.failed(silenceWeight)
+    if (attempt.kind === 'local') attempt.belief.failed(attempt.belief.lastAnswerAt > attempt.sentAt ? 1 : silenceWeight)
     if (!this.tryAgain(attempt, { detail, isAnswered: false })) attempt.isLeftWaiting = true
   }
 
