--- /dev/null
+++ b/packages/gateway/src/leaving.test.ts
@@ -0,0 +1,39 @@
+import { afterEach, describe, expect, it } from 'vitest'
+import { callGateway, region, sealedHead, startTestGateway, startUpstream, testDocument, testRoute } from './testSupport.js'
+import type { TestGateway } from './testSupport.js'
+
+let running: TestGateway | undefined
+afterEach(() => { running?.stop() })
+
+const arrival = async (arrived: ReadonlyArray<() => void>, index: number): Promise<() => void> => {
+  for (;;) {
+    const answer = arrived[index]
+    if (answer !== undefined) return answer
+    await new Promise((resolve) => setTimeout(resolve, 5))
+  }
+}
+
+describe('a gateway that is asked to stop', () => {
+  it('answers what it has read, sends callers elsewhere, and only then takes no more', async () => {
+    const arrived: Array<() => void> = []
+    const upstream = await startUpstream('u0', (request, response) => {
+      arrived.push(() => response.writeHead(200, sealedHead(request)).end('done'))
+    })
+    running = await startTestGateway(testDocument([testRoute()]), [upstream])
+    const { gateway, port } = running
+    expect(gateway.entries(region)).toHaveLength(1)
+    const underWay = callGateway({ port, path: '/orders/1' })
+    const answerFirst = await arrival(arrived, 0)
+    const left = gateway.leave()
+    expect(gateway.isReady).toBe(false)
+    expect(gateway.entries(region)).toEqual([])
+    answerFirst()
+    expect(await underWay).toMatchObject({ status: 200, body: 'done', headers: { connection: 'close' } })
+    const late = callGateway({ port, path: '/orders/2', attempt: 'a2' })
+    const answerLate = await arrival(arrived, 1)
+    answerLate()
+    expect((await late).status).toBe(200)
+    await left
+    expect((await callGateway({ port, path: '/orders/3' })).status).toBeUndefined()
+  })
+})
