Suspect a VM again soon after it refuted a first suspicion

Under 21 % loss vm-2-0 was suspected and refuted by another path, then stopped; the next suspicion waited ten seconds, beyond the bound of eight. Ruled out: lost floods; digests repair them within two intervals. Change: the first further suspicion waits 2.5 s, the later ones twice as long each as before. Leaving suspected watchers out of the vote on a region was tried for it, did not help, and is not kept.

--- a/packages/membership/src/constants.ts
+++ b/packages/membership/src/constants.ts
@@ -8,7 +8,8 @@
 export const suspicionMilliseconds = 2_000
 /** A listed VM that nothing is heard of for this long is held not to have started. */
 export const firstContactMilliseconds = 5_000
-export const firstResuspectMilliseconds = 10_000
+/** With silence and suspicion within the bound below, when a VM stops just after it refuted a first suspicion. */
+export const firstResuspectMilliseconds = 2_500
 export const maximumResuspectMilliseconds = 160_000
 export const digestIntervalMilliseconds = 1_000
 export const regionReportIntervalMilliseconds = 2_000
