Never call a request refused after another VM may have run it, and keep peers ready when they introduce themselves again

After several forwards that were refused, a repeatable request was answered 503 even where an earlier send may have run; and each change of the fleet made every VM introduce itself anew, which took it off the others' lists until its next heartbeat. Ruled out: orders; one that may have run is never placed again. Change: the refusal becomes a failure there; readiness is kept for the same incarnation. Figures: the new test fails without the change of the table.

--- a/packages/gateway/src/execution.ts
+++ b/packages/gateway/src/execution.ts
@@ -178,7 +178,7 @@
     this.settle(attempt)
     this.excludedRegions.add(attempt.region)
     this.unsentTries += 1
-    if (this.unsentTries >= maximumUnsentTries) return this.refuse(refusal)
+    if (this.unsentTries >= maximumUnsentTries) return this.refuseOrFail(refusal)
     this.place(refusal)
   }
 
--- a/packages/gateway/src/peerLinks.ts
+++ b/packages/gateway/src/peerLinks.ts
@@ -208,7 +208,7 @@
     switch (message.kind) {
       case 'hello':
         if (sender === undefined) state.log.info('peer-heard', { vm: message.identity.vm, incarnation: message.identity.incarnation })
-        state.peers.heard(message.identity, false)
+        state.peers.introduced(message.identity)
         message.known.forEach((peer) => state.peers.told(peer))
         return message.identity
       case 'heartbeat':
--- a/packages/serving/src/peerTable.test.ts
+++ b/packages/serving/src/peerTable.test.ts
@@ -30,6 +30,14 @@
     expect(table.heardPeers({ readyOnly: true }).map(({ vm }) => vm)).toEqual(['a'])
   })
 
+  it('keeps using a ready VM that introduces itself again, and not one that has started anew', () => {
+    table.heard(identity('a'), true)
+    table.introduced(identity('a'))
+    expect(table.heardPeers({ readyOnly: true })).toHaveLength(1)
+    table.introduced({ ...identity('a'), incarnation: toIncarnationId('next') })
+    expect(table.heardPeers({ readyOnly: true })).toHaveLength(0)
+  })
+
   it('stops using a silent VM within two seconds, and still counts it', () => {
     table.heard(identity('a'), true)
     clock.advance(1_400)
--- a/packages/serving/src/peerTable.ts
+++ b/packages/serving/src/peerTable.ts
@@ -44,6 +44,12 @@
     this.peers.set(identity.linkAddress, { identity, heardAt: now, toldAt: now, isReady })
   }
 
+  /** Notes that a VM has introduced itself; whether it is ready is as it last said. */
+  introduced (identity: PeerIdentity): void {
+    const held = this.peers.get(identity.linkAddress)
+    this.heard(identity, held?.identity.incarnation === identity.incarnation && held.isReady)
+  }
+
   /** Notes a VM that another one named; true where it was unknown. */
   told (identity: PeerIdentity): boolean {
     if (identity.linkAddress === this.self.linkAddress || this.peers.has(identity.linkAddress)) return false
