Count the VMs of a region as many until they are known

VMs that had just started knew no other one, took the region for two VMs with the spare, and sent 8 each. Ruled out: the window, which holds in its test; the entry's own cold time. Change: for its first three seconds, and as long as it has heard of none, a VM counts at least eight in its region.

--- a/packages/serving/src/peerTable.test.ts
+++ b/packages/serving/src/peerTable.test.ts
@@ -46,6 +46,19 @@
     expect(table.heardShare()).toBe(0.5)
   })
 
+  it('does not take the VMs of its region for fewer than they may be just after its start', () => {
+    expect(table.countIn(north)).toBe(8)
+    table.heard(identity('a'), true)
+    expect(table.countIn(north)).toBe(8)
+    clock.advance(3_000)
+    expect(table.countIn(north)).toBe(2)
+  })
+
+  it('keeps to that as long as it has heard of none', () => {
+    clock.advance(60_000)
+    expect(table.countIn(north)).toBe(8)
+  })
+
   it('forgets a VM that said that it stops', () => {
     table.heard(identity('a'), true)
     table.left('a:1')
--- a/packages/serving/src/peerTable.ts
+++ b/packages/serving/src/peerTable.ts
@@ -32,10 +32,18 @@
 /** Fleet size that a VM assumes before it has heard of any other one. */
 const assumedFleetSize = 16
 
+/** VMs of one region that a VM assumes until it has heard of them. */
+const assumedRegionSize = 8
+/** A VM has been told of the others by then, over links that take two round trips between regions. */
+const settledAfterMilliseconds = 3_000
+
 export class PeerTable {
   private readonly peers = new Map<string, Peer>()
+  private readonly startedAt: number
 
-  constructor (private readonly clock: Clock, private readonly self: PeerIdentity) {}
+  constructor (private readonly clock: Clock, private readonly self: PeerIdentity) {
+    this.startedAt = clock.monotonic()
+  }
 
   /** Notes a message that came from the VM itself. */
   heard (identity: PeerIdentity, isReady: boolean): void {
@@ -99,8 +107,11 @@
     return this.peers.size === 0 ? assumedFleetSize : this.peers.size + 1
   }
 
+  /** VMs of a region that may be running, this one included; an assumption while this VM has not heard of them. */
   countIn (region: RegionId): number {
-    return 1 + [...this.peers.values()].filter(({ identity }) => identity.region === region).length
+    const known = [...this.peers.values()].filter(({ identity }) => identity.region === region).length
+    const isSettled = known > 0 && this.clock.monotonic() - this.startedAt >= settledAfterMilliseconds
+    return isSettled ? known + 1 : Math.max(known + 1, assumedRegionSize)
   }
 
   private isSilentPeer ({ heardAt }: Peer): boolean {
