Do not send a request on after another VM may have used its attempts

A forwarded request carries all attempts that are left, and the VM that forwarded it counted one: after a failure there it placed the request again. Ruled out: the retry allowance, whose sum over VMs holds in its test. Change: a forward that the other VM has taken is not followed by another send; one that it refused as not run, or never took, is.

--- a/packages/gateway/src/execution.ts
+++ b/packages/gateway/src/execution.ts
@@ -373,6 +373,8 @@
   private tryAgain (attempt: Attempt, { detail, isAnswered }: { detail: string, isAnswered: boolean }): boolean {
     const { state } = this.options
     if (this.headSent && this.cutter === undefined) return false
+    // The other VM was given all attempts that were left, and may have used them.
+    if (attempt.kind === 'forward' && attempt.call.wasReceived) return false
     if (this.attemptsLeft <= 0 || this.options.deadlineAt - this.now < leastRetryMilliseconds || !state.retries.take(this.request.service)) return false
     if (isAnswered) attempt.call.ignore()
     else attempt.call.abort()
--- /dev/null
+++ b/packages/gateway/src/forwarding.test.ts
@@ -0,0 +1,64 @@
+import { createServer } from 'node:http'
+import { toFailureDomainId, toIncarnationId, toRegionId, toVmId } from '@cuminvale/common'
+import { afterEach, describe, expect, it } from 'vitest'
+import { FailureKind } from './answerSink.js'
+import { FrameKind, frameOf, packedFrame } from './forwardFrames.js'
+import { callGateway, service, startTestGateway, testDocument, testRoute } from './testSupport.js'
+import type { Server } from 'node:http'
+import type { TestGateway } from './testSupport.js'
+
+let running: TestGateway | undefined
+const servers: Server[] = []
+afterEach(() => {
+  running?.stop()
+  for (const server of servers.splice(0)) {
+    server.close()
+    server.closeAllConnections()
+  }
+})
+
+/** A VM of another region that takes each forward and answers with one frame. */
+const startPeer = async (gateway: TestGateway, name: string, frame: Buffer): Promise<{ forwards: number }> => {
+  const seen = { forwards: 0 }
+  const server = createServer((request, response) => {
+    seen.forwards += 1
+    request.resume()
+    request.on('end', () => {
+      response.writeHead(200)
+      response.write(frameOf(FrameKind.Received))
+      response.end(frame)
+    })
+  })
+  servers.push(server)
+  const port = await new Promise<number>((resolve) => server.listen({ host: '127.0.0.1', port: 0 }, () => {
+    const address = server.address()
+    resolve(address === null || typeof address === 'string' ? 0 : address.port)
+  }))
+  const region = toRegionId(name)
+  const { state } = gateway.gateway
+  state.peers.heard({
+    vm: toVmId(`vm-${name}`), incarnation: toIncarnationId(name), region, failureDomain: toFailureDomainId(name), linkAddress: `127.0.0.1:${port}`, callerAddress: 'a:1'
+  }, true)
+  state.forecasts.heard(region, new Map([[service, { upstreams: 1, waitMilliseconds: 0, freeSlots: 6 }]]))
+  return seen
+}
+
+const safe = testRoute({ kind: 'safe', maximumAttempts: 2 })
+
+describe('a forwarded request', () => {
+  it('is not sent on after another VM may have used all of its attempts', async () => {
+    running = await startTestGateway(testDocument([safe]), [])
+    const failed = packedFrame(FrameKind.Failed, { kind: FailureKind.UpstreamBroke, detail: 'two upstreams broke off' })
+    const peers = [await startPeer(running, 'south', failed), await startPeer(running, 'west', failed)]
+    expect((await callGateway({ port: running.port, path: '/orders/1' })).status).toBe(502)
+    expect(peers.reduce((sum, { forwards }) => sum + forwards, 0)).toBe(1)
+  })
+
+  it('goes to another region when the first one has not run it', async () => {
+    running = await startTestGateway(testDocument([safe]), [])
+    const refused = packedFrame(FrameKind.Refused, { reason: 'no-upstream', outcome: 'not-run', detail: 'full' })
+    const peers = [await startPeer(running, 'south', refused), await startPeer(running, 'west', refused)]
+    expect((await callGateway({ port: running.port, path: '/orders/1' })).status).toBe(503)
+    expect(peers.map(({ forwards }) => forwards)).toEqual([1, 1])
+  })
+})
