Remember parts that were read in one place

Ruled out: joining the daemon's and the gateway's metrics; they share a shape, not a name, and the two processes never meet. Behaviour is the same.

--- a/packages/gateway/src/constants.ts
+++ b/packages/gateway/src/constants.ts
@@ -20,8 +20,6 @@
 export const linkSilentMilliseconds = 1_500
 /** Between attempts to link to a VM. */
 export const linkRetryMilliseconds = 500
-/** Answer time of the source beyond the wait that was asked for. */
-export const sourceTimeoutMilliseconds = 1_200
 /** Longest wait for a change; a silent connection is noticed after it. */
 export const changeWaitMilliseconds = 2_500
 /** Between calls to a source that fails. */
--- /dev/null
+++ b/packages/serving/src/recentParts.ts
@@ -0,0 +1,36 @@
+/**
+ * Prompt parts that were read lately, at one upstream or in one region. The
+ * least recently read ones are forgotten first.
+ */
+
+import type { Clock } from '@cuminvale/common'
+import type { PromptPartId } from './types.js'
+
+/** The users price a part as read again only within ten seconds of its last use. */
+const partMemoryMilliseconds = 12_000
+
+export class RecentParts {
+  private readonly readAt = new Map<PromptPartId, number>()
+
+  constructor (private readonly clock: Clock, private readonly mostParts: number) {}
+
+  add (ids: Iterable<PromptPartId>): void {
+    const now = this.clock.monotonic()
+    for (const id of ids) {
+      this.readAt.delete(id)
+      this.readAt.set(id, now)
+    }
+    for (const id of this.readAt.keys()) {
+      if (this.readAt.size <= this.mostParts) return
+      this.readAt.delete(id)
+    }
+  }
+
+  has (id: PromptPartId): boolean {
+    return (this.readAt.get(id) ?? -Infinity) >= this.clock.monotonic() - partMemoryMilliseconds
+  }
+
+  clear (): void {
+    this.readAt.clear()
+  }
+}
--- a/packages/serving/src/regionForecasts.ts
+++ b/packages/serving/src/regionForecasts.ts
@@ -3,6 +3,7 @@
  * what this VM has forwarded there since and not seen answered.
  */
 
+import { RecentParts } from './recentParts.js'
 import type { Clock, RegionId } from '@cuminvale/common'
 import type { PromptPartId, ServiceName } from './types.js'
 
@@ -23,13 +24,11 @@
 const forecastFreshMilliseconds = 1_500
 /** Weight of the newest report of a region's wait; two or three VMs report it in turn. */
 const reportWeight = 0.4
-/** As long as an upstream is believed to hold a part. */
-const partMemoryMilliseconds = 12_000
 const maximumParts = 2_048
 
 export class RegionForecasts {
   private readonly forecasts = new Map<RegionId, Map<ServiceName, HeldForecast>>()
-  private readonly parts = new Map<RegionId, Map<PromptPartId, number>>()
+  private readonly parts = new Map<RegionId, RecentParts>()
   private readonly underway = new Map<string, number>()
 
   constructor (private readonly clock: Clock) {}
@@ -60,21 +59,13 @@
 
   /** Notes that upstreams of a region have read parts. */
   heardParts (region: RegionId, ids: Iterable<PromptPartId>): void {
-    const now = this.clock.monotonic()
-    const parts = this.parts.get(region) ?? new Map<PromptPartId, number>()
-    for (const id of ids) {
-      parts.delete(id)
-      parts.set(id, now)
-    }
-    for (const id of parts.keys()) {
-      if (parts.size <= maximumParts) break
-      parts.delete(id)
-    }
+    const parts = this.parts.get(region) ?? new RecentParts(this.clock, maximumParts)
+    parts.add(ids)
     this.parts.set(region, parts)
   }
 
   holdsPart (region: RegionId, id: PromptPartId): boolean {
-    return (this.parts.get(region)?.get(id) ?? -Infinity) >= this.clock.monotonic() - partMemoryMilliseconds
+    return this.parts.get(region)?.has(id) === true
   }
 
   /** Milliseconds of work that this VM has forwarded and not seen answered. */
--- a/packages/serving/src/upstreamBelief.ts
+++ b/packages/serving/src/upstreamBelief.ts
@@ -4,6 +4,7 @@
  * it has read lately.
  */
 
+import { RecentParts } from './recentParts.js'
 import { SendWindow } from './sendWindow.js'
 import type { Clock } from '@cuminvale/common'
 import type { AnnouncedUpstream, PromptPart, PromptPartId } from './types.js'
@@ -21,8 +22,6 @@
 
 /** Ages after which a report says less than the other VMs' own counts. */
 const loadFreshMilliseconds = 400
-/** The users price a part as read again only within ten seconds of its last use. */
-const partMemoryMilliseconds = 12_000
 /** Weight of the newest observation in the moving average; a slow upstream shows within some fifteen answers. */
 const observationWeight = 0.12
 const slownessRange = { least: 0.6, most: 8 } as const
@@ -47,10 +46,11 @@
   private failures = 0
   private penalty = 0
   private avoidUntil = 0
-  private readonly parts = new Map<PromptPartId, number>()
+  private readonly parts: RecentParts
 
   constructor (private readonly clock: Clock, public announced: AnnouncedUpstream) {
     this.sends = new SendWindow(clock)
+    this.parts = new RecentParts(clock, maximumParts)
   }
 
   /** Requests at the upstream, of all VMs, as far as known. */
@@ -106,31 +106,21 @@
 
   /** Tokens of the prompt that it has to read, by the parts it was sent lately. */
   unreadTokens (promptTokens: number, parts: readonly PromptPart[]): number {
-    const oldest = this.clock.monotonic() - partMemoryMilliseconds
     let known = 0
     for (const part of parts) {
-      if ((this.parts.get(part.id) ?? -Infinity) < oldest) break
+      if (!this.parts.has(part.id)) break
       known += part.tokens
     }
     return Math.max(1, promptTokens - known)
   }
 
   knowsPart (id: PromptPartId): boolean {
-    return (this.parts.get(id) ?? -Infinity) >= this.clock.monotonic() - partMemoryMilliseconds
+    return this.parts.has(id)
   }
 
   /** Notes that the parts are read there, by a request of this VM or another. */
   readParts (ids: readonly PromptPartId[]): void {
-    const now = this.clock.monotonic()
-    for (const id of ids) {
-      this.parts.delete(id)
-      this.parts.set(id, now)
-    }
-    if (this.parts.size <= maximumParts) return
-    for (const id of this.parts.keys()) {
-      this.parts.delete(id)
-      if (this.parts.size <= maximumParts) return
-    }
+    this.parts.add(ids)
   }
 
   forgetParts (): void {
