Deliver the answer that is there where nothing better can be had

Ruled out: holding the answer and replaying it later, which needs a second buffer and makes the caller wait. Change: the next placement is chosen before the present attempt is left; a test that failed with 502 before.

--- a/packages/gateway/src/execution.test.ts
+++ b/packages/gateway/src/execution.test.ts
@@ -162,6 +162,12 @@
     expect(answer.headers[testHeaders.seal]).toBe('s1')
     expect(runsOf(upstreams)).toBe(2)
   })
+
+  it('gets the answer that is there where no other upstream can be asked', async () => {
+    const upstreams = await start(testDocument([safe]), fails)
+    expect(await call()).toMatchObject({ status: 500, body: 'error', isWhole: true })
+    expect(runsOf(upstreams)).toBe(1)
+  })
 })
 
 describe('a resumable stream', () => {
--- a/packages/gateway/src/execution.ts
+++ b/packages/gateway/src/execution.ts
@@ -206,9 +206,16 @@
   }
 
   private place (lastRefusal?: Refusal): void {
+    const placement = this.choose()
+    if (placement.kind !== PlacementKind.Refuse) return this.carryOut(placement)
+    if (lastRefusal === undefined && this.mayPark(this.now)) return
+    this.refuseOrFail(lastRefusal ?? refuse(RefusalReason.NoUpstream, placement.reason, { retryAfterMilliseconds: placement.retryAfterMilliseconds }))
+  }
+
+  private choose (): Placement {
     const { state, request, deadlineAt, onTimeUntil, mayForward } = this.options
     const { now } = this
-    const placement = state.placement.choose({
+    return state.placement.choose({
       request,
       remainingMilliseconds: deadlineAt - now,
       onTimeMilliseconds: onTimeUntil - now,
@@ -216,10 +223,11 @@
       excluded: this.excluded,
       excludedRegions: this.excludedRegions
     })
-    if (placement.kind === PlacementKind.Run) return this.sendTo(placement)
-    if (placement.kind === PlacementKind.Forward) return this.forwardTo(placement)
-    if (lastRefusal === undefined && this.mayPark(now)) return
-    this.refuseOrFail(lastRefusal ?? refuse(RefusalReason.NoUpstream, placement.reason, { retryAfterMilliseconds: placement.retryAfterMilliseconds }))
+  }
+
+  private carryOut (placement: Exclude<Placement, { kind: 'refuse' }>): void {
+    if (placement.kind === PlacementKind.Run) this.sendTo(placement)
+    else this.forwardTo(placement)
   }
 
   /** A VM that has just started hears of the others within moments; what needs them waits for that. */
@@ -375,20 +383,21 @@
     if (this.headSent && this.cutter === undefined) return false
     // The other VM was given all attempts that were left, and may have used them.
     if (attempt.kind === 'forward' && attempt.call.wasReceived) return false
-    if (this.attemptsLeft <= 0 || this.options.deadlineAt - this.now < leastRetryMilliseconds || !state.retries.take(this.request.service)) return false
+    if (this.attemptsLeft <= 0 || this.options.deadlineAt - this.now < leastRetryMilliseconds) return false
+    // What is under way is left only for something better.
+    if (attempt.kind === 'local') this.excluded.add(attempt.belief.announced.id)
+    else this.excludedRegions.add(attempt.region)
+    const placement = this.choose()
+    if (placement.kind === PlacementKind.Refuse || !state.retries.take(this.request.service)) return false
     if (isAnswered) attempt.call.ignore()
     else attempt.call.abort()
     this.settle(attempt)
     this.detail = detail
-    if (attempt.kind === 'local') this.excluded.add(attempt.belief.announced.id)
-    else {
-      this.excludedRegions.add(attempt.region)
-      this.attemptsLeft -= 1
-    }
+    if (attempt.kind === 'forward') this.attemptsLeft -= 1
     this.mayHaveRun = true
     this.held = undefined
     this.cutter?.dropPartial()
-    this.place()
+    this.carryOut(placement)
     return true
   }
 
