Keep a VM that left from coming back by its own last message

Cause: found by the new test of links over loopback: a heartbeat sent after the word of leaving made the others count the VM again, as silent, for two minutes, which takes its share from every team's rate. Ruled out: sending nothing after that word; another VM's list can name it as well. Change: nothing more is taken from an incarnation that left; tests of links between six VMs in two regions, with a speaker and the seed lost.

--- /dev/null
+++ b/packages/gateway/src/peerLinks.test.ts
@@ -0,0 +1,155 @@
+import { createServer } from 'node:http'
+import { SeededRandom, toFailureDomainId, toIncarnationId, toRegionId, toUpstreamId, toVmId } from '@cuminvale/common'
+import { afterEach, describe, expect, it } from 'vitest'
+import { GatewayMetrics } from './gatewayMetrics.js'
+import { PeerLinks } from './peerLinks.js'
+import { ServingState } from './servingState.js'
+import { TestDecoder, listen, silentLog, testCodec, testSettings, testTeam } from './testSupport.js'
+import type { Clock } from '@cuminvale/common'
+import type { PeerIdentity, PromptPartId } from '@cuminvale/serving'
+import type { Server } from 'node:http'
+
+class SteppedClock implements Clock {
+  now = 1_000
+
+  monotonic (): number {
+    return this.now
+  }
+
+  wall (): number {
+    return this.now
+  }
+}
+
+interface Node {
+  readonly identity: PeerIdentity
+  readonly state: ServingState
+  readonly links: PeerLinks
+  readonly server: Server
+  isStopped: boolean
+}
+
+const stepMilliseconds = 200
+/** Real time for the messages of a step to arrive; a step that is too short only makes more steps necessary. */
+const stepPauseMilliseconds = 10
+const mostSteps = 400
+
+let nodes: Node[] = []
+let clock = new SteppedClock()
+
+const stop = (node: Node): void => {
+  node.isStopped = true
+  node.links.close()
+  node.server.close()
+  node.server.closeAllConnections()
+}
+
+afterEach(() => {
+  nodes.filter(({ isStopped }) => !isStopped).forEach(stop)
+})
+
+const startNode = async (regionName: string, index: number, seeds: readonly string[]): Promise<Node> => {
+  const server = createServer((_request, response) => response.writeHead(404).end())
+  const port = await listen(server)
+  const name = `${regionName}-${index}`
+  const region = toRegionId(regionName)
+  const failureDomain = toFailureDomainId(`${regionName}-${index % 2}`)
+  const settings = { ...testSettings, vm: toVmId(name), region, failureDomain, linkPort: port, seeds }
+  const identity: PeerIdentity = {
+    vm: settings.vm, incarnation: toIncarnationId(`i-${name}`), region, failureDomain, linkAddress: `127.0.0.1:${port}`, callerAddress: `127.0.0.1:${port + 1}`
+  }
+  const metrics = new GatewayMetrics()
+  const state = new ServingState({
+    settings, self: identity, clock, random: new SeededRandom(index), codec: testCodec, decoder: new TestDecoder(), log: silentLog, metrics
+  })
+  const links = new PeerLinks({ state, self: identity, server, isSourceLost: () => false, onRecords: () => { /* none are told */ } })
+  return { identity, state, links, server, isStopped: false }
+}
+
+const startFleet = async (): Promise<void> => {
+  clock = new SteppedClock()
+  const first = await startNode('north', 0, [])
+  const seeds = [first.identity.linkAddress]
+  const rest = [['north', 1], ['north', 2], ['south', 0], ['south', 1], ['south', 2]] as const
+  nodes = [first, ...await Promise.all(rest.map(async ([region, index]) => await startNode(region, index, seeds)))]
+}
+
+const step = async (): Promise<void> => {
+  clock.now += stepMilliseconds
+  for (const node of nodes) {
+    if (!node.isStopped) node.links.tick()
+  }
+  await new Promise((resolve) => setTimeout(resolve, stepPauseMilliseconds))
+}
+
+const stepUntil = async (condition: () => boolean): Promise<boolean> => {
+  for (let steps = 0; steps < mostSteps; steps += 1) {
+    if (condition()) return true
+    await step()
+  }
+  return condition()
+}
+
+const running = (): readonly Node[] => nodes.filter(({ isStopped }) => !isStopped)
+
+const allHear = (count: number): boolean => running().every(({ state }) => state.peers.heardPeers({ readyOnly: false }).length === count)
+
+const nodeOf = (name: string): Node => {
+  const node = nodes.find(({ identity }) => identity.vm === name)
+  if (node === undefined) throw new Error(`no node ${name}`)
+  return node
+}
+
+describe('PeerLinks', () => {
+  it('makes all VMs known to each other from one seed', async () => {
+    await startFleet()
+    expect(await stepUntil(() => allHear(5))).toBe(true)
+  })
+
+  it('goes on hearing another region after one of its speakers is gone', async () => {
+    await startFleet()
+    await stepUntil(() => allHear(5))
+    stop(nodeOf('south-0'))
+    expect(await stepUntil(() => allHear(4))).toBe(true)
+    for (let steps = 0; steps < 20; steps += 1) await step()
+    expect(await stepUntil(() => allHear(4))).toBe(true)
+    expect(nodeOf('north-2').state.peers.known.map(({ vm }) => vm)).toContain('south-0')
+  })
+
+  it('finds all others again after the seed has started anew', async () => {
+    await startFleet()
+    await stepUntil(() => allHear(5))
+    stop(nodeOf('north-0'))
+    await stepUntil(() => allHear(4))
+    nodes.push(await startNode('north', 3, [nodeOf('south-2').identity.linkAddress]))
+    expect(await stepUntil(() => allHear(5))).toBe(true)
+  })
+
+  it('forgets a VM that leaves, also in other regions', async () => {
+    await startFleet()
+    await stepUntil(() => allHear(5))
+    const leaver = nodeOf('south-2')
+    leaver.links.leave()
+    await step()
+    stop(leaver)
+    expect(await stepUntil(() => running().every(({ state }) => state.peers.known.every(({ vm }) => vm !== 'south-2')))).toBe(true)
+  })
+
+  it('charges what one VM spends to the buckets of all others', async () => {
+    await startFleet()
+    await stepUntil(() => allHear(5))
+    const plan = testTeam({ ratePerSecond: 1_000, burst: 1_000 })
+    for (const { state } of running()) state.rate.spend(plan, 1)
+    for (let steps = 0; steps < 10; steps += 1) await step()
+    nodeOf('south-2').state.rate.spend(plan, 10_000_000)
+    expect(await stepUntil(() => running().every(({ state }) => !state.rate.spend(plan, 0)))).toBe(true)
+  })
+
+  it('tells each region which prompts the other has read', async () => {
+    await startFleet()
+    await stepUntil(() => allHear(5))
+    const part = 'p1' as PromptPartId
+    nodeOf('south-0').state.heardParts(toUpstreamId('u1'), [part])
+    expect(await stepUntil(() => nodeOf('north-2').state.forecasts.holdsPart(toRegionId('south'), part))).toBe(true)
+  })
+})
--- a/packages/gateway/src/testSupport.ts
+++ b/packages/gateway/src/testSupport.ts
@@ -11,7 +11,7 @@
 import type { IncomingHttpHeaders, IncomingMessage, Server, ServerResponse } from 'node:http'
 import type { AnnouncedUpstream, AttemptId, PublishedRecord, Route, ServedTeam, ServiceName, ServingDocument } from '@cuminvale/serving'
 import type { Log } from '@cuminvale/logs'
-import type { PublishedView, RecordChanges, RecordDecoder, RecordSnapshot, RecordSource, RequestCodec } from './types.js'
+import type { GatewaySettings, PublishedView, RecordChanges, RecordDecoder, RecordSnapshot, RecordSource, RequestCodec } from './types.js'
 
 export const region = toRegionId('north')
 export const domain = toFailureDomainId('north-a')
@@ -141,14 +141,35 @@
   }
 }
 
-const listen = async (server: Server): Promise<number> => await new Promise((resolve) => {
+export const listen = async (server: Server): Promise<number> => await new Promise((resolve) => {
   server.listen({ host, port: 0 }, () => {
     const address = server.address()
     resolve(address === null || typeof address === 'string' ? 0 : address.port)
   })
 })
 
-const silentLog: Log = { info: () => { /* not looked at */ }, warn: () => { /* not looked at */ }, error: () => { /* not looked at */ } }
+export const silentLog: Log = { info: () => { /* not looked at */ }, warn: () => { /* not looked at */ }, error: () => { /* not looked at */ } }
+
+export const testSettings: GatewaySettings = {
+  vm: toVmId('vm-1'),
+  region,
+  failureDomain: domain,
+  host,
+  callerPort: 0,
+  linkPort: 0,
+  seeds: [],
+  domainRegions: new Map([[domain, region]]),
+  bounds: {
+    configurationMilliseconds: 3_000,
+    leavingMilliseconds: 3_000,
+    graceMilliseconds: 8_000,
+    retryRatio: 0.2,
+    retryWindowSeconds: 10,
+    retryMargin: 500,
+    coldOverage: 1.5,
+    coldMargin: 3
+  }
+}
 
 export interface TestGateway {
   readonly gateway: Gateway
@@ -160,26 +181,7 @@
 export const startTestGateway = async (document: ServingDocument, upstreams: readonly ScriptedUpstream[], log: Log = silentLog): Promise<TestGateway> => {
   const decoder = new TestDecoder()
   const gateway = new Gateway({
-    settings: {
-      vm: toVmId('vm-1'),
-      region,
-      failureDomain: domain,
-      host,
-      callerPort: 0,
-      linkPort: 0,
-      seeds: [],
-      domainRegions: new Map([[domain, region]]),
-      bounds: {
-        configurationMilliseconds: 3_000,
-        leavingMilliseconds: 3_000,
-        graceMilliseconds: 8_000,
-        retryRatio: 0.2,
-        retryWindowSeconds: 10,
-        retryMargin: 500,
-        coldOverage: 1.5,
-        coldMargin: 3
-      }
-    },
+    settings: testSettings,
     incarnation: newIncarnationId(),
     codec: testCodec,
     decoder,
--- a/packages/serving/src/peerTable.ts
+++ b/packages/serving/src/peerTable.ts
@@ -76,11 +76,10 @@
 
   /** Notes a message that came from a VM of the same region itself. */
   heard (identity: PeerIdentity, isReady: boolean): void {
-    if (identity.linkAddress === this.self.linkAddress) return
+    if (identity.linkAddress === this.self.linkAddress || this.hasDeparted(identity)) return
     const now = this.clock.monotonic()
     const held = this.peers.get(identity.linkAddress)
     const serial = held?.identity.incarnation === identity.incarnation ? held.serial : this.nextSerial()
-    this.departures.delete(identity.linkAddress)
     this.peers.set(identity.linkAddress, { identity, heardAt: now, toldAt: now, isReady, serial })
   }
 
@@ -96,9 +95,8 @@
 
   /** Notes a VM that another one named; true where it was unknown. */
   told (identity: PeerIdentity): boolean {
-    const { linkAddress, incarnation } = identity
-    if (linkAddress === this.self.linkAddress || this.peers.has(linkAddress)) return false
-    if (this.departures.get(linkAddress)?.identity.incarnation === incarnation) return false
+    const { linkAddress } = identity
+    if (linkAddress === this.self.linkAddress || this.peers.has(linkAddress) || this.hasDeparted(identity)) return false
     this.peers.set(linkAddress, { identity, heardAt: -Infinity, toldAt: this.clock.monotonic(), isReady: false, serial: this.nextSerial() })
     return true
   }
@@ -116,8 +114,8 @@
       return
     }
     for (const { identity, isReady } of members) {
+      if (this.hasDeparted(identity)) continue
       const { linkAddress, incarnation } = identity
-      if (this.departures.get(linkAddress)?.identity.incarnation === incarnation) continue
       const known = this.peers.get(linkAddress)
       const isSame = known?.identity.incarnation === incarnation
       this.peers.set(linkAddress, {
@@ -213,6 +211,11 @@
     return isSettled ? known + 1 : Math.max(known + 1, assumedRegionSize)
   }
 
+  /** Whether it is the VM that said that it stops, and not a later one with its address. */
+  private hasDeparted ({ linkAddress, incarnation }: PeerIdentity): boolean {
+    return this.departures.get(linkAddress)?.identity.incarnation === incarnation
+  }
+
   private nextSerial (): number {
     this.lastSerial += 1
     return this.lastSerial
