Tell neighbours only what was spent since

Ruled out: fewer heartbeats (every 600 ms); the silence limit of 1.3 s would be two of them. Change: changed sums only, all of them in every fourth heartbeat; a first report counts only where it is full (test). Spare reports of a region are not passed on.

--- a/packages/gateway/src/linkMessages.ts
+++ b/packages/gateway/src/linkMessages.ts
@@ -46,7 +46,9 @@
   readonly isReady: boolean
   /** Revision up to which the sender knows the published records. */
   readonly at: number
+  /** Sums by team; those that have not changed are left out of most messages. */
   readonly spent: ReadonlyArray<readonly [TeamId, number]>
+  readonly isSpentFull: boolean
   /** Requests and unread prompt tokens at upstreams. */
   readonly loads: ReadonlyArray<readonly [UpstreamId, number, number]>
   /** Prompt parts sent to upstreams lately. */
--- a/packages/gateway/src/peerLinks.ts
+++ b/packages/gateway/src/peerLinks.ts
@@ -12,6 +12,7 @@
   heartbeatEachIntervalVms, linkKeepMilliseconds, linkPingMilliseconds, linkRetryMilliseconds, linkSilentMilliseconds, maximumLinkMessageBytes, maximumRelayedReports,
   membersRepeatIntervals, mostIntervalsBetweenReports, peerConnectMilliseconds, recordRequestMilliseconds, reportEachIntervalRegions
 } from './constants.js'
+import type { TeamId } from '@cuminvale/common'
 import type { PeerIdentity, RegionMember } from '@cuminvale/serving'
 import type { Server } from 'node:http'
 import type { HeartbeatMessage, HelloMessage, LinkMessage, RegionReport } from './linkMessages.js'
@@ -22,6 +23,9 @@
 /** Heartbeats between two reports of requests that crash upstreams. */
 const suspicionEvery = 5
 
+/** Heartbeats between two that name the spending of all teams; a VM that starts counts a neighbour from there on. */
+const fullSpendingEvery = 4
+
 interface OutgoingLink {
   readonly address: string
   socket: WebSocket | undefined
@@ -53,6 +57,8 @@
   private readonly askers = new Map<WebSocket, number>()
   private readonly startedAt: number
   private beats = 0
+  private heartbeats = 0
+  private spentTold: ReadonlyMap<TeamId, number> = new Map()
   private seeds: readonly string[]
   private recordsAskedAt = -Infinity
   private isSpeaker = false
@@ -162,11 +168,17 @@
 
   private heartbeat (): Buffer {
     const { state } = this.options
+    this.heartbeats += 1
+    const isSpentFull = this.heartbeats % fullSpendingEvery === 0
+    const spending = [...state.rate.spending()]
+    const spent = isSpentFull ? spending : spending.filter(([team, amount]) => this.spentTold.get(team) !== amount)
+    this.spentTold = new Map(spending)
     const message: HeartbeatMessage = {
       kind: 'heartbeat',
       isReady: state.isReady,
       at: state.records.at,
-      spent: [...state.rate.spending()],
+      spent,
+      isSpentFull,
       loads: [...state.ownLoads()].map(([upstream, { inFlight, pendingTokens }]) => [upstream, inFlight, pendingTokens] as const),
       parts: [...state.takeParts()].map(([upstream, parts]) => [upstream, [...parts]] as const),
       reports: this.relayed
@@ -314,8 +326,7 @@
         if (sender !== undefined) this.takeHeartbeat(sender, message)
         return sender
       case 'region-report':
-        this.takeReport(message)
-        if (this.isSpeaker && this.relayed.length < maximumRelayedReports) this.relayed.push(message)
+        if (this.takeReport(message) && this.isSpeaker && this.relayed.length < maximumRelayedReports) this.relayed.push(message)
         if (sender !== undefined) this.askForRecords(sender, message.at)
         return sender
       case 'leaving':
@@ -345,24 +356,26 @@
   private takeHeartbeat (sender: PeerIdentity, message: HeartbeatMessage): void {
     const { state } = this.options
     state.peers.heard(sender, message.isReady)
-    state.rate.heard({ vm: sender.vm, incarnation: sender.incarnation, spent: new Map(message.spent) })
+    state.rate.heard({ vm: sender.vm, incarnation: sender.incarnation, spent: new Map(message.spent), isFull: message.isSpentFull })
     state.heardLoads(sender.vm, new Map(message.loads.map(([upstream, inFlight, pendingTokens]) => [upstream, { inFlight, pendingTokens }])))
     for (const [upstream, parts] of message.parts) state.heardParts(upstream, parts)
     for (const report of message.reports) this.takeReport(report)
     this.askForRecords(sender, message.at)
   }
 
-  private takeReport (report: RegionReport): void {
+  /** Takes over a report; true where it is the one to follow. */
+  private takeReport (report: RegionReport): boolean {
     const { state } = this.options
     const { region, vm, incarnation, spent, forecasts, parts, members, departed } = report
     const use = this.reporters.use(report)
-    if (use === ReportUse.Stale) return
+    if (use === ReportUse.Stale) return false
     for (const identity of departed) state.peers.left(identity)
     state.peers.heardRegion(region, members?.map(unpackMember))
-    state.rate.heardRegion({ vm, incarnation, spent: new Map(spent) }, use === ReportUse.Followed)
-    if (use === ReportUse.Spare) return
+    state.rate.heardRegion({ vm, incarnation, spent: new Map(spent), isFull: true }, use === ReportUse.Followed)
+    if (use === ReportUse.Spare) return false
     state.forecasts.heard(region, new Map(forecasts.map(([service, upstreams, waitMilliseconds, freeSlots]) => [service, { upstreams, waitMilliseconds, freeSlots }])))
     state.forecasts.heardParts(region, parts)
+    return true
   }
 
   /** Asks a VM that knows more, where this one can't read the records itself. */
--- a/packages/serving/src/sharedRate.test.ts
+++ b/packages/serving/src/sharedRate.test.ts
@@ -32,7 +32,7 @@
   spent.push(sum)
   rates.forEach((rate, from) => rates.forEach((other, to) => {
     const sender = vms[from]
-    if (from !== to && sender !== undefined && hears(from, to)) other.heard({ ...sender, spent: rate.spending() })
+    if (from !== to && sender !== undefined && hears(from, to)) other.heard({ ...sender, spent: rate.spending(), isFull: true })
   }))
 }
 
@@ -71,7 +71,7 @@
   it('does not charge what other VMs spent before it knew them', () => {
     const rate = new SharedRate({ clock: new ManualClock(), heardShare: () => 1 })
     rate.spend(plan, 10)
-    rate.heard({ vm: toVmId('old'), incarnation: toIncarnationId('i'), spent: new Map([[plan.id, 1_000_000]]) })
+    rate.heard({ vm: toVmId('old'), incarnation: toIncarnationId('i'), spent: new Map([[plan.id, 1_000_000]]), isFull: true })
     expect(rate.spend(plan, 10)).toBe(true)
   })
 
@@ -79,8 +79,8 @@
     const rate = new SharedRate({ clock: new ManualClock(), heardShare: () => 1 })
     const old = { vm: toVmId('peer'), incarnation: toIncarnationId('first') }
     rate.spend(plan, 10)
-    rate.heard({ ...old, spent: new Map([[plan.id, 500]]) })
-    rate.heard({ ...old, incarnation: toIncarnationId('second'), spent: new Map([[plan.id, 2_000]]) })
+    rate.heard({ ...old, spent: new Map([[plan.id, 500]]), isFull: true })
+    rate.heard({ ...old, incarnation: toIncarnationId('second'), spent: new Map([[plan.id, 2_000]]), isFull: true })
     expect(rate.spend(plan, 1)).toBe(false)
     expect(rate.millisecondsUntilFilled(plan)).toBeGreaterThan(900)
   })
@@ -90,8 +90,8 @@
     const [first, second] = [{ vm: toVmId('s1'), incarnation: toIncarnationId('i') }, { vm: toVmId('s2'), incarnation: toIncarnationId('i') }]
     rate.spend(plan, 100)
     const told = (amount: number): void => {
-      rate.heardRegion({ ...first, spent: new Map([[plan.id, amount]]) }, true)
-      rate.heardRegion({ ...second, spent: new Map([[plan.id, amount]]) }, false)
+      rate.heardRegion({ ...first, spent: new Map([[plan.id, amount]]), isFull: true }, true)
+      rate.heardRegion({ ...second, spent: new Map([[plan.id, amount]]), isFull: true }, false)
     }
     told(0)
     told(600)
@@ -104,7 +104,7 @@
   it('goes on from the second speaker where the first falls silent, without charging anything twice', () => {
     const rate = new SharedRate({ clock: new ManualClock(), heardShare: () => 1 })
     const spentBy = (vm: string, amount: number): Parameters<SharedRate['heardRegion']>[0] => ({
-      vm: toVmId(vm), incarnation: toIncarnationId('i'), spent: new Map([[plan.id, amount]])
+      vm: toVmId(vm), incarnation: toIncarnationId('i'), spent: new Map([[plan.id, amount]]), isFull: true
     })
     rate.spend(plan, 100)
     rate.heardRegion(spentBy('s1', 0), true)
@@ -117,13 +117,24 @@
     expect(rate.spend(plan, 1)).toBe(false)
   })
 
+  it('does not charge the whole of a team that the first short report left out', () => {
+    const rate = new SharedRate({ clock: new ManualClock(), heardShare: () => 1 })
+    const peer = { vm: toVmId('peer'), incarnation: toIncarnationId('i') }
+    rate.spend(plan, 10)
+    rate.heard({ ...peer, spent: new Map(), isFull: false })
+    rate.heard({ ...peer, spent: new Map([[plan.id, 1_000_000]]), isFull: true })
+    expect(rate.spend(plan, 10)).toBe(true)
+    rate.heard({ ...peer, spent: new Map([[plan.id, 1_002_000]]), isFull: false })
+    expect(rate.spend(plan, 10)).toBe(false)
+  })
+
   it('sums what the VMs of the region have spent, for other regions', () => {
     const rate = new SharedRate({ clock: new ManualClock(), heardShare: () => 1 })
     const peer = { vm: toVmId('peer'), incarnation: toIncarnationId('i') }
     rate.spend(plan, 10)
-    rate.heard({ ...peer, spent: new Map([[plan.id, 100]]) })
-    rate.heard({ ...peer, spent: new Map([[plan.id, 130]]) })
-    rate.heard({ ...peer, spent: new Map([[plan.id, 130]]) })
+    rate.heard({ ...peer, spent: new Map([[plan.id, 100]]), isFull: true })
+    rate.heard({ ...peer, spent: new Map([[plan.id, 130]]), isFull: true })
+    rate.heard({ ...peer, spent: new Map([[plan.id, 130]]), isFull: true })
     expect(rate.regionSpending().get(plan.id)).toBe(40)
   })
 
--- a/packages/serving/src/sharedRate.ts
+++ b/packages/serving/src/sharedRate.ts
@@ -14,8 +14,10 @@
 export interface SpendingReport {
   readonly vm: VmId
   readonly incarnation: IncarnationId
-  /** Everything spent since the incarnation began, by team; teams whose sum has not changed may be left out. */
+  /** Everything spent since the incarnation began, by team. */
   readonly spent: ReadonlyMap<TeamId, number>
+  /** Whether all teams are named, and not only those whose sum has changed since the last report. */
+  readonly isFull: boolean
 }
 
 export interface SharedRateOptions {
@@ -115,12 +117,16 @@
   }
 }
 
-/** What was spent since the last report. What was spent before the first one is in no bucket of this VM either. */
+/**
+ * What was spent since the last report. What was spent before the first one is
+ * in no bucket of this VM either, so that only a full one can be the first.
+ */
 const increments = (
-  reports: Map<VmId, { incarnation: IncarnationId, spent: Map<TeamId, number> }>, { vm, incarnation, spent }: SpendingReport
+  reports: Map<VmId, { incarnation: IncarnationId, spent: Map<TeamId, number> }>, { vm, incarnation, spent, isFull }: SpendingReport
 ): ReadonlyArray<readonly [TeamId, number]> => {
   const known = reports.get(vm)
   if (known === undefined || known.incarnation !== incarnation) {
+    if (!isFull) return []
     reports.set(vm, { incarnation, spent: new Map(spent) })
     return known === undefined ? [] : [...spent]
   }
