Add a fault soak of the real processes

Ruled out: a package under packages/, which may not know the names on the wire; the soak's store and runners speak them, so it stands beside the adapter. Change: platform/soak: VMs as processes behind loopback proxies (delay, reset, silence, one direction), a store and runners of its own, overlapping faults by seed, callers that keep connections, eight promises checked while it runs; a VM may advertise other addresses than those it listens on.

--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -21,6 +21,8 @@
 
 export interface GatewayOptions {
   readonly settings: GatewaySettings
+  /** Host and port under which other VMs and callers reach this one, where they differ from its own. */
+  readonly advertised?: { readonly linkAddress: string | undefined, readonly callerAddress: string | undefined }
   readonly incarnation: IncarnationId
   readonly codec: RequestCodec
   readonly decoder: RecordDecoder
@@ -45,10 +47,15 @@
   private wallOffset: number
 
   constructor (private readonly options: GatewayOptions) {
-    const { settings, incarnation, clock, log } = options
+    const { settings, advertised, incarnation, clock, log } = options
     const { vm, region, failureDomain, host } = settings
     this.self = {
-      vm, incarnation, region, failureDomain, linkAddress: `${host}:${settings.linkPort}`, callerAddress: `${host}:${settings.callerPort}`
+      vm,
+      incarnation,
+      region,
+      failureDomain,
+      linkAddress: advertised?.linkAddress ?? `${host}:${settings.linkPort}`,
+      callerAddress: advertised?.callerAddress ?? `${host}:${settings.callerPort}`
     }
     this.state = new ServingState({ ...options, self: this.self, metrics: this.metrics })
     const requestLog = new RequestLog(clock, log, this.metrics)
--- a/vitest.config.ts
+++ b/vitest.config.ts
@@ -8,7 +8,7 @@
     }]
   },
   test: {
-    include: ['packages/*/src/**/*.test.ts', 'platform/src/**/*.test.ts'],
+    include: ['packages/*/src/**/*.test.ts', 'platform/src/**/*.test.ts', 'platform/soak/src/**/*.test.ts'],
     testTimeout: 30_000
   }
 })
