Share the rate of cold upstreams among a few VMs of a large region

Cause: each VM took an even part of what a cold upstream bears; with more than eight VMs in a region that part is under one request a second, so that none was ever sent, and VMs that all start at once assumed eight where there are 22, which together is beyond the bound. Ruled out: one request every few seconds by each VM (all may send in the same second). Tests of 2 to 60 VMs, also with one of them unknown to the others.

--- a/packages/gateway/src/servingState.ts
+++ b/packages/gateway/src/servingState.ts
@@ -3,7 +3,7 @@
  * in step with the published records and with what other VMs report.
  */
 
-import { AttemptAges, PeerTable, PlacementChooser, PublishedRecords, RegionForecasts, RetryAllowance, ServingConfiguration, SharedRate, UpstreamBoard, predictWait } from '@cuminvale/serving'
+import { AttemptAges, PeerTable, PlacementChooser, PublishedRecords, RegionForecasts, RetryAllowance, ServingConfiguration, SharedRate, UpstreamBoard, coldShare, predictWait } from '@cuminvale/serving'
 import { CrashWatch, probeUpstream } from './crashWatch.js'
 import { ForwardPools } from './forwardPools.js'
 import { UpstreamConnections } from './upstreamConnections.js'
@@ -91,7 +91,7 @@
       forecasts: this.forecasts,
       shapeOf,
       reachableRegions: () => this.reachableRegions(),
-      coldSendsPerSecond: (shape) => (shape.coldRequestsPerSecond * bounds.coldOverage + bounds.coldMargin) / this.regionVms,
+      coldSendsPerSecond: (shape, upstream) => this.coldShareOf(upstream, shape.coldRequestsPerSecond * bounds.coldOverage + bounds.coldMargin),
       connectionShare: (shape) => Math.max(1, Math.floor(shape.connectionsPerUpstream / this.regionVms)),
       roundTripMilliseconds: (region) => this.roundTripTo(region)
     })
@@ -229,6 +229,12 @@
     return [...regions]
   }
 
+  private coldShareOf (upstream: UpstreamId, mostPerSecond: number): number {
+    const { vm, region } = this.settings
+    const neighbours = this.peers.known.filter((peer) => peer.region === region).map((peer) => peer.vm)
+    return coldShare({ upstream, self: vm, neighbours, count: this.regionVms, isSettled: this.peers.isSettled, mostPerSecond })
+  }
+
   private get regionVms (): number {
     return this.peers.countIn(this.settings.region) + spareVms
   }
--- /dev/null
+++ b/packages/serving/src/coldShare.test.ts
@@ -0,0 +1,44 @@
+import { toUpstreamId, toVmId } from '@cuminvale/common'
+import { describe, expect, it } from 'vitest'
+import { coldShare } from './coldShare.js'
+import type { VmId } from '@cuminvale/common'
+
+const upstreams = ['i-1', 'i-2', 'i-3', 'i-4'].map(toUpstreamId)
+const mostPerSecond = 9
+
+const vmsOf = (count: number): readonly VmId[] => Array.from({ length: count }, (_, index) => toVmId(`vm-${index}`))
+
+/** Requests a second of all VMs together, where each knows all of the others but those that are hidden from it. */
+const together = (vms: readonly VmId[], upstream: typeof upstreams[number], isKnown: (from: VmId, to: VmId) => boolean = () => true): number =>
+  vms.reduce((sum, self) => {
+    const neighbours = vms.filter((vm) => vm !== self && isKnown(self, vm))
+    return sum + Math.floor(coldShare({ upstream, self, neighbours, count: neighbours.length + 2, isSettled: true, mostPerSecond }))
+  }, 0)
+
+describe('a returning failure domain whose upstreams are cold', () => {
+  it.each([2, 4, 8, 11, 22, 60])('is warmed up by %i VMs within the bound', (count) => {
+    for (const upstream of upstreams) {
+      const sum = together(vmsOf(count), upstream)
+      expect(sum).toBeLessThanOrEqual(mostPerSecond)
+      expect(sum).toBeGreaterThanOrEqual(4)
+    }
+  })
+
+  it('stays within the bound while a VM is not known to the others yet', () => {
+    const vms = vmsOf(22)
+    for (const hidden of vms) {
+      for (const upstream of upstreams) expect(together(vms, upstream, (_from, to) => to !== hidden)).toBeLessThanOrEqual(mostPerSecond)
+    }
+  })
+
+  it('is not sent anything by VMs that have all just started', () => {
+    expect(coldShare({ upstream: toUpstreamId('i-1'), self: toVmId('vm-1'), neighbours: [], count: 9, isSettled: false, mostPerSecond })).toBe(0)
+  })
+
+  it('spreads the work over other VMs for other upstreams', () => {
+    const vms = vmsOf(22)
+    const senders = new Set(upstreams.flatMap((upstream) => vms.filter((self) =>
+      coldShare({ upstream, self, neighbours: vms.filter((vm) => vm !== self), count: 23, isSettled: true, mostPerSecond }) > 0)))
+    expect(senders.size).toBeGreaterThan(4)
+  })
+})
--- a/packages/serving/src/peerTable.ts
+++ b/packages/serving/src/peerTable.ts
@@ -201,14 +201,18 @@
     return this.peers.size === 0 ? assumedFleetSize : this.peers.size + 1
   }
 
+  /** Whether this VM has been up long enough to have been told of the others. */
+  get isSettled (): boolean {
+    return this.clock.monotonic() - this.startedAt >= settledAfterMilliseconds
+  }
+
   /** VMs of a region that may be running, this one included; an assumption while this VM has not heard of them. */
   countIn (region: RegionId): number {
     let known = 0
     for (const { identity } of this.peers.values()) {
       if (identity.region === region) known += 1
     }
-    const isSettled = known > 0 && this.clock.monotonic() - this.startedAt >= settledAfterMilliseconds
-    return isSettled ? known + 1 : Math.max(known + 1, assumedRegionSize)
+    return known > 0 && this.isSettled ? known + 1 : Math.max(known + 1, assumedRegionSize)
   }
 
   /** Whether it is the VM that said that it stops, and not a later one with its address. */
--- a/packages/serving/src/placement.ts
+++ b/packages/serving/src/placement.ts
@@ -41,7 +41,7 @@
   /** Regions with a VM that can be reached, this one left out. */
   readonly reachableRegions: () => readonly RegionId[]
   /** Sends a second that this VM may make to one cold upstream. */
-  readonly coldSendsPerSecond: (shape: ServiceShape) => number
+  readonly coldSendsPerSecond: (shape: ServiceShape, upstream: UpstreamId) => number
   /** Connections that this VM may hold to one upstream. */
   readonly connectionShare: (shape: ServiceShape) => number
   readonly roundTripMilliseconds: (region: RegionId) => number
@@ -165,7 +165,7 @@
   private hasRoom (belief: UpstreamBelief, shape: ServiceShape | undefined): boolean {
     if (shape === undefined) return true
     if (belief.ownInFlight >= this.options.connectionShare(shape)) return false
-    return !belief.isCold || shape.coldRequestsPerSecond <= 0 || belief.sends.allows(this.options.coldSendsPerSecond(shape))
+    return !belief.isCold || shape.coldRequestsPerSecond <= 0 || belief.sends.allows(this.options.coldSendsPerSecond(shape, belief.announced.id))
   }
 
   private bestAway (query: PlacementQuery): AwayCandidate | undefined {
