Tell a VM that starts which prompt parts are held where

Ruled out: short parts (0.13 of 1.17 million tokens); eviction (the holders had used the part within twelve seconds). Change: a speaker names the long parts of its region's upstreams and of the other regions at the beginning of a link; what is told of an upstream that is not known yet is kept. Request lines say how many tokens were believed unread. The books of attempts moved out of Execution.

--- a/packages/gateway/src/execution.ts
+++ b/packages/gateway/src/execution.ts
@@ -10,6 +10,7 @@
 import { EventCutter } from './eventCutter.js'
 import { FailureKind } from './answerSink.js'
 import { ForwardCall } from './forwardCall.js'
+import { noteAnswered, noteForwardAnswered, settleLocal, startLocal } from './attempts.js'
 import { HeldAnswer } from './heldAnswer.js'
 import { UpstreamCall } from './upstreamCall.js'
 import { maximumUnsentTries, predictionSlack, requestSilentMilliseconds, settlingWaitMilliseconds, upstreamSilentMilliseconds } from './constants.js'
@@ -59,6 +60,8 @@
   target = ''
   firstAnswerAt: number | undefined
   expectedMilliseconds = 0
+  /** Prompt tokens that the upstream was believed to read; undefined where it was not sent to one here. */
+  unreadTokens: number | undefined
   private held: HeldAnswer | undefined
   private parkedUntil: number | undefined
   private attempt: Attempt | undefined
@@ -125,7 +128,7 @@
     const { state } = this.options
     const answer = state.codec.decodeAnswer(status, rawHeaders)
     if (answer.attempt !== undefined && answer.attempt !== this.request.attempt) return this.abandon(attempt, 'the answer names another attempt')
-    this.noteAnswer(attempt)
+    noteAnswered(attempt, this.now)
     if (answer.load !== undefined) attempt.belief.reported(answer.load)
     if (answer.isNotRun || status === misdirectedStatus) return this.notRun(attempt, status)
     this.mayHaveRun = true
@@ -243,23 +246,12 @@
     const { announced } = belief
     const connection = state.connections.acquire(announced, request.route.kind !== RequestKind.Safe)
     const call = new UpstreamCall(state.connections, connection, this)
-    this.attempt = {
-      kind: 'local',
-      call,
-      belief,
-      predictedMilliseconds: prediction.milliseconds,
-      sentAt: this.now,
-      pendingTokens: prediction.unreadTokens,
-      isAnswered: false,
-      isLeftWaiting: false
-    }
+    this.attempt = startLocal({ call, belief, prediction, sentAt: this.now })
     this.sends += 1
     this.attemptsLeft -= 1
     this.target = announced.id
     this.expectedMilliseconds = Math.round(prediction.milliseconds)
-    belief.ownInFlight += 1
-    belief.ownPendingTokens += prediction.unreadTokens
-    belief.sends.sent()
+    this.unreadTokens = prediction.unreadTokens
     state.noteParts(belief, request.head.parts)
     call.send({
       method: request.head.method,
@@ -441,29 +433,16 @@
     this.options.onOver(this)
   }
 
-  private noteAnswer (attempt: LocalAttempt): void {
-    const now = this.now
-    attempt.belief.lastAnswerAt = now
-    if (attempt.isAnswered) return
-    attempt.isAnswered = true
-    attempt.belief.ownPendingTokens -= attempt.pendingTokens
-    attempt.pendingTokens = 0
-    attempt.belief.observed(now - attempt.sentAt, attempt.predictedMilliseconds)
-  }
-
   private noteForwardAnswer (attempt: ForwardAttempt): void {
-    if (attempt.isAnswered) return
-    attempt.isAnswered = true
-    this.options.state.forecasts.answered(attempt.region, this.request.service, attempt.workMilliseconds)
+    noteForwardAnswered(attempt, this.options.state.forecasts, this.request.service)
   }
 
   /** Takes an attempt off the books. */
   private settle (attempt: Attempt): void {
     if (this.attempt !== attempt) return
     this.attempt = undefined
-    if (attempt.kind === 'forward') return this.noteForwardAnswer(attempt)
-    attempt.belief.ownInFlight -= 1
-    attempt.belief.ownPendingTokens -= attempt.pendingTokens
+    if (attempt.kind === 'forward') this.noteForwardAnswer(attempt)
+    else settleLocal(attempt)
   }
 }
 
--- a/packages/gateway/src/linkMessages.ts
+++ b/packages/gateway/src/linkMessages.ts
@@ -18,6 +18,10 @@
   readonly isAsking: boolean
   /** Other regions as the sender hears them; at the beginning of a link. */
   readonly regions?: readonly RegionMembers[]
+  /** Long prompt parts that upstreams of the sender's region hold; from a speaker to its neighbours, at the beginning of a link. */
+  readonly parts?: ReadonlyArray<readonly [UpstreamId, readonly PromptPartId[]]>
+  /** The same by region, for the other ones. */
+  readonly regionParts?: ReadonlyArray<readonly [RegionId, readonly PromptPartId[]]>
 }
 
 /** What a speaker tells the speakers of other regions, who pass it on within theirs. */
--- a/packages/gateway/src/peerLinks.test.ts
+++ b/packages/gateway/src/peerLinks.test.ts
@@ -152,4 +152,15 @@
     nodeOf('south-0').state.heardParts(toUpstreamId('u1'), [part])
     expect(await stepUntil(() => nodeOf('north-2').state.forecasts.holdsPart(toRegionId('south'), part))).toBe(true)
   })
+
+  it('tells a VM that starts what the upstreams have read, before it knows them', async () => {
+    await startFleet()
+    await stepUntil(() => allHear(5))
+    const part = 'p2' as PromptPartId
+    for (const { identity, state } of nodes) {
+      if (identity.region === toRegionId('north')) state.heardParts(toUpstreamId('u2'), [part])
+    }
+    nodes.push(await startNode('north', 4, [nodeOf('north-0').identity.linkAddress]))
+    expect(await stepUntil(() => nodeOf('north-4').state.heldParts.some(([upstream, ids]) => upstream === 'u2' && ids.includes(part)))).toBe(true)
+  })
 })
--- a/packages/gateway/src/peerLinks.ts
+++ b/packages/gateway/src/peerLinks.ts
@@ -15,7 +15,7 @@
 import type { TeamId } from '@cuminvale/common'
 import type { PeerIdentity, RegionMember } from '@cuminvale/serving'
 import type { Server } from 'node:http'
-import type { HeartbeatMessage, HelloMessage, LinkMessage, RegionReport } from './linkMessages.js'
+import type { HeartbeatMessage, HelloMessage, LinkMessage, RegionMembers, RegionReport } from './linkMessages.js'
 import type { ServingState } from './servingState.js'
 
 export const linkPath = '/link'
@@ -277,8 +277,8 @@
     const { identities, serial } = state.peers.knownSince(0)
     link.toldSerial = serial
     const known = identities.filter(({ region }) => region === self.region)
-    const regions = this.isSpeaker ? state.peers.heardRegions.map(({ region, members }) => [region, members.map(packMember)] as const) : []
-    this.send(link, pack({ kind: 'hello', identity: self, known, isAsking: link.isSeed, regions } satisfies HelloMessage))
+    const told = this.isSpeaker ? { regions: this.packRegions(), parts: state.heldParts, regionParts: state.forecasts.heldParts } : {}
+    this.send(link, pack({ kind: 'hello', identity: self, known, isAsking: link.isSeed, ...told } satisfies HelloMessage))
   }
 
   /** Tells a VM that asks what this one knows, and from then on what it learns. */
@@ -286,8 +286,11 @@
     const { state, self } = this.options
     const { identities, serial } = state.peers.knownSince(0)
     this.askers.set(socket, serial)
-    const regions = state.peers.heardRegions.map(({ region, members }) => [region, members.map(packMember)] as const)
-    socket.send(pack({ kind: 'hello', identity: self, known: identities, isAsking: false, regions } satisfies HelloMessage))
+    socket.send(pack({ kind: 'hello', identity: self, known: identities, isAsking: false, regions: this.packRegions() } satisfies HelloMessage))
+  }
+
+  private packRegions (): readonly RegionMembers[] {
+    return this.options.state.peers.heardRegions.map(({ region, members }) => [region, members.map(packMember)] as const)
   }
 
   private send (link: OutgoingLink, message: Buffer): void {
@@ -320,6 +323,7 @@
         state.peers.introduced(message.identity)
         message.known.forEach((peer) => state.peers.told(peer))
         for (const [region, members] of message.regions ?? []) state.peers.heardRegion(region, members.map(unpackMember))
+        this.learnParts(message)
         if (message.isAsking && !this.askers.has(socket)) this.answerHello(socket)
         return message.identity
       case 'heartbeat':
@@ -353,6 +357,13 @@
     }
   }
 
+  private learnParts ({ identity, parts = [], regionParts = [] }: HelloMessage): void {
+    const { state, self } = this.options
+    if (identity.region !== self.region) return
+    for (const [upstream, ids] of parts) state.learnParts(upstream, ids)
+    for (const [region, ids] of regionParts) state.forecasts.heardParts(region, ids)
+  }
+
   private takeHeartbeat (sender: PeerIdentity, message: HeartbeatMessage): void {
     const { state } = this.options
     state.peers.heard(sender, message.isReady)
--- a/packages/gateway/src/requestLog.ts
+++ b/packages/gateway/src/requestLog.ts
@@ -27,6 +27,7 @@
       target: execution.target,
       sends: execution.sends,
       expected: execution.expectedMilliseconds,
+      unread: execution.unreadTokens,
       first: firstAnswer,
       total: rounded(now - receivedAt),
       forwarded: isForwarded || undefined,
--- a/packages/gateway/src/servingState.ts
+++ b/packages/gateway/src/servingState.ts
@@ -3,7 +3,7 @@
  * in step with the published records and with what other VMs report.
  */
 
-import { AttemptAges, PeerTable, PlacementChooser, PublishedRecords, RegionForecasts, RetryAllowance, ServingConfiguration, SharedRate, UpstreamBoard, coldShare, predictWait } from '@cuminvale/serving'
+import { AttemptAges, PeerTable, PlacementChooser, PublishedRecords, RegionForecasts, RetryAllowance, ServingConfiguration, SharedRate, UpstreamBoard, UpstreamParts, coldShare, predictWait } from '@cuminvale/serving'
 import { CrashWatch, probeUpstream } from './crashWatch.js'
 import { ForwardPools } from './forwardPools.js'
 import { UpstreamConnections } from './upstreamConnections.js'
@@ -54,6 +54,7 @@
   private readonly othersLoads = new Map<VmId, ReadonlyMap<UpstreamId, OthersLoad>>()
   private readonly lostUpstreams = new Set<UpstreamId>()
   private readonly startedAt: number
+  private readonly longParts: UpstreamParts
   private partsToTell = new Map<UpstreamId, Set<PromptPartId>>()
   private readonly partsToTellAway = new Set<PromptPartId>()
 
@@ -69,6 +70,7 @@
     const shapeOf = (service: ServiceName): ServiceShape | undefined => this.configuration?.service(service)
     this.board = new UpstreamBoard({ clock, regionOf: (domain) => settings.domainRegions.get(domain), shapeOf })
     this.forecasts = new RegionForecasts(clock)
+    this.longParts = new UpstreamParts(clock)
     this.peers = new PeerTable(clock, self)
     this.rate = new SharedRate({ clock, heardShare: () => this.peers.heardShare() })
     const { bounds } = settings
@@ -120,7 +122,11 @@
     }
     const { added, removed, leaving } = this.board.sync(view.upstreams, view.evacuated)
     if (added.length + removed.length + leaving.length === 0) return
-    for (const id of removed) this.lostUpstreams.delete(id)
+    for (const id of removed) {
+      this.lostUpstreams.delete(id)
+      this.longParts.forget(id)
+    }
+    for (const id of added) this.board.find(id)?.readParts(this.longParts.of(id))
     log.info('upstreams-changed', { at: this.records.at, added: added.join(), removed: removed.join(), leaving: leaving.join() })
   }
 
@@ -129,6 +135,7 @@
     belief.readParts(parts.map(({ id }) => id))
     const long = parts.filter(({ tokens }) => tokens >= toldPartTokens)
     if (long.length === 0) return
+    this.longParts.add(belief.announced.id, long.map(({ id }) => id))
     const told = this.partsToTell.get(belief.announced.id) ?? new Set<PromptPartId>()
     for (const { id } of long) {
       told.add(id)
@@ -139,10 +146,21 @@
 
   /** Notes what another VM of the region sent to an upstream. */
   heardParts (upstream: UpstreamId, parts: readonly PromptPartId[]): void {
-    this.board.find(upstream)?.readParts(parts)
+    this.learnParts(upstream, parts)
     for (const id of parts) this.partsToTellAway.add(id)
   }
 
+  /** Takes over what an upstream was sent before this VM knew of it. */
+  learnParts (upstream: UpstreamId, parts: readonly PromptPartId[]): void {
+    this.longParts.add(upstream, parts)
+    this.board.find(upstream)?.readParts(parts)
+  }
+
+  /** The long parts that upstreams of this region were sent lately, for a VM that starts. */
+  get heldParts (): ReadonlyArray<readonly [UpstreamId, readonly PromptPartId[]]> {
+    return this.longParts.all
+  }
+
   /** The long parts sent since the last call, by upstream. */
   takeParts (): ReadonlyMap<UpstreamId, ReadonlySet<PromptPartId>> {
     const parts = this.partsToTell
--- a/packages/serving/src/recentParts.ts
+++ b/packages/serving/src/recentParts.ts
@@ -30,6 +30,12 @@
     return (this.readAt.get(id) ?? -Infinity) >= this.clock.monotonic() - partMemoryMilliseconds
   }
 
+  /** The parts that are not forgotten yet, least recently read first. */
+  get all (): readonly PromptPartId[] {
+    const oldest = this.clock.monotonic() - partMemoryMilliseconds
+    return [...this.readAt].filter(([, at]) => at >= oldest).map(([id]) => id)
+  }
+
   clear (): void {
     this.readAt.clear()
   }
--- a/packages/serving/src/regionForecasts.ts
+++ b/packages/serving/src/regionForecasts.ts
@@ -64,6 +64,11 @@
     this.parts.set(region, parts)
   }
 
+  /** The parts that each region has read lately. */
+  get heldParts (): ReadonlyArray<readonly [RegionId, readonly PromptPartId[]]> {
+    return [...this.parts].map(([region, parts]) => [region, parts.all] as const)
+  }
+
   holdsPart (region: RegionId, id: PromptPartId): boolean {
     return this.parts.get(region)?.has(id) === true
   }
--- /dev/null
+++ b/packages/serving/src/upstreamParts.ts
@@ -0,0 +1,36 @@
+/**
+ * The long prompt parts that the upstreams of a region have read lately,
+ * whoever sent them: what a VM that starts is told, so that it does not have
+ * them read again elsewhere. It may be told before it knows the upstreams.
+ */
+
+import { RecentParts } from './recentParts.js'
+import type { Clock, UpstreamId } from '@cuminvale/common'
+import type { PromptPartId } from './types.js'
+
+/** A long part takes thousands of tokens of an upstream's memory, which holds a few dozen of them. */
+const maximumPartsPerUpstream = 128
+
+export class UpstreamParts {
+  private readonly parts = new Map<UpstreamId, RecentParts>()
+
+  constructor (private readonly clock: Clock) {}
+
+  add (upstream: UpstreamId, ids: Iterable<PromptPartId>): void {
+    const held = this.parts.get(upstream) ?? new RecentParts(this.clock, maximumPartsPerUpstream)
+    held.add(ids)
+    this.parts.set(upstream, held)
+  }
+
+  of (upstream: UpstreamId): readonly PromptPartId[] {
+    return this.parts.get(upstream)?.all ?? []
+  }
+
+  forget (upstream: UpstreamId): void {
+    this.parts.delete(upstream)
+  }
+
+  get all (): ReadonlyArray<readonly [UpstreamId, readonly PromptPartId[]]> {
+    return [...this.parts].map(([upstream, parts]) => [upstream, parts.all] as const).filter(([, ids]) => ids.length > 0)
+  }
+}
