Never grant a forward all attempts, and count a silent one as used

The count was checked before the silent forward was taken off, and that forward carried all that was left. Ruled out: the runner's own repeat; attempts counted by the retry allowance (it held). Change: a forward is granted all but one of the attempts, silent or failed ones count as used, and a 500 from another region may be tried again with the one that was kept. The test 'is not sent on after another VM may have used all of its attempts' now sums what was granted, which is the promise itself: before, two forwards were wrong because each carried both attempts. New tests with 1, 2 and 3 attempts failed before.

--- a/packages/gateway/src/attempts.ts
+++ b/packages/gateway/src/attempts.ts
@@ -24,6 +24,8 @@
   readonly kind: 'forward'
   readonly call: ForwardCall
   readonly region: RegionId
+  /** Upstreams that the other VM may send it to; it may use them although it is not heard. */
+  readonly granted: number
   readonly workMilliseconds: number
   readonly sentAt: number
   isAnswered: boolean
--- a/packages/gateway/src/execution.ts
+++ b/packages/gateway/src/execution.ts
@@ -190,6 +190,7 @@
     if (attempt?.kind !== 'forward') return
     this.noteForwardAnswer(attempt)
     this.mayHaveRun = true
+    if (status >= 500 && this.request.isRepeatable && this.tryAgain(attempt, { detail: `status ${status} from another region`, isAnswered: true })) return
     this.passHead(status, headers)
   }
 
@@ -271,13 +272,15 @@
       return this.place()
     }
     const call = new ForwardCall({ clock: state.clock, pool: state.forwardPools.poolOf(peer.linkAddress), listener: this, roundTripMilliseconds: state.roundTripTo(region) })
-    this.attempt = { kind: 'forward', call, region, workMilliseconds, sentAt: this.now, isAnswered: false, isLeftWaiting: false }
+    // One is kept for a send of this VM's own, should the other one fall silent.
+    const granted = Math.max(1, this.attemptsLeft - 1)
+    this.attempt = { kind: 'forward', call, region, granted, workMilliseconds, sentAt: this.now, isAnswered: false, isLeftWaiting: false }
     this.sends += 1
     this.target = `${region}:${peer.vm}`
     this.expectedMilliseconds = Math.round(milliseconds)
     state.forecasts.forwarded(region, request.service, workMilliseconds)
     state.notePartsAway(region, request.head.parts)
-    call.send({ request, body, remainingMilliseconds: deadlineAt - this.now, onTimeMilliseconds: this.options.onTimeUntil - this.now, attemptsLeft: this.attemptsLeft, resumeAfter: this.resumeAfter })
+    call.send({ request, body, remainingMilliseconds: deadlineAt - this.now, onTimeMilliseconds: this.options.onTimeUntil - this.now, attemptsLeft: granted, resumeAfter: this.resumeAfter })
   }
 
   /** What the next send has to go on from. */
@@ -373,9 +376,8 @@
   private tryAgain (attempt: Attempt, { detail, isAnswered }: { detail: string, isAnswered: boolean }): boolean {
     const { state } = this.options
     if (this.headSent && this.cutter === undefined) return false
-    // The other VM was given all attempts that were left, and may have used them.
-    if (attempt.kind === 'forward' && attempt.call.wasReceived) return false
-    if (this.attemptsLeft <= 0 || this.options.deadlineAt - this.now < leastRetryMilliseconds) return false
+    const attemptsLeft = attempt.kind === 'forward' ? this.attemptsLeft - attempt.granted : this.attemptsLeft
+    if (attemptsLeft <= 0 || this.options.deadlineAt - this.now < leastRetryMilliseconds) return false
     // What is under way is left only for something better.
     if (attempt.kind === 'local') this.excluded.add(attempt.belief.announced.id)
     else this.excludedRegions.add(attempt.region)
@@ -385,7 +387,7 @@
     else attempt.call.abort()
     this.settle(attempt)
     this.detail = detail
-    if (attempt.kind === 'forward') this.attemptsLeft -= 1
+    this.attemptsLeft = attemptsLeft
     this.mayHaveRun = true
     this.held = undefined
     this.cutter?.dropPartial()
--- a/packages/gateway/src/forwardCall.ts
+++ b/packages/gateway/src/forwardCall.ts
@@ -77,11 +77,6 @@
     return !this.isReceived && now - this.sentAt > this.options.roundTripMilliseconds * 2 + forwardSilentMilliseconds
   }
 
-  /** Whether the other VM said that it has the request. */
-  get wasReceived (): boolean {
-    return this.isReceived
-  }
-
   onRequestStart (controller: Dispatcher.DispatchController): void {
     this.controller = controller
     if (this.isAborted) controller.abort(new CallFailure(CallFailureKind.Broken, 'given up'))
