Take the other VMs to send as this one does until they report

Ruled out: two choices at random (loses the affinity of prompts and half of the knowledge); faster heartbeats (the cost). Change: a VM's own sends within the last report interval are counted once for each neighbour; a test plays 22 VMs on 18 upstreams. Heartbeats every 600 ms beyond 22 neighbours, silence after 2 s there; pings every 2.4 s in regions of over 11 neighbours.

--- a/packages/gateway/src/attempts.ts
+++ b/packages/gateway/src/attempts.ts
@@ -46,7 +46,7 @@
 export const startLocal = ({ call, belief, prediction, sentAt }: LocalStart): LocalAttempt => {
   belief.ownInFlight += 1
   belief.ownPendingTokens += prediction.unreadTokens
-  belief.sends.sent()
+  belief.noteSent(prediction.unreadTokens)
   return {
     kind: 'local', call, belief, predictedMilliseconds: prediction.milliseconds, sentAt, pendingTokens: prediction.unreadTokens, isAnswered: false, isLeftWaiting: false
   }
--- a/packages/gateway/src/constants.ts
+++ b/packages/gateway/src/constants.ts
@@ -12,8 +12,10 @@
 export const checkIntervalMilliseconds = 25
 /** Interval of the messages between VMs of a region. */
 export const nearHeartbeatMilliseconds = 200
-/** VMs of a region up to which each interval carries a heartbeat; beyond, every second one does, so that a VM of a third of a core keeps up. */
-export const heartbeatEachIntervalVms = 12
+/** Other VMs of a region for which each interval carries a heartbeat; where there are more, they are rarer, so that a VM of a third of a core keeps up. */
+export const neighboursPerInterval = 11
+/** Intervals between two heartbeats, however many VMs a region has: silence is told after three. */
+export const mostIntervalsBetweenHeartbeats = 3
 /** Other regions up to which each interval carries a report; rarer ones made all VMs swing between sending all and nothing. */
 export const reportEachIntervalRegions = 4
 /** Intervals between two reports, however many regions there are: a report is taken for lost after a second and a half. */
@@ -24,6 +26,8 @@
 export const maximumRelayedReports = 76
 /** Between two pings on a link. */
 export const linkPingMilliseconds = 600
+/** The same where a region has many VMs: pings were more messages than heartbeats. */
+export const rareLinkPingMilliseconds = 2_400
 /** Time after which a link that is not needed any more is closed; views of who speaks differ for a moment. */
 export const linkKeepMilliseconds = 3_000
 /** Longest a connection between VMs may take: a round trip between regions, and a lost packet. */
--- a/packages/gateway/src/peerLinks.ts
+++ b/packages/gateway/src/peerLinks.ts
@@ -9,8 +9,8 @@
 import { ReportUse, RegionReporters, planLinks } from '@cuminvale/serving'
 import { WebSocket, WebSocketServer } from 'ws'
 import {
-  heartbeatEachIntervalVms, linkKeepMilliseconds, linkPingMilliseconds, linkRetryMilliseconds, linkSilentMilliseconds, maximumLinkMessageBytes, maximumRelayedReports,
-  membersRepeatIntervals, mostIntervalsBetweenReports, peerConnectMilliseconds, recordRequestMilliseconds, reportEachIntervalRegions
+  linkKeepMilliseconds, linkPingMilliseconds, linkRetryMilliseconds, linkSilentMilliseconds, maximumLinkMessageBytes, maximumRelayedReports,
+  membersRepeatIntervals, mostIntervalsBetweenReports, neighboursPerInterval, peerConnectMilliseconds, rareLinkPingMilliseconds, recordRequestMilliseconds, reportEachIntervalRegions
 } from './constants.js'
 import type { TeamId } from '@cuminvale/common'
 import type { PeerIdentity, RegionMember } from '@cuminvale/serving'
@@ -95,7 +95,7 @@
     this.isSpeaker = plan.isSpeaker
     const seeds = new Set(plan.seeds)
     for (const seed of seeds) this.want(seed, now, true)
-    const heartbeat = this.beats % this.intervalsBetweenHeartbeats(plan.near.length) === 0 ? this.heartbeat() : undefined
+    const heartbeat = this.beats % state.heartbeatIntervals === 0 ? this.heartbeat() : undefined
     for (const { linkAddress } of plan.near) {
       const link = this.want(linkAddress, now, seeds.has(linkAddress))
       if (heartbeat !== undefined) this.send(link, heartbeat)
@@ -114,10 +114,6 @@
     }
   }
 
-  private intervalsBetweenHeartbeats (neighbours: number): number {
-    return neighbours < heartbeatEachIntervalVms ? 1 : 2
-  }
-
   private want (address: string, now: number, isSeed: boolean): OutgoingLink {
     const link = this.linkTo(address)
     link.wantedAt = now
@@ -233,7 +229,8 @@
       link.socket.terminate()
       return
     }
-    if (link.pingedAt <= link.answeredAt && now - link.pingedAt >= linkPingMilliseconds) {
+    const pause = state.peers.neighbourCount > neighboursPerInterval ? rareLinkPingMilliseconds : linkPingMilliseconds
+    if (link.pingedAt <= link.answeredAt && now - link.pingedAt >= pause) {
       link.pingedAt = now
       link.socket.ping()
     }
--- a/packages/gateway/src/servingState.ts
+++ b/packages/gateway/src/servingState.ts
@@ -7,7 +7,7 @@
 import { CrashWatch, probeUpstream } from './crashWatch.js'
 import { ForwardPools } from './forwardPools.js'
 import { UpstreamConnections } from './upstreamConnections.js'
-import { farRoundTripMilliseconds, settlingMilliseconds } from './constants.js'
+import { farRoundTripMilliseconds, mostIntervalsBetweenHeartbeats, nearHeartbeatMilliseconds, neighboursPerInterval, settlingMilliseconds } from './constants.js'
 import type { Clock, Random, RegionId, UpstreamId, VmId } from '@cuminvale/common'
 import type { Log } from '@cuminvale/logs'
 import type { OthersLoad, PeerIdentity, PromptPart, PromptPartId, ServiceForecast, ServiceName, ServiceShape, UpstreamBelief } from '@cuminvale/serving'
@@ -68,7 +68,12 @@
     this.log = options.log
     this.records = new PublishedRecords({ clock, mayLapse: (key) => decoder.mayLapse(key) })
     const shapeOf = (service: ServiceName): ServiceShape | undefined => this.configuration?.service(service)
-    this.board = new UpstreamBoard({ clock, regionOf: (domain) => settings.domainRegions.get(domain), shapeOf })
+    this.board = new UpstreamBoard({
+      clock,
+      regionOf: (domain) => settings.domainRegions.get(domain),
+      shapeOf,
+      reportShape: () => ({ siblings: this.peers.neighbourCount, intervalMilliseconds: this.heartbeatIntervals * nearHeartbeatMilliseconds })
+    })
     this.forecasts = new RegionForecasts(clock)
     this.longParts = new UpstreamParts(clock)
     this.peers = new PeerTable(clock, self)
@@ -109,6 +114,11 @@
     return this.clock.monotonic() - this.startedAt < settlingMilliseconds
   }
 
+  /** Intervals between two heartbeats of a VM. */
+  get heartbeatIntervals (): number {
+    return Math.min(mostIntervalsBetweenHeartbeats, Math.max(1, Math.ceil(this.peers.neighbourCount / neighboursPerInterval)))
+  }
+
   /** Brings the beliefs in step with the published records. */
   adoptRecords (): void {
     const { decoder, log, metrics } = this.options
--- /dev/null
+++ b/packages/serving/src/herding.test.ts
@@ -0,0 +1,68 @@
+import { SeededRandom } from '@cuminvale/common'
+import { describe, expect, it } from 'vitest'
+import { UpstreamBelief } from './upstreamBelief.js'
+import { predictWait, prefillTokensPerMillisecond } from './prediction.js'
+import { ManualClock, announced, engineShape } from './testSupport.js'
+
+const vms = 22
+const upstreams = 18
+const promptTokens = 400
+const intervalMilliseconds = 400
+const stepMilliseconds = 20
+/** Requests of all VMs in a step: the upstreams read nine tenths of them in the same time. */
+const requestsPerStep = Math.round(upstreams * stepMilliseconds * prefillTokensPerMillisecond * 0.9 / promptTokens)
+
+interface Outcome {
+  readonly meanWait: number
+  readonly longestWait: number
+}
+
+/**
+ * Many VMs of one region send prompts to the upstream that looks least busy.
+ * They tell each other of their pending work only now and then, so that all of
+ * them see the same idle upstream at the same time.
+ */
+const play = (siblings: number): Outcome => {
+  const clock = new ManualClock()
+  const random = new SeededRandom(7)
+  const names = Array.from({ length: upstreams }, (_, index) => `i-${index}`)
+  const beliefs = Array.from({ length: vms }, () => names.map((id) => new UpstreamBelief(clock, announced(id), () => ({ siblings, intervalMilliseconds }))))
+  const queues: Array<Array<{ vm: number, readAt: number }>> = names.map(() => [])
+  const waits: number[] = []
+  for (let step = 0; step < 400; step += 1) {
+    clock.advance(stepMilliseconds)
+    queues.forEach((queue, index) => {
+      while (queue[0] !== undefined && queue[0].readAt <= clock.now) {
+        const belief = beliefs[queue.shift()?.vm ?? 0]?.[index]
+        if (belief !== undefined) belief.ownPendingTokens -= promptTokens
+      }
+    })
+    if (step % (intervalMilliseconds / stepMilliseconds) === 0) {
+      beliefs.forEach((own, vm) => own.forEach((belief, index) => {
+        const pendingTokens = beliefs.reduce((sum, other, from) => from === vm ? sum : sum + (other[index]?.ownPendingTokens ?? 0), 0)
+        belief.others = { inFlight: 0, pendingTokens }
+      }))
+    }
+    for (let request = 0; request < requestsPerStep; request += 1) {
+      const vm = Math.floor(random.next() * vms)
+      const candidates = (beliefs[vm] ?? []).map((belief, index) => ({ belief, index, cost: predictWait(belief, engineShape) + random.next() }))
+      const best = candidates.reduce((first, second) => second.cost < first.cost ? second : first)
+      best.belief.ownPendingTokens += promptTokens
+      best.belief.noteSent(promptTokens)
+      const queue = queues[best.index] ?? []
+      const readAt = Math.max(clock.now, queue.at(-1)?.readAt ?? 0) + promptTokens / prefillTokensPerMillisecond
+      queue.push({ vm, readAt })
+      if (step > 100) waits.push(readAt - clock.now)
+    }
+  }
+  return { meanWait: waits.reduce((sum, wait) => sum + wait, 0) / waits.length, longestWait: Math.max(...waits) }
+}
+
+describe('many VMs that see the same idle upstream', () => {
+  it('do not all send to it, where each takes the others to do as it does', () => {
+    const herd = play(0)
+    const spread = play(vms - 1)
+    expect(spread.meanWait).toBeLessThan(herd.meanWait * 0.6)
+    expect(spread.longestWait).toBeLessThan(herd.longestWait)
+  })
+})
--- a/packages/serving/src/peerTable.ts
+++ b/packages/serving/src/peerTable.ts
@@ -40,8 +40,12 @@
   members: ReadonlySet<string>
 }
 
-/** Six heartbeats within a region, or three where it has many VMs. */
+/** Six heartbeats within a region. */
 const silentAfterMilliseconds = 1_300
+/** VMs of a region beyond which heartbeats are rarer, and silence takes longer to tell. */
+const manyNeighbours = 20
+/** Three heartbeats of such a region. */
+const silentAmongManyMilliseconds = 2_000
 /** The same for a region, whose reports take one more step to arrive. */
 const regionSilentAfterMilliseconds = 1_500
 /** Far longer than the partitions that the users describe. */
@@ -69,6 +73,8 @@
   private readonly departures = new Map<string, Departure>()
   private readonly startedAt: number
   private lastSerial = 0
+  /** Known VMs of the own region, heard or not. */
+  neighbourCount = 0
 
   constructor (private readonly clock: Clock, private readonly self: PeerIdentity) {
     this.startedAt = clock.monotonic()
@@ -81,6 +87,7 @@
     const held = this.peers.get(identity.linkAddress)
     const serial = held?.identity.incarnation === identity.incarnation ? held.serial : this.nextSerial()
     this.peers.set(identity.linkAddress, { identity, heardAt: now, toldAt: now, isReady, serial })
+    if (held === undefined) this.countNeighbours()
   }
 
   /** Notes that a VM has introduced itself; whether it is ready is as it last said. */
@@ -98,6 +105,7 @@
     const { linkAddress } = identity
     if (linkAddress === this.self.linkAddress || this.peers.has(linkAddress) || this.hasDeparted(identity)) return false
     this.peers.set(linkAddress, { identity, heardAt: -Infinity, toldAt: this.clock.monotonic(), isReady: false, serial: this.nextSerial() })
+    this.countNeighbours()
     return true
   }
 
@@ -130,6 +138,7 @@
     const held = this.peers.get(identity.linkAddress)
     if (held !== undefined && held.identity.incarnation !== identity.incarnation) return
     this.peers.delete(identity.linkAddress)
+    this.countNeighbours()
     this.departures.set(identity.linkAddress, { identity, at: this.clock.monotonic() })
   }
 
@@ -138,6 +147,7 @@
     for (const [address, { heardAt, toldAt }] of this.peers) {
       if (Math.max(heardAt, toldAt) < now - forgottenAfterMilliseconds) this.peers.delete(address)
     }
+    this.countNeighbours()
     for (const [address, { at }] of this.departures) {
       if (at < now - departureMilliseconds) this.departures.delete(address)
     }
@@ -208,10 +218,7 @@
 
   /** VMs of a region that may be running, this one included; an assumption while this VM has not heard of them. */
   countIn (region: RegionId): number {
-    let known = 0
-    for (const { identity } of this.peers.values()) {
-      if (identity.region === region) known += 1
-    }
+    const known = region === this.self.region ? this.neighbourCount : [...this.peers.values()].filter(({ identity }) => identity.region === region).length
     return known > 0 && this.isSettled ? known + 1 : Math.max(known + 1, assumedRegionSize)
   }
 
@@ -220,6 +227,10 @@
     return this.departures.get(linkAddress)?.identity.incarnation === incarnation
   }
 
+  private countNeighbours (): void {
+    this.neighbourCount = [...this.peers.values()].filter(({ identity }) => identity.region === this.self.region).length
+  }
+
   private nextSerial (): number {
     this.lastSerial += 1
     return this.lastSerial
@@ -227,7 +238,7 @@
 
   private isSilentPeer ({ identity: { region, linkAddress }, heardAt }: Peer): boolean {
     const now = this.clock.monotonic()
-    if (region === this.self.region) return now - heardAt > silentAfterMilliseconds
+    if (region === this.self.region) return now - heardAt > (this.neighbourCount > manyNeighbours ? silentAmongManyMilliseconds : silentAfterMilliseconds)
     const report = this.regions.get(region)
     return report === undefined || now - report.heardAt > regionSilentAfterMilliseconds || !report.members.has(linkAddress)
   }
--- a/packages/serving/src/upstreamBelief.ts
+++ b/packages/serving/src/upstreamBelief.ts
@@ -20,6 +20,18 @@
   readonly pendingTokens: number
 }
 
+/** VMs that choose by the same reports, and how old those are. */
+export interface ReportShape {
+  /** Other VMs of the region. */
+  readonly siblings: number
+  /** Time between two reports of a VM. */
+  readonly intervalMilliseconds: number
+}
+
+/** Reports are half an interval old on average; the rest is their way and the timers'. */
+const unreportedIntervals = 0.6
+const lonely: ReportShape = { siblings: 0, intervalMilliseconds: 200 }
+
 /** Ages after which a report says less than the other VMs' own counts. */
 const loadFreshMilliseconds = 400
 /** Weight of the newest observation in the moving average; a slow upstream shows within some fifteen answers. */
@@ -48,7 +60,11 @@
   private avoidUntil = 0
   private readonly parts: RecentParts
 
-  constructor (private readonly clock: Clock, public announced: AnnouncedUpstream) {
+  private unreportedTokens = 0
+  private unreportedSends = 0
+  private unreportedAt = 0
+
+  constructor (private readonly clock: Clock, public announced: AnnouncedUpstream, private readonly reportShape: () => ReportShape = () => lonely) {
     this.sends = new SendWindow(clock)
     this.parts = new RecentParts(clock, maximumParts)
   }
@@ -56,12 +72,32 @@
   /** Requests at the upstream, of all VMs, as far as known. */
   get occupancy (): number {
     const { load } = this
-    if (load === undefined || this.clock.monotonic() - load.at > loadFreshMilliseconds) return this.ownInFlight + this.others.inFlight
+    if (load === undefined || this.clock.monotonic() - load.at > loadFreshMilliseconds) {
+      return this.ownInFlight + this.others.inFlight + this.unreported(this.unreportedSends)
+    }
     return this.ownInFlight + Math.max(0, load.running + load.waiting - load.ownThen)
   }
 
   get pendingTokens (): number {
-    return this.ownPendingTokens + this.others.pendingTokens
+    return this.ownPendingTokens + this.others.pendingTokens + this.unreported(this.unreportedTokens)
+  }
+
+  /** Notes a send; the other VMs, which know the same of this upstream, have likely sent as much since their last reports. */
+  noteSent (unreadTokens: number): void {
+    const kept = this.unreportedShare()
+    this.unreportedTokens = this.unreportedTokens * kept + unreadTokens
+    this.unreportedSends = this.unreportedSends * kept + 1
+    this.unreportedAt = this.clock.monotonic()
+    this.sends.sent()
+  }
+
+  private unreported (own: number): number {
+    return own === 0 ? 0 : own * this.unreportedShare() * this.reportShape().siblings
+  }
+
+  /** Part of what was noted last that the others have not reported the like of. */
+  private unreportedShare (): number {
+    return Math.exp((this.unreportedAt - this.clock.monotonic()) / (this.reportShape().intervalMilliseconds * unreportedIntervals))
   }
 
   get isCold (): boolean {
--- a/packages/serving/src/upstreamBoard.ts
+++ b/packages/serving/src/upstreamBoard.ts
@@ -7,12 +7,14 @@
 import { millisecondsPerSecond } from '@cuminvale/common'
 import { UpstreamBelief } from './upstreamBelief.js'
 import type { Clock, FailureDomainId, RegionId, UpstreamId } from '@cuminvale/common'
+import type { ReportShape } from './upstreamBelief.js'
 import type { AnnouncedUpstream, ServiceName, ServiceShape } from './types.js'
 
 export interface UpstreamBoardOptions {
   readonly clock: Clock
   readonly regionOf: (domain: FailureDomainId) => RegionId | undefined
   readonly shapeOf: (service: ServiceName) => ServiceShape | undefined
+  readonly reportShape?: () => ReportShape
 }
 
 export interface BoardChange {
@@ -88,7 +90,7 @@
   }
 
   private add (upstream: AnnouncedUpstream): void {
-    const belief = new UpstreamBelief(this.options.clock, upstream)
+    const belief = new UpstreamBelief(this.options.clock, upstream, this.options.reportShape)
     this.beliefs.set(upstream.id, belief)
     this.noteCold(belief, upstream.coldMilliseconds)
     if (this.isSettled) belief.becomeCold(this.coldMilliseconds(upstream.service))
