Take the neighbours to forward as this VM does until a region reports

Cause: forecasts of other regions are 200 ms and a link old; all VMs of a region forward by the same ones. Ruled out: counting all own forwards once a neighbour (those older than the report's age are in it already). Change: own forwards of the last 210 ms count once for each neighbour (FadingSum, shared with the upstreams' beliefs; tests).

--- a/packages/gateway/src/servingState.ts
+++ b/packages/gateway/src/servingState.ts
@@ -74,7 +74,7 @@
       shapeOf,
       reportShape: () => ({ siblings: this.peers.neighbourCount, intervalMilliseconds: this.heartbeatIntervals * nearHeartbeatMilliseconds })
     })
-    this.forecasts = new RegionForecasts(clock)
+    this.forecasts = new RegionForecasts(clock, () => this.peers.neighbourCount)
     this.longParts = new UpstreamParts(clock)
     this.peers = new PeerTable(clock, self)
     this.rate = new SharedRate({ clock, heardShare: () => this.peers.heardShare() })
--- /dev/null
+++ b/packages/serving/src/fadingSum.ts
@@ -0,0 +1,22 @@
+/**
+ * A sum of recent amounts that fades with a time constant: what was done since
+ * a report that others make at regular intervals, without a list of it.
+ */
+
+import type { Clock } from '@cuminvale/common'
+
+export class FadingSum {
+  private sum = 0
+  private addedAt = 0
+
+  constructor (private readonly clock: Clock) {}
+
+  add (amount: number, constantMilliseconds: number): void {
+    this.sum = this.value(constantMilliseconds) + amount
+    this.addedAt = this.clock.monotonic()
+  }
+
+  value (constantMilliseconds: number): number {
+    return this.sum === 0 ? 0 : this.sum * Math.exp((this.addedAt - this.clock.monotonic()) / constantMilliseconds)
+  }
+}
--- a/packages/serving/src/regionForecasts.test.ts
+++ b/packages/serving/src/regionForecasts.test.ts
@@ -46,4 +46,15 @@
     forecasts.answered(south, engine, 40)
     expect(forecasts.underwayTo(south, engine)).toBe(60)
   })
+
+  it('takes the neighbours, who choose by the same reports, to forward alike', () => {
+    const alike = new RegionForecasts(clock, () => 10)
+    alike.forwarded(south, engine, 40)
+    expect(alike.underwayTo(south, engine)).toBe(440)
+    alike.answered(south, engine, 40)
+    clock.advance(210)
+    expect(alike.underwayTo(south, engine)).toBeCloseTo(147, 0)
+    clock.advance(2_000)
+    expect(alike.underwayTo(south, engine)).toBeLessThan(1)
+  })
 })
--- a/packages/serving/src/regionForecasts.ts
+++ b/packages/serving/src/regionForecasts.ts
@@ -3,6 +3,7 @@
  * what this VM has forwarded there since and not seen answered.
  */
 
+import { FadingSum } from './fadingSum.js'
 import { RecentParts } from './recentParts.js'
 import type { Clock, RegionId } from '@cuminvale/common'
 import type { PromptPartId, ServiceName } from './types.js'
@@ -25,13 +26,17 @@
 /** Weight of the newest report of a region's wait; two or three VMs report it in turn. */
 const reportWeight = 0.4
 const maximumParts = 2_048
+/** Time until a forward shows in the reports of its region: its way there, half an interval of the reports, and their way back. */
+const unreportedMilliseconds = 210
 
 export class RegionForecasts {
   private readonly forecasts = new Map<RegionId, Map<ServiceName, HeldForecast>>()
   private readonly parts = new Map<RegionId, RecentParts>()
   private readonly underway = new Map<string, number>()
 
-  constructor (private readonly clock: Clock) {}
+  private readonly unreported = new Map<string, FadingSum>()
+
+  constructor (private readonly clock: Clock, private readonly siblings: () => number = () => 0) {}
 
   /**
    * Takes over a report. Waits are averaged with those of the last reports:
@@ -73,14 +78,23 @@
     return this.parts.get(region)?.has(id) === true
   }
 
-  /** Milliseconds of work that this VM has forwarded and not seen answered. */
+  /**
+   * Milliseconds of work on its way that the region's reports can't show: what
+   * this VM has forwarded and not seen answered, and as much of late for each
+   * VM that chooses by the same reports.
+   */
   underwayTo (region: RegionId, service: ServiceName): number {
-    return this.underway.get(`${region} ${service}`) ?? 0
+    const key = `${region} ${service}`
+    const alike = (this.unreported.get(key)?.value(unreportedMilliseconds) ?? 0) * this.siblings()
+    return (this.underway.get(key) ?? 0) + alike
   }
 
   forwarded (region: RegionId, service: ServiceName, workMilliseconds: number): void {
     const key = `${region} ${service}`
     this.underway.set(key, (this.underway.get(key) ?? 0) + workMilliseconds)
+    const unreported = this.unreported.get(key) ?? new FadingSum(this.clock)
+    unreported.add(workMilliseconds, unreportedMilliseconds)
+    this.unreported.set(key, unreported)
   }
 
   answered (region: RegionId, service: ServiceName, workMilliseconds: number): void {
--- a/packages/serving/src/upstreamBelief.ts
+++ b/packages/serving/src/upstreamBelief.ts
@@ -4,6 +4,7 @@
  * it has read lately.
  */
 
+import { FadingSum } from './fadingSum.js'
 import { RecentParts } from './recentParts.js'
 import { SendWindow } from './sendWindow.js'
 import type { Clock } from '@cuminvale/common'
@@ -60,12 +61,13 @@
   private avoidUntil = 0
   private readonly parts: RecentParts
 
-  private unreportedTokens = 0
-  private unreportedSends = 0
-  private unreportedAt = 0
+  private readonly unreportedTokens: FadingSum
+  private readonly unreportedSends: FadingSum
 
   constructor (private readonly clock: Clock, public announced: AnnouncedUpstream, private readonly reportShape: () => ReportShape = () => lonely) {
     this.sends = new SendWindow(clock)
+    this.unreportedTokens = new FadingSum(clock)
+    this.unreportedSends = new FadingSum(clock)
     this.parts = new RecentParts(clock, maximumParts)
   }
 
@@ -84,20 +86,15 @@
 
   /** Notes a send; the other VMs, which know the same of this upstream, have likely sent as much since their last reports. */
   noteSent (unreadTokens: number): void {
-    const kept = this.unreportedShare()
-    this.unreportedTokens = this.unreportedTokens * kept + unreadTokens
-    this.unreportedSends = this.unreportedSends * kept + 1
-    this.unreportedAt = this.clock.monotonic()
+    const constant = this.reportShape().intervalMilliseconds * unreportedIntervals
+    this.unreportedTokens.add(unreadTokens, constant)
+    this.unreportedSends.add(1, constant)
     this.sends.sent()
   }
 
-  private unreported (own: number): number {
-    return own === 0 ? 0 : own * this.unreportedShare() * this.reportShape().siblings
-  }
-
-  /** Part of what was noted last that the others have not reported the like of. */
-  private unreportedShare (): number {
-    return Math.exp((this.unreportedAt - this.clock.monotonic()) / (this.reportShape().intervalMilliseconds * unreportedIntervals))
+  private unreported (own: FadingSum): number {
+    const { siblings, intervalMilliseconds } = this.reportShape()
+    return own.value(intervalMilliseconds * unreportedIntervals) * siblings
   }
 
   get isCold (): boolean {
