--- a/packages/gateway/src/constants.ts
+++ b/packages/gateway/src/constants.ts
@@ -13,9 +13,9 @@
 /** Interval of the messages between VMs of a region. */
 export const nearHeartbeatMilliseconds = 200
 /** Other VMs of a region for which each interval carries a heartbeat; where there are more, they are rarer, so that a VM of a third of a core keeps up. */
-export const neighboursPerInterval = 11
+export const neighboursPerInterval = 8
 /** Intervals between two heartbeats, however many VMs a region has: silence is told after three. */
-export const mostIntervalsBetweenHeartbeats = 3
+export const mostIntervalsBetweenHeartbeats = 4
 /** Other regions up to which each interval carries a report; rarer ones made all VMs swing between sending all and nothing. */
 export const reportEachIntervalRegions = 4
 /** Intervals between two reports, however many regions there are: a report is taken for lost after a second and a half. */
--- a/packages/serving/src/peerTable.ts
+++ b/packages/serving/src/peerTable.ts
@@ -42,10 +42,10 @@
 
 /** Six heartbeats within a region. */
 const silentAfterMilliseconds = 1_300
-/** VMs of a region beyond which heartbeats are rarer, and silence takes longer to tell. */
-const manyNeighbours = 20
-/** Three heartbeats of such a region. */
-const silentAmongManyMilliseconds = 2_000
+/** VMs of a region beyond which heartbeats are rarer than every 400 ms, and silence takes longer to tell. */
+const manyNeighbours = 16
+/** Three heartbeats of the largest regions. */
+const silentAmongManyMilliseconds = 2_600
 /** The same for a region, whose reports take one more step to arrive. */
 const regionSilentAfterMilliseconds = 1_500
 /** Far longer than the partitions that the users describe. */
