Log when a refused caller was told to return

Cause: the line of a refused request gave the wait at the best upstream and not the Retry-After that was answered. Ruled out: nothing.

--- a/packages/gateway/src/execution.ts
+++ b/packages/gateway/src/execution.ts
@@ -62,6 +62,7 @@
   expectedMilliseconds = 0
   /** Prompt tokens that the upstream was believed to read; undefined where it was not sent to one here. */
   unreadTokens: number | undefined
+  retryAfterMilliseconds: number | undefined
   private held: HeldAnswer | undefined
   private parkedUntil: number | undefined
   private attempt: Attempt | undefined
@@ -412,6 +413,7 @@
   private refuse (refusal: Refusal): void {
     this.outcome = 'refused'
     this.detail = refusal.detail
+    this.retryAfterMilliseconds = refusal.retryAfterMilliseconds
     this.options.sink.refuse(refusal)
     this.over(true)
   }
--- a/packages/gateway/src/requestLog.ts
+++ b/packages/gateway/src/requestLog.ts
@@ -28,6 +28,7 @@
       sends: execution.sends,
       expected: execution.expectedMilliseconds,
       unread: execution.unreadTokens,
+      retryAfter: execution.retryAfterMilliseconds,
       first: firstAnswer,
       total: rounded(now - receivedAt),
       forwarded: isForwarded || undefined,
