Tell at once that a VM leaves, also in large regions

Cause: found on reading: leave() sent two heartbeats to be sure of one; with one heartbeat in four intervals neither may go out, and the others name the VM for up to 800 ms more. Ruled out: waiting longer before the listener closes (the callers' lists would still name it). Change: an urgent tick sends heartbeat and report whatever the turn; a test with eleven VMs fails with a plain tick. Nothing changes where each interval carries a heartbeat.

--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -118,8 +118,7 @@
     const { log, clock, settings } = this.options
     state.isLeaving = true
     log.info('leaving', { underWay: state.executions.size })
-    this.links.tick()
-    this.links.tick()
+    this.links.tick({ isUrgent: true })
     const startedAt = clock.monotonic()
     const lastAt = startedAt + settings.bounds.graceMilliseconds - leavingReserveMilliseconds
     await delay(leavingIdleMilliseconds)
--- a/packages/gateway/src/peerLinks.test.ts
+++ b/packages/gateway/src/peerLinks.test.ts
@@ -1,10 +1,11 @@
 import { createServer } from 'node:http'
 import { SeededRandom, toFailureDomainId, toIncarnationId, toRegionId, toUpstreamId, toVmId } from '@cuminvale/common'
+import { ServingConfiguration } from '@cuminvale/serving'
 import { afterEach, describe, expect, it } from 'vitest'
 import { GatewayMetrics } from './gatewayMetrics.js'
 import { PeerLinks } from './peerLinks.js'
 import { ServingState } from './servingState.js'
-import { TestDecoder, listen, silentLog, testCodec, testSettings, testTeam } from './testSupport.js'
+import { TestDecoder, listen, silentLog, testCodec, testDocument, testSettings, testTeam } from './testSupport.js'
 import type { Clock } from '@cuminvale/common'
 import type { PeerIdentity, PromptPartId } from '@cuminvale/serving'
 import type { Server } from 'node:http'
@@ -163,4 +164,22 @@
     nodes.push(await startNode('north', 4, [nodeOf('north-0').identity.linkAddress]))
     expect(await stepUntil(() => nodeOf('north-4').state.heldParts.some(([upstream, ids]) => upstream === 'u2' && ids.includes(part)))).toBe(true)
   })
+
+  it('tells at once that a VM takes no more work, also where heartbeats are rare', async () => {
+    clock = new SteppedClock()
+    const first = await startNode('north', 0, [])
+    const rest = await Promise.all(Array.from({ length: 10 }, async (_, index) => await startNode('north', index + 1, [first.identity.linkAddress])))
+    nodes = [first, ...rest]
+    expect(await stepUntil(() => allHear(10))).toBe(true)
+    const leaver = nodeOf('north-5')
+    const others = (): readonly Node[] => nodes.filter((node) => node !== leaver)
+    const areTold = (): boolean => others().every(({ state }) => state.peers.neighbours.every(({ identity, isReady }) => identity.vm !== 'north-5' || !isReady))
+    expect(leaver.state.heartbeatIntervals).toBe(2)
+    leaver.state.configuration = new ServingConfiguration(testDocument([]))
+    expect(await stepUntil(() => !areTold())).toBe(true)
+    leaver.state.isLeaving = true
+    leaver.links.tick({ isUrgent: true })
+    for (let waits = 0; waits < mostSteps && !areTold(); waits += 1) await new Promise((resolve) => setTimeout(resolve, stepPauseMilliseconds))
+    expect(areTold()).toBe(true)
+  })
 })
--- a/packages/gateway/src/peerLinks.ts
+++ b/packages/gateway/src/peerLinks.ts
@@ -81,8 +81,8 @@
     this.seeds = seeds
   }
 
-  /** Sends the heartbeats and reports that are due and repairs links. */
-  tick (): void {
+  /** Sends the heartbeats and reports that are due, or all of them where something urgent has changed, and repairs links. */
+  tick ({ isUrgent = false }: { readonly isUrgent?: boolean } = {}): void {
     const { state, self } = this.options
     this.beats += 1
     state.peers.forgetOld()
@@ -95,12 +95,12 @@
     this.isSpeaker = plan.isSpeaker
     const seeds = new Set(plan.seeds)
     for (const seed of seeds) this.want(seed, now, true)
-    const heartbeat = this.beats % state.heartbeatIntervals === 0 ? this.heartbeat() : undefined
+    const heartbeat = isUrgent || this.beats % state.heartbeatIntervals === 0 ? this.heartbeat() : undefined
     for (const { linkAddress } of plan.near) {
       const link = this.want(linkAddress, now, seeds.has(linkAddress))
       if (heartbeat !== undefined) this.send(link, heartbeat)
     }
-    const report = plan.far.length > 0 && this.beats % intervalsBetweenReports(plan.far) === 0 ? this.report(now) : undefined
+    const report = plan.far.length > 0 && (isUrgent || this.beats % intervalsBetweenReports(plan.far) === 0) ? this.report(now) : undefined
     for (const { linkAddress } of plan.far) {
       const link = this.want(linkAddress, now, seeds.has(linkAddress))
       if (report !== undefined) this.send(link, report)
