--- a/packages/gateway/src/peerLinks.ts
+++ b/packages/gateway/src/peerLinks.ts
@@ -203,7 +203,7 @@
       forecasts: [...state.ownForecasts()].map(([service, { upstreams, waitMilliseconds, freeSlots }]) =>
         [service, upstreams, Math.round(waitMilliseconds), freeSlots] as const),
       parts: state.takePartsAway(),
-      departed: state.peers.lately,
+      departed: state.peers.departedLately,
       ...isListed ? { members: members.map(packMember) } : {}
     }
     return pack(message)
--- a/packages/serving/src/linkPlan.ts
+++ b/packages/serving/src/linkPlan.ts
@@ -28,7 +28,7 @@
 }
 
 /** Seeds that start at the same time have learnt of all others by then. */
-export const seedingMilliseconds = 5_000
+const seedingMilliseconds = 5_000
 /** Two parts of a fleet that meet on a seed do so within this, times the number of seeds. */
 const seedTurnMilliseconds = 10_000
 /** Part of a turn in which the seed is linked to. */
--- a/packages/serving/src/peerTable.ts
+++ b/packages/serving/src/peerTable.ts
@@ -154,7 +154,7 @@
   }
 
   /** VMs of the own region that left a moment ago, for other regions. */
-  get lately (): readonly PeerIdentity[] {
+  get departedLately (): readonly PeerIdentity[] {
     const oldest = this.clock.monotonic() - departureToldMilliseconds
     return [...this.departures.values()].filter(({ identity, at }) => at >= oldest && identity.region === this.self.region).map(({ identity }) => identity)
   }
--- a/packages/serving/src/upstreamBelief.ts
+++ b/packages/serving/src/upstreamBelief.ts
@@ -31,7 +31,8 @@
 
 /** Reports are half an interval old on average; the rest is their way and the timers'. */
 const unreportedIntervals = 0.6
-const lonely: ReportShape = { siblings: 0, intervalMilliseconds: 200 }
+/** Where nobody else chooses by the same reports. */
+const noSiblings: ReportShape = { siblings: 0, intervalMilliseconds: 200 }
 
 /** Ages after which a report says less than the other VMs' own counts. */
 const loadFreshMilliseconds = 400
@@ -64,7 +65,7 @@
   private readonly unreportedTokens: FadingSum
   private readonly unreportedSends: FadingSum
 
-  constructor (private readonly clock: Clock, public announced: AnnouncedUpstream, private readonly reportShape: () => ReportShape = () => lonely) {
+  constructor (private readonly clock: Clock, public announced: AnnouncedUpstream, private readonly reportShape: () => ReportShape = () => noSiblings) {
     this.sends = new SendWindow(clock)
     this.unreportedTokens = new FadingSum(clock)
     this.unreportedSends = new FadingSum(clock)
