Take needless work off the placement path, and dead pieces out

Cause: read-through of the whole change. Each look at an upstream made an object for the shape of reports, twice a candidate; each look at a cold one listed the region's VMs although only large regions need them; the list of long parts was written twice, the type of reports three times, the configuration's key twice; a kind of call failure was never used; a comment promised a choice of two VMs that is a choice of one; a count that others could write was public. Ruled out: dropping the count of neighbours (each placement asks for it several times a candidate). Behaviour is the same.

--- a/packages/gateway/src/errors.ts
+++ b/packages/gateway/src/errors.ts
@@ -26,9 +26,7 @@
   /** No connection was made, so that nothing was sent. */
   NotSent: 'not-sent',
   /** The connection broke after the request was sent. */
-  Broken: 'broken',
-  /** The answer belongs to another request, or is none. */
-  Foreign: 'foreign'
+  Broken: 'broken'
 } as const
 export type CallFailureKind = typeof CallFailureKind[keyof typeof CallFailureKind]
 
--- a/packages/gateway/src/peerLinks.ts
+++ b/packages/gateway/src/peerLinks.ts
@@ -189,9 +189,9 @@
     this.sequence += 1
     const members = [{ identity: self, isReady: state.isReady }, ...state.peers.neighbours]
     const summary = members.map(({ identity, isReady }) => `${identity.vm} ${identity.incarnation} ${isReady ? 1 : 0}`).sort().join()
-    const isListed = summary !== this.membersTold || this.beats % membersRepeatIntervals === 0 || now - this.membersToldAt < linkRetryMilliseconds
     if (summary !== this.membersTold) this.membersToldAt = now
     this.membersTold = summary
+    const isListed = now - this.membersToldAt < linkRetryMilliseconds || this.beats % membersRepeatIntervals === 0
     const message: RegionReport = {
       kind: 'region-report',
       region,
--- a/packages/gateway/src/servingState.ts
+++ b/packages/gateway/src/servingState.ts
@@ -10,7 +10,7 @@
 import { farRoundTripMilliseconds, mostIntervalsBetweenHeartbeats, nearHeartbeatMilliseconds, neighboursPerInterval, settlingMilliseconds } from './constants.js'
 import type { Clock, Random, RegionId, UpstreamId, VmId } from '@cuminvale/common'
 import type { Log } from '@cuminvale/logs'
-import type { OthersLoad, PeerIdentity, PromptPart, PromptPartId, ServiceForecast, ServiceName, ServiceShape, UpstreamBelief } from '@cuminvale/serving'
+import type { OthersLoad, PeerIdentity, PromptPart, PromptPartId, ReportShape, ServiceForecast, ServiceName, ServiceShape, UpstreamBelief } from '@cuminvale/serving'
 import type { Execution } from './execution.js'
 import type { GatewayMetrics } from './gatewayMetrics.js'
 import type { GatewaySettings, RecordDecoder, RequestCodec } from './types.js'
@@ -31,6 +31,9 @@
 /** VMs that may be added to a region without being known yet. */
 const spareVms = 1
 
+const longPartIds = (parts: readonly PromptPart[]): readonly PromptPartId[] =>
+  parts.filter(({ tokens }) => tokens >= toldPartTokens).map(({ id }) => id)
+
 export class ServingState {
   readonly settings: GatewaySettings
   readonly clock: Clock
@@ -72,7 +75,7 @@
       clock,
       regionOf: (domain) => settings.domainRegions.get(domain),
       shapeOf,
-      reportShape: () => ({ siblings: this.peers.neighbourCount, intervalMilliseconds: this.heartbeatIntervals * nearHeartbeatMilliseconds })
+      reportShape: this.reportShape()
     })
     this.forecasts = new RegionForecasts(clock, () => this.peers.neighbourCount)
     this.longParts = new UpstreamParts(clock)
@@ -143,11 +146,11 @@
   noteParts (belief: UpstreamBelief, parts: readonly PromptPart[]): void {
     if (parts.length === 0) return
     belief.readParts(parts.map(({ id }) => id))
-    const long = parts.filter(({ tokens }) => tokens >= toldPartTokens)
+    const long = longPartIds(parts)
     if (long.length === 0) return
-    this.longParts.add(belief.announced.id, long.map(({ id }) => id))
+    this.longParts.add(belief.announced.id, long)
     const told = this.partsToTell.get(belief.announced.id) ?? new Set<PromptPartId>()
-    for (const { id } of long) {
+    for (const id of long) {
       told.add(id)
       this.partsToTellAway.add(id)
     }
@@ -187,7 +190,7 @@
 
   /** Notes that a region is about to read the long parts of a forwarded request. */
   notePartsAway (region: RegionId, parts: readonly PromptPart[]): void {
-    this.forecasts.heardParts(region, parts.filter(({ tokens }) => tokens >= toldPartTokens).map(({ id }) => id))
+    this.forecasts.heardParts(region, longPartIds(parts))
   }
 
   /** Notes that no connection to an upstream could be made. */
@@ -241,7 +244,7 @@
     return forecasts
   }
 
-  /** The VM of a region to forward to: of two at random, the one with fewer forwards under way. */
+  /** The VM of a region to forward to: any that is heard and ready. */
   peerFor (region: RegionId): PeerIdentity | undefined {
     const peers = this.peers.heardPeers({ readyOnly: true }).filter((peer) => peer.region === region)
     return peers[Math.floor(this.random.next() * peers.length)]
@@ -251,6 +254,16 @@
     return farRoundTripMilliseconds
   }
 
+  /** Follows the region's size; read for each upstream of each placement, so that it is one object. */
+  private reportShape (): ReportShape {
+    const siblings = (): number => this.peers.neighbourCount
+    const intervalMilliseconds = (): number => this.heartbeatIntervals * nearHeartbeatMilliseconds
+    return {
+      get siblings () { return siblings() },
+      get intervalMilliseconds () { return intervalMilliseconds() }
+    }
+  }
+
   private reachableRegions (): readonly RegionId[] {
     const regions = new Set(this.peers.heardPeers({ readyOnly: true }).map(({ region }) => region))
     regions.delete(this.settings.region)
@@ -259,7 +272,7 @@
 
   private coldShareOf (upstream: UpstreamId, mostPerSecond: number): number {
     const { vm, region } = this.settings
-    const neighbours = this.peers.known.filter((peer) => peer.region === region).map((peer) => peer.vm)
+    const neighbours = (): readonly VmId[] => this.peers.known.filter((peer) => peer.region === region).map((peer) => peer.vm)
     return coldShare({ upstream, self: vm, neighbours, count: this.regionVms, isSettled: this.peers.isSettled, mostPerSecond })
   }
 
--- a/packages/serving/src/coldShare.test.ts
+++ b/packages/serving/src/coldShare.test.ts
@@ -12,7 +12,7 @@
 const together = (vms: readonly VmId[], upstream: typeof upstreams[number], isKnown: (from: VmId, to: VmId) => boolean = () => true): number =>
   vms.reduce((sum, self) => {
     const neighbours = vms.filter((vm) => vm !== self && isKnown(self, vm))
-    return sum + Math.floor(coldShare({ upstream, self, neighbours, count: neighbours.length + 2, isSettled: true, mostPerSecond }))
+    return sum + Math.floor(coldShare({ upstream, self, neighbours: () => neighbours, count: neighbours.length + 2, isSettled: true, mostPerSecond }))
   }, 0)
 
 describe('a returning failure domain whose upstreams are cold', () => {
@@ -32,13 +32,13 @@
   })
 
   it('is not sent anything by VMs that have all just started', () => {
-    expect(coldShare({ upstream: toUpstreamId('i-1'), self: toVmId('vm-1'), neighbours: [], count: 9, isSettled: false, mostPerSecond })).toBe(0)
+    expect(coldShare({ upstream: toUpstreamId('i-1'), self: toVmId('vm-1'), neighbours: () => [], count: 9, isSettled: false, mostPerSecond })).toBe(0)
   })
 
   it('spreads the work over other VMs for other upstreams', () => {
     const vms = vmsOf(22)
     const senders = new Set(upstreams.flatMap((upstream) => vms.filter((self) =>
-      coldShare({ upstream, self, neighbours: vms.filter((vm) => vm !== self), count: 23, isSettled: true, mostPerSecond }) > 0)))
+      coldShare({ upstream, self, neighbours: () => vms.filter((vm) => vm !== self), count: 23, isSettled: true, mostPerSecond }) > 0)))
     expect(senders.size).toBeGreaterThan(4)
   })
 })
--- a/packages/serving/src/coldShare.ts
+++ b/packages/serving/src/coldShare.ts
@@ -11,8 +11,8 @@
 export interface ColdShareInput {
   readonly upstream: UpstreamId
   readonly self: VmId
-  /** Other VMs of the region that may be running, heard or not. */
-  readonly neighbours: readonly VmId[]
+  /** Other VMs of the region that may be running, heard or not; asked for only where a few share the rate. */
+  readonly neighbours: () => readonly VmId[]
   /** VMs to count, this one, assumed and spare ones included. */
   readonly count: number
   /** Whether this VM has been up long enough to have been told of the others. */
@@ -33,6 +33,6 @@
   if (even >= 1) return even
   const senders = Math.floor(mostPerSecond / senderPerSecond) - spareSenders
   const own = rendezvousScore(upstream, self)
-  const before = neighbours.filter((vm) => rendezvousScore(upstream, vm) > own).length
+  const before = neighbours().filter((vm) => rendezvousScore(upstream, vm) > own).length
   return before < senders ? senderPerSecond : 0
 }
--- a/packages/serving/src/herding.test.ts
+++ b/packages/serving/src/herding.test.ts
@@ -26,7 +26,7 @@
   const clock = new ManualClock()
   const random = new SeededRandom(7)
   const names = Array.from({ length: upstreams }, (_, index) => `i-${index}`)
-  const beliefs = Array.from({ length: vms }, () => names.map((id) => new UpstreamBelief(clock, announced(id), () => ({ siblings, intervalMilliseconds }))))
+  const beliefs = Array.from({ length: vms }, () => names.map((id) => new UpstreamBelief(clock, announced(id), { siblings, intervalMilliseconds })))
   const queues: Array<Array<{ vm: number, readAt: number }>> = names.map(() => [])
   const waits: number[] = []
   for (let step = 0; step < 400; step += 1) {
--- a/packages/serving/src/peerTable.ts
+++ b/packages/serving/src/peerTable.ts
@@ -73,13 +73,17 @@
   private readonly departures = new Map<string, Departure>()
   private readonly startedAt: number
   private lastSerial = 0
-  /** Known VMs of the own region, heard or not. */
-  neighbourCount = 0
+  private neighboursKnown = 0
 
   constructor (private readonly clock: Clock, private readonly self: PeerIdentity) {
     this.startedAt = clock.monotonic()
   }
 
+  /** Known VMs of the own region, heard or not; kept, since each placement asks. */
+  get neighbourCount (): number {
+    return this.neighboursKnown
+  }
+
   /** Notes a message that came from a VM of the same region itself. */
   heard (identity: PeerIdentity, isReady: boolean): void {
     if (identity.linkAddress === this.self.linkAddress || this.hasDeparted(identity)) return
@@ -228,7 +232,7 @@
   }
 
   private countNeighbours (): void {
-    this.neighbourCount = [...this.peers.values()].filter(({ identity }) => identity.region === this.self.region).length
+    this.neighboursKnown = [...this.peers.values()].filter(({ identity }) => identity.region === this.self.region).length
   }
 
   private nextSerial (): number {
--- a/packages/serving/src/sharedRate.ts
+++ b/packages/serving/src/sharedRate.ts
@@ -2,9 +2,10 @@
  * A team's rate across all VMs without shared state. Each VM keeps a bucket
  * for the whole fleet, from which it takes its own spending and what the
  * others report: VMs of the same region one by one, those of another region
- * as the sum that its speakers report. The bucket fills only with the part of the rate that belongs
- * to VMs heard lately: an unheard VM may be spending its part, so that two
- * sides that can't talk never use more than the whole between them.
+ * as the sum that its speakers report. The bucket fills only with the part of
+ * the rate that belongs to VMs heard lately: an unheard VM may be spending its
+ * part, so that two sides that can't talk never use more than the whole
+ * between them.
  */
 
 import { millisecondsPerSecond } from '@cuminvale/common'
@@ -34,10 +35,13 @@
   spent: number
 }
 
+/** What was last reported, by the VM that did. */
+type Reports = Map<VmId, { readonly incarnation: IncarnationId, readonly spent: Map<TeamId, number> }>
+
 export class SharedRate {
   private readonly buckets = new Map<TeamId, Bucket>()
-  private readonly reported = new Map<VmId, { incarnation: IncarnationId, spent: Map<TeamId, number> }>()
-  private readonly regionReported = new Map<VmId, { incarnation: IncarnationId, spent: Map<TeamId, number> }>()
+  private readonly reported: Reports = new Map()
+  private readonly regionReported: Reports = new Map()
   private readonly neighboursSpent = new Map<TeamId, number>()
 
   constructor (private readonly options: SharedRateOptions) {}
@@ -121,9 +125,7 @@
  * What was spent since the last report. What was spent before the first one is
  * in no bucket of this VM either, so that only a full one can be the first.
  */
-const increments = (
-  reports: Map<VmId, { incarnation: IncarnationId, spent: Map<TeamId, number> }>, { vm, incarnation, spent, isFull }: SpendingReport
-): ReadonlyArray<readonly [TeamId, number]> => {
+const increments = (reports: Reports, { vm, incarnation, spent, isFull }: SpendingReport): ReadonlyArray<readonly [TeamId, number]> => {
   const known = reports.get(vm)
   if (known === undefined || known.incarnation !== incarnation) {
     if (!isFull) return []
--- a/packages/serving/src/upstreamBelief.ts
+++ b/packages/serving/src/upstreamBelief.ts
@@ -65,7 +65,7 @@
   private readonly unreportedTokens: FadingSum
   private readonly unreportedSends: FadingSum
 
-  constructor (private readonly clock: Clock, public announced: AnnouncedUpstream, private readonly reportShape: () => ReportShape = () => noSiblings) {
+  constructor (private readonly clock: Clock, public announced: AnnouncedUpstream, private readonly reportShape: ReportShape = noSiblings) {
     this.sends = new SendWindow(clock)
     this.unreportedTokens = new FadingSum(clock)
     this.unreportedSends = new FadingSum(clock)
@@ -87,14 +87,14 @@
 
   /** Notes a send; the other VMs, which know the same of this upstream, have likely sent as much since their last reports. */
   noteSent (unreadTokens: number): void {
-    const constant = this.reportShape().intervalMilliseconds * unreportedIntervals
+    const constant = this.reportShape.intervalMilliseconds * unreportedIntervals
     this.unreportedTokens.add(unreadTokens, constant)
     this.unreportedSends.add(1, constant)
     this.sends.sent()
   }
 
   private unreported (own: FadingSum): number {
-    const { siblings, intervalMilliseconds } = this.reportShape()
+    const { siblings, intervalMilliseconds } = this.reportShape
     return own.value(intervalMilliseconds * unreportedIntervals) * siblings
   }
 
--- a/packages/serving/src/upstreamBoard.ts
+++ b/packages/serving/src/upstreamBoard.ts
@@ -14,7 +14,7 @@
   readonly clock: Clock
   readonly regionOf: (domain: FailureDomainId) => RegionId | undefined
   readonly shapeOf: (service: ServiceName) => ServiceShape | undefined
-  readonly reportShape?: () => ReportShape
+  readonly reportShape?: ReportShape
 }
 
 export interface BoardChange {
