--- a/packages/membership/src/regionScope.ts
+++ b/packages/membership/src/regionScope.ts
@@ -6,6 +6,7 @@
  * moves few links.
  */
 
+import { groupBy } from '@cuminvale/common'
 import type { ListedVm, RegionId, VmId } from '@cuminvale/common'
 import { defaultFullMeshVms, ownRemoteLinks, regionTargets } from './constants.js'
 import { hashPair, hashText } from './hash.js'
@@ -18,15 +19,7 @@
 const byHash = (first: HashedVm, second: HashedVm): number =>
   first.hash - second.hash || (first.vm.name < second.vm.name ? -1 : 1)
 
-const groupByRegion = (vms: readonly HashedVm[]): RegionGroups => {
-  const groups = new Map<RegionId, HashedVm[]>()
-  for (const hashed of vms) {
-    const group = groups.get(hashed.vm.region)
-    if (group === undefined) groups.set(hashed.vm.region, [hashed])
-    else group.push(hashed)
-  }
-  return groups
-}
+const groupByRegion = (vms: readonly HashedVm[]): RegionGroups => groupBy(vms, ({ vm }) => vm.region)
 
 const successorsOf = (self: VmId, region: readonly HashedVm[]): ReadonlySet<VmId> => {
   const ring = [...region].sort(byHash)
--- a/packages/serving/src/linkPlan.ts
+++ b/packages/serving/src/linkPlan.ts
@@ -6,8 +6,8 @@
  * knew each other meet.
  */
 
+import { groupBy } from '@cuminvale/common'
 import { chooseSpeakers, speakersPerRegion } from './regionSpeakers.js'
-import type { RegionId } from '@cuminvale/common'
 import type { PeerIdentity } from './peerTable.js'
 
 export interface LinkPlanInput {
@@ -48,13 +48,7 @@
 }
 
 const farSpeakers = ({ self, known, heard, uptimeMilliseconds }: Omit<LinkPlanInput, 'seeds'>): readonly PeerIdentity[] => {
-  const regions = new Map<RegionId, PeerIdentity[]>()
-  for (const peer of known) {
-    if (peer.region === self.region) continue
-    const members = regions.get(peer.region)
-    if (members === undefined) regions.set(peer.region, [peer])
-    else members.push(peer)
-  }
+  const regions = groupBy(known.filter(({ region }) => region !== self.region), ({ region }) => region)
   return [...regions].flatMap(([region, members]) => {
     const speakers = chooseSpeakers(heard.filter((peer) => peer.region === region))
     return speakers.length > 0 ? speakers : searched(members, uptimeMilliseconds)
