Split the relay of answers from the execution, and start executions in one place

Cause: execution.ts had 453 lines and two jobs: where a request is sent, and how an answer made of several runs reaches its caller. callerServer and forwardServer ended in the same five lines. Ruled out: moving the sends instead (they are what the retries decide on). Change: AnswerRelay holds short answers, cuts streams and knows what was passed on, so that headSent, which repeated the status, is gone; startExecution for both servers. Behaviour is the same.

--- a/packages/gateway/src/callerServer.ts
+++ b/packages/gateway/src/callerServer.ts
@@ -5,8 +5,8 @@
 
 import { createServer } from 'node:http'
 import { RefusalReason, millisecondsPerSecond, refuse } from '@cuminvale/common'
-import { Execution } from './execution.js'
 import { FailureKind } from './answerSink.js'
+import { startExecution } from './startExecution.js'
 import { discardedBodyBytes, listenBacklog, requestHeaderBytes } from './constants.js'
 import type { Refusal } from '@cuminvale/common'
 import type { AdmittedRequest, RequestHead } from '@cuminvale/serving'
@@ -148,7 +148,7 @@
       this.requestLog.refused(head, refusal, request.configurationVersion)
       return sink.refuse(refusal)
     }
-    const execution = new Execution({
+    startExecution(response, {
       state,
       request,
       body,
@@ -158,15 +158,10 @@
       attemptsLeft: route.maximumAttempts,
       sink,
       onOver: (over) => {
-        state.executions.delete(over)
         if (over.outcome === 'refused' && team !== undefined) state.rate.giveBack(team, charge)
         this.requestLog.ended(over, receivedAt, false)
       }
     })
-    state.executions.add(execution)
-    response.on('close', () => execution.callerLeft())
-    response.on('drain', () => execution.resume())
-    execution.start()
   }
 
   private refuse (request: IncomingMessage, response: ServerResponse, head: RequestHead, refusal: Refusal): void {
--- a/packages/gateway/src/execution.ts
+++ b/packages/gateway/src/execution.ts
@@ -6,12 +6,11 @@
 
 import { RefusalReason, refuse } from '@cuminvale/common'
 import { PlacementKind, RequestKind } from '@cuminvale/serving'
+import { AnswerRelay } from './answerRelay.js'
 import { CallFailureKind } from './errors.js'
-import { EventCutter } from './eventCutter.js'
 import { FailureKind } from './answerSink.js'
 import { ForwardCall } from './forwardCall.js'
 import { noteAnswered, noteForwardAnswered, settleLocal, startLocal } from './attempts.js'
-import { HeldAnswer } from './heldAnswer.js'
 import { UpstreamCall } from './upstreamCall.js'
 import { maximumUnsentTries, predictionSlack, requestSilentMilliseconds, settlingWaitMilliseconds, upstreamSilentMilliseconds } from './constants.js'
 import type { Refusal, RegionId, UpstreamId } from '@cuminvale/common'
@@ -55,7 +54,6 @@
   /** For the log: how the request ended, and why. */
   outcome = 'under-way'
   detail = ''
-  status = 0
   sends = 0
   target = ''
   firstAnswerAt: number | undefined
@@ -63,23 +61,25 @@
   /** Prompt tokens that the upstream was believed to read; undefined where it was not sent to one here. */
   unreadTokens: number | undefined
   retryAfterMilliseconds: number | undefined
-  private held: HeldAnswer | undefined
   private parkedUntil: number | undefined
   private attempt: Attempt | undefined
   private attemptsLeft: number
   private unsentTries = 0
   private mayHaveRun = false
-  private headSent = false
   private isOver = false
   private lastDataAt = 0
   private readonly excluded = new Set<UpstreamId>()
   private readonly excludedRegions = new Set<RegionId>()
-  private readonly cutter: EventCutter | undefined
+  private readonly relay: AnswerRelay
 
   constructor (private readonly options: ExecutionOptions) {
     this.attemptsLeft = options.attemptsLeft
-    const { route } = options.request
-    this.cutter = route.kind === RequestKind.Stream && route.isResumable ? new EventCutter() : undefined
+    this.relay = new AnswerRelay(options.sink, options.request.route)
+  }
+
+  /** Status that was passed on; 0 where none was. */
+  get status (): number {
+    return this.relay.status
   }
 
   get request (): AdmittedRequest {
@@ -148,21 +148,11 @@
     this.lastDataAt = this.now
     const { attempt } = this
     if (attempt?.kind === 'local') attempt.belief.lastAnswerAt = this.lastDataAt
-    if (this.held !== undefined) {
-      this.held.push(chunk)
-      if (this.held.isOverlong) this.passHeld()
-      return true
-    }
-    if (this.cutter === undefined || !isSuccess(this.status)) return this.options.sink.data(chunk)
-    const whole = this.cutter.push(chunk)
-    return whole === undefined || this.options.sink.data(whole)
+    return this.relay.data(chunk)
   }
 
   onEnd (): void {
-    this.passHeld()
-    const rest = this.cutter?.rest()
-    if (rest !== undefined) this.options.sink.data(rest)
-    this.options.sink.end()
+    this.relay.end()
     this.outcome = 'answered'
     this.options.state.crashes.survived(this.request, this.options.body)
     this.over(false)
@@ -286,40 +276,16 @@
 
   /** What the next send has to go on from. */
   private get resumeAfter (): string | undefined {
-    return this.cutter?.lastEventId ?? this.options.resumeAfter
+    return this.relay.lastEventId ?? this.options.resumeAfter
   }
 
   private passHead (status: number, headers: readonly string[]): void {
     this.firstAnswerAt ??= this.now
-    if (this.request.route.kind === RequestKind.Safe) {
-      this.held = new HeldAnswer(status, headers)
-      return
-    }
-    if (this.headSent) {
-      // The caller has the first run's head already; only a successful run can go on in its body.
-      if (!isSuccess(status)) {
-        this.options.sink.breakOff()
-        this.outcome = 'broken-off'
-        this.detail = `status ${status} on resume`
-        this.over(true)
-      }
-      return
-    }
-    this.sendHead(status, headers)
-  }
-
-  private sendHead (status: number, headers: readonly string[]): void {
-    this.headSent = true
-    this.status = status
-    this.options.sink.head(status, headers)
-  }
-
-  private passHeld (): void {
-    const { held } = this
-    if (held === undefined) return
-    this.held = undefined
-    this.sendHead(held.status, held.headers)
-    held.passBody(this.options.sink)
+    if (this.relay.head(status, headers)) return
+    this.options.sink.breakOff()
+    this.outcome = 'broken-off'
+    this.detail = `status ${status} on resume`
+    this.over(true)
   }
 
   private notRun (attempt: LocalAttempt, status: number): void {
@@ -376,7 +342,7 @@
   /** Sends a repeatable request once more; false where nothing allows it. */
   private tryAgain (attempt: Attempt, { detail, isAnswered }: { detail: string, isAnswered: boolean }): boolean {
     const { state } = this.options
-    if (this.headSent && this.cutter === undefined) return false
+    if (!this.relay.mayStartAnew) return false
     const attemptsLeft = attempt.kind === 'forward' ? this.attemptsLeft - attempt.granted : this.attemptsLeft
     if (attemptsLeft <= 0 || this.options.deadlineAt - this.now < leastRetryMilliseconds) return false
     // What is under way is left only for something better.
@@ -390,8 +356,7 @@
     this.detail = detail
     this.attemptsLeft = attemptsLeft
     this.mayHaveRun = true
-    this.held = undefined
-    this.cutter?.dropPartial()
+    this.relay.startAnew()
     this.carryOut(placement)
     return true
   }
@@ -420,8 +385,7 @@
 
   private failNow (kind: FailureKind): void {
     this.outcome = kind
-    if (this.headSent) this.options.sink.breakOff()
-    else this.options.sink.fail(kind, this.detail)
+    this.relay.fail(kind, this.detail)
     this.over(true)
   }
 
@@ -449,5 +413,3 @@
     else settleLocal(attempt)
   }
 }
-
-const isSuccess = (status: number): boolean => status >= 200 && status < 300
--- a/packages/gateway/src/forwardServer.ts
+++ b/packages/gateway/src/forwardServer.ts
@@ -4,7 +4,7 @@
  */
 
 import { RefusalReason, refuse } from '@cuminvale/common'
-import { Execution } from './execution.js'
+import { startExecution } from './startExecution.js'
 import { FrameKind, frameOf, packedFrame, unpackForward } from './forwardFrames.js'
 import type { Refusal } from '@cuminvale/common'
 import type { IncomingMessage, ServerResponse } from 'node:http'
@@ -68,7 +68,7 @@
       return sink.refuse(refuse(RefusalReason.RegionNotAllowed, 'this region is not a home of the request'))
     }
     const receivedAt = state.clock.monotonic()
-    const execution = new Execution({
+    startExecution(response, {
       state,
       request,
       body,
@@ -78,14 +78,7 @@
       attemptsLeft: envelope.attemptsLeft,
       resumeAfter: envelope.resumeAfter,
       sink,
-      onOver: (over) => {
-        state.executions.delete(over)
-        this.requestLog.ended(over, receivedAt, true)
-      }
+      onOver: (over) => this.requestLog.ended(over, receivedAt, true)
     })
-    state.executions.add(execution)
-    response.on('close', () => execution.callerLeft())
-    response.on('drain', () => execution.resume())
-    execution.start()
   }
 }
--- /dev/null
+++ b/packages/gateway/src/startExecution.ts
@@ -0,0 +1,23 @@
+/**
+ * Starts an execution that answers over HTTP, to a caller or to a VM that
+ * forwarded the request: it ends when the connection does.
+ */
+
+import { Execution } from './execution.js'
+import type { ServerResponse } from 'node:http'
+import type { ExecutionOptions } from './execution.js'
+
+export const startExecution = (response: ServerResponse, options: ExecutionOptions): void => {
+  const { state, onOver } = options
+  const execution = new Execution({
+    ...options,
+    onOver: (over) => {
+      state.executions.delete(over)
+      onOver(over)
+    }
+  })
+  state.executions.add(execution)
+  response.on('close', () => execution.callerLeft())
+  response.on('drain', () => execution.resume())
+  execution.start()
+}
