Split a link from what is said over links

Cause: peerLinks.ts had 408 lines and two jobs: keeping connections, and the messages between VMs. Ruled out: splitting by message (they share the table of links and the speaker's state). Change: OutgoingLink dials, pings and gives up a silent connection; PeerLinks says what is sent. Behaviour and log lines are the same.

--- /dev/null
+++ b/packages/gateway/src/outgoingLink.ts
@@ -0,0 +1,88 @@
+/**
+ * A link that this VM dials to another one, made anew while it is wanted.
+ * Pings tell a link whose other end has gone without a word.
+ */
+
+import { WebSocket } from 'ws'
+import { linkRetryMilliseconds, linkSilentMilliseconds, maximumLinkMessageBytes, peerConnectMilliseconds } from './constants.js'
+import type { Clock } from '@cuminvale/common'
+import type { Log } from '@cuminvale/logs'
+
+export const linkPath = '/link'
+
+export interface OutgoingLinkOptions {
+  /** Host and port. */
+  readonly address: string
+  readonly clock: Clock
+  readonly log: Log
+  readonly onOpen: () => void
+  readonly onMessage: (socket: WebSocket, data: Buffer) => void
+}
+
+export class OutgoingLink {
+  /** Last time at which the plan named it. */
+  wantedAt = 0
+  /** Whether the other VM is asked for all that it knows. */
+  isSeed = false
+  /** Serial up to which the other VM was told of VMs. */
+  toldSerial = 0
+  private socket: WebSocket | undefined
+  private dialledAt = -Infinity
+  private pingedAt = 0
+  private answeredAt = 0
+
+  constructor (private readonly options: OutgoingLinkOptions) {}
+
+  get isOpen (): boolean {
+    return this.socket?.readyState === WebSocket.OPEN
+  }
+
+  /** Dials, or pings where the last ping is as old as the pause, or gives up a silent connection. */
+  keepUp (pingPauseMilliseconds: number): void {
+    const { address, clock, log } = this.options
+    const now = clock.monotonic()
+    if (this.socket === undefined) {
+      if (now - this.dialledAt >= linkRetryMilliseconds) this.dial()
+      return
+    }
+    if (!this.isOpen) return
+    if (this.pingedAt > this.answeredAt) {
+      if (now - this.pingedAt <= linkSilentMilliseconds) return
+      log.warn('link-silent', { address })
+      this.socket.terminate()
+    } else if (now - this.pingedAt >= pingPauseMilliseconds) {
+      this.pingedAt = now
+      this.socket.ping()
+    }
+  }
+
+  send (message: Buffer): void {
+    if (this.isOpen) this.socket?.send(message)
+  }
+
+  close (): void {
+    this.socket?.terminate()
+  }
+
+  private dial (): void {
+    const { address, clock, log, onOpen, onMessage } = this.options
+    this.dialledAt = clock.monotonic()
+    const socket = new WebSocket(`ws://${address}${linkPath}`, {
+      perMessageDeflate: false, handshakeTimeout: peerConnectMilliseconds, maxPayload: maximumLinkMessageBytes
+    })
+    this.socket = socket
+    socket.on('open', () => {
+      this.pingedAt = this.answeredAt = clock.monotonic()
+      log.info('link-up', { address })
+      onOpen()
+    })
+    socket.on('pong', () => { this.answeredAt = clock.monotonic() })
+    socket.on('message', (data) => onMessage(socket, data as Buffer))
+    socket.on('error', (error) => log.warn('link-error', { address, detail: error.message }))
+    socket.on('close', () => {
+      if (this.socket !== socket) return
+      this.socket = undefined
+      log.warn('link-down', { address })
+    })
+  }
+}
--- a/packages/gateway/src/peerLinks.ts
+++ b/packages/gateway/src/peerLinks.ts
@@ -7,39 +7,25 @@
 
 import { pack, unpack } from 'msgpackr'
 import { ReportUse, RegionReporters, planLinks } from '@cuminvale/serving'
-import { WebSocket, WebSocketServer } from 'ws'
+import { WebSocketServer } from 'ws'
+import { OutgoingLink, linkPath } from './outgoingLink.js'
 import {
-  linkKeepMilliseconds, linkPingMilliseconds, linkRetryMilliseconds, linkSilentMilliseconds, maximumLinkMessageBytes, maximumRelayedReports,
-  membersRepeatIntervals, mostIntervalsBetweenReports, neighboursPerInterval, peerConnectMilliseconds, rareLinkPingMilliseconds, recordRequestMilliseconds, reportEachIntervalRegions
+  linkKeepMilliseconds, linkPingMilliseconds, linkRetryMilliseconds, maximumLinkMessageBytes, maximumRelayedReports,
+  membersRepeatIntervals, mostIntervalsBetweenReports, neighboursPerInterval, rareLinkPingMilliseconds, recordRequestMilliseconds, reportEachIntervalRegions
 } from './constants.js'
 import type { TeamId } from '@cuminvale/common'
 import type { PeerIdentity, RegionMember } from '@cuminvale/serving'
 import type { Server } from 'node:http'
+import type { WebSocket } from 'ws'
 import type { HeartbeatMessage, HelloMessage, LinkMessage, RegionMembers, RegionReport } from './linkMessages.js'
 import type { ServingState } from './servingState.js'
 
-export const linkPath = '/link'
-
 /** Heartbeats between two reports of requests that crash upstreams. */
 const suspicionEvery = 5
 
 /** Heartbeats between two that name the spending of all teams; a VM that starts counts a neighbour from there on. */
 const fullSpendingEvery = 4
 
-interface OutgoingLink {
-  readonly address: string
-  socket: WebSocket | undefined
-  dialledAt: number
-  pingedAt: number
-  answeredAt: number
-  /** Last time at which the plan named it. */
-  wantedAt: number
-  /** Whether the other VM is asked for all that it knows. */
-  isSeed: boolean
-  /** Serial up to which the other VM was told of VMs. */
-  toldSerial: number
-}
-
 export interface PeerLinksOptions {
   readonly state: ServingState
   readonly self: PeerIdentity
@@ -98,12 +84,12 @@
     const heartbeat = isUrgent || this.beats % state.heartbeatIntervals === 0 ? this.heartbeat() : undefined
     for (const { linkAddress } of plan.near) {
       const link = this.want(linkAddress, now, seeds.has(linkAddress))
-      if (heartbeat !== undefined) this.send(link, heartbeat)
+      if (heartbeat !== undefined) link.send(heartbeat)
     }
     const report = plan.far.length > 0 && (isUrgent || this.beats % intervalsBetweenReports(plan.far) === 0) ? this.report(now) : undefined
     for (const { linkAddress } of plan.far) {
       const link = this.want(linkAddress, now, seeds.has(linkAddress))
-      if (report !== undefined) this.send(link, report)
+      if (report !== undefined) link.send(report)
     }
     if (!this.isSpeaker) state.takePartsAway()
     this.dropUnwanted(now)
@@ -118,14 +104,15 @@
     const link = this.linkTo(address)
     link.wantedAt = now
     link.isSeed = isSeed
-    this.keepUp(link, now)
+    link.keepUp(this.options.state.peers.neighbourCount > neighboursPerInterval ? rareLinkPingMilliseconds : linkPingMilliseconds)
+    if (link.isOpen && !isSeed) this.tellNew(link)
     return link
   }
 
   private dropUnwanted (now: number): void {
     for (const [address, link] of this.outgoing) {
       if (now - link.wantedAt <= linkKeepMilliseconds) continue
-      link.socket?.terminate()
+      link.close()
       this.outgoing.delete(address)
     }
   }
@@ -146,18 +133,18 @@
     for (const { to, message } of state.crashes.spread.tick()) {
       const peer = state.peers.known.find(({ vm }) => vm === to)
       const link = peer === undefined ? undefined : this.outgoing.get(peer.linkAddress)
-      if (link !== undefined) this.send(link, pack(message))
+      if (link !== undefined) link.send(pack(message))
     }
   }
 
   /** Tells every VM that this one stops. */
   leave (): void {
     const message = pack({ kind: 'leaving' } satisfies LinkMessage)
-    for (const link of this.outgoing.values()) this.send(link, message)
+    for (const link of this.outgoing.values()) link.send(message)
   }
 
   close (): void {
-    for (const link of this.outgoing.values()) link.socket?.terminate()
+    for (const link of this.outgoing.values()) link.close()
     for (const socket of this.incoming.clients) socket.terminate()
     this.incoming.close()
   }
@@ -212,31 +199,18 @@
   private linkTo (address: string): OutgoingLink {
     const held = this.outgoing.get(address)
     if (held !== undefined) return held
-    const link: OutgoingLink = { address, socket: undefined, dialledAt: -Infinity, pingedAt: 0, answeredAt: 0, wantedAt: 0, isSeed: false, toldSerial: 0 }
+    const { clock, log } = this.options.state
+    const link: OutgoingLink = new OutgoingLink({
+      address,
+      clock,
+      log,
+      onOpen: () => this.greet(link),
+      onMessage: (socket, data) => this.receive(socket, data, undefined)
+    })
     this.outgoing.set(address, link)
     return link
   }
 
-  private keepUp (link: OutgoingLink, now: number): void {
-    const { state } = this.options
-    if (link.socket === undefined) {
-      if (now - link.dialledAt >= linkRetryMilliseconds) this.dial(link)
-      return
-    }
-    if (link.socket.readyState !== WebSocket.OPEN) return
-    if (link.pingedAt > link.answeredAt && now - link.pingedAt > linkSilentMilliseconds) {
-      state.log.warn('link-silent', { address: link.address })
-      link.socket.terminate()
-      return
-    }
-    const pause = state.peers.neighbourCount > neighboursPerInterval ? rareLinkPingMilliseconds : linkPingMilliseconds
-    if (link.pingedAt <= link.answeredAt && now - link.pingedAt >= pause) {
-      link.pingedAt = now
-      link.socket.ping()
-    }
-    if (!link.isSeed) this.tellNew(link)
-  }
-
   /** Names VMs of this region that have become known since; other regions are told by their speakers. */
   private tellNew (link: OutgoingLink): void {
     const { state, self } = this.options
@@ -244,29 +218,7 @@
     if (serial === link.toldSerial) return
     link.toldSerial = serial
     const known = identities.filter(({ region }) => region === self.region)
-    if (known.length > 0) this.send(link, pack({ kind: 'hello', identity: self, known, isAsking: false } satisfies HelloMessage))
-  }
-
-  private dial (link: OutgoingLink): void {
-    const { state } = this.options
-    link.dialledAt = state.clock.monotonic()
-    const socket = new WebSocket(`ws://${link.address}${linkPath}`, {
-      perMessageDeflate: false, handshakeTimeout: peerConnectMilliseconds, maxPayload: maximumLinkMessageBytes
-    })
-    link.socket = socket
-    socket.on('open', () => {
-      link.pingedAt = link.answeredAt = state.clock.monotonic()
-      state.log.info('link-up', { address: link.address })
-      this.greet(link)
-    })
-    socket.on('pong', () => { link.answeredAt = state.clock.monotonic() })
-    socket.on('message', (data) => this.receive(socket, data as Buffer, undefined))
-    socket.on('error', (error) => state.log.warn('link-error', { address: link.address, detail: error.message }))
-    socket.on('close', () => {
-      if (link.socket !== socket) return
-      link.socket = undefined
-      state.log.warn('link-down', { address: link.address })
-    })
+    if (known.length > 0) link.send(pack({ kind: 'hello', identity: self, known, isAsking: false } satisfies HelloMessage))
   }
 
   private greet (link: OutgoingLink): void {
@@ -275,7 +227,7 @@
     link.toldSerial = serial
     const known = identities.filter(({ region }) => region === self.region)
     const told = this.isSpeaker ? { regions: this.packRegions(), parts: state.heldParts, regionParts: state.forecasts.heldParts } : {}
-    this.send(link, pack({ kind: 'hello', identity: self, known, isAsking: link.isSeed, ...told } satisfies HelloMessage))
+    link.send(pack({ kind: 'hello', identity: self, known, isAsking: link.isSeed, ...told } satisfies HelloMessage))
   }
 
   /** Tells a VM that asks what this one knows, and from then on what it learns. */
@@ -290,10 +242,6 @@
     return this.options.state.peers.heardRegions.map(({ region, members }) => [region, members.map(packMember)] as const)
   }
 
-  private send (link: OutgoingLink, message: Buffer): void {
-    if (link.socket?.readyState === WebSocket.OPEN) link.socket.send(message)
-  }
-
   private accept (socket: WebSocket): void {
     let identity: PeerIdentity | undefined
     socket.on('message', (data) => { identity = this.receive(socket, data as Buffer, identity) })
@@ -394,7 +342,7 @@
     const link = this.outgoing.get(sender.linkAddress)
     if (link === undefined) return
     this.recordsAskedAt = now
-    this.send(link, pack({ kind: 'records-request' } satisfies LinkMessage))
+    link.send(pack({ kind: 'records-request' } satisfies LinkMessage))
   }
 }
 
