--- a/packages/common/src/index.ts
+++ b/packages/common/src/index.ts
@@ -1,6 +1,7 @@
 export * from './brand.js'
 export * from './identifiers.js'
 export * from './clock.js'
+export * from './manualClock.js'
 export * from './random.js'
 export * from './outcomes.js'
 export * from './refusals.js'
--- /dev/null
+++ b/packages/common/src/manualClock.ts
@@ -0,0 +1,21 @@
+/**
+ * A clock that only its owner moves, for tests of what depends on time.
+ */
+
+import type { Clock } from './clock.js'
+
+export class ManualClock implements Clock {
+  constructor (public now = 1_000) {}
+
+  monotonic (): number {
+    return this.now
+  }
+
+  wall (): number {
+    return this.now
+  }
+
+  advance (milliseconds: number): void {
+    this.now += milliseconds
+  }
+}
--- a/packages/fakes/src/modelEngineContract.test.ts
+++ b/packages/fakes/src/modelEngineContract.test.ts
@@ -1,18 +1,11 @@
 import { afterEach, describe, expect, it } from 'vitest'
-import { toModelName, toRequestId } from '@cuminvale/common'
+import { ManualClock, toModelName, toRequestId } from '@cuminvale/common'
 import { CacheEventKind, HttpModelEngine } from '@cuminvale/services'
-import type { Clock } from '@cuminvale/common'
 import type { EngineOrder, ModelEngine } from '@cuminvale/services'
 import { FakeEngine } from './fakeEngine.js'
 import { FakeModelEngine } from './fakeModelEngine.js'
 import type { FakeModelEngineOptions } from './fakeModelEngine.js'
 
-class SteppedClock implements Clock {
-  now = 0
-  monotonic = (): number => this.now
-  wall = (): number => this.now
-}
-
 interface Subject {
   readonly engine: ModelEngine
   /** The in-memory fake behind the interface, to cause what the test asks about. */
@@ -51,7 +44,7 @@
 
 describe.each<[string, Build]>([['in memory', inMemory], ['over HTTP', overHttp]])('a model engine %s', (_, build) => {
   it('reports the load of some time ago', async () => {
-    const clock = new SteppedClock()
+    const clock = new ManualClock(0)
     const { engine, fake } = await build({ state, checksFencing: true, slots: 1, loadLagMilliseconds: 100, clock })
     fake.recordLoad()
     clock.now = 50
@@ -66,7 +59,7 @@
   })
 
   it('publishes cache events late, in order, and after the one asked for', async () => {
-    const clock = new SteppedClock()
+    const clock = new ManualClock(0)
     const { engine, fake } = await build({ state, checksFencing: true, cacheEventLagMilliseconds: 30, clock })
     fake.remember(threeBlocks)
     expect(await value(engine.cacheEvents(0))).toEqual([])
--- a/packages/fakes/src/platformContract.test.ts
+++ b/packages/fakes/src/platformContract.test.ts
@@ -1,9 +1,9 @@
 import { afterEach, describe, expect, it } from 'vitest'
 import { Maybe } from 'true-myth'
-import { toFailureDomainId, toModelName, toRegionId, toRevision, toVmId } from '@cuminvale/common'
+import { ManualClock, toFailureDomainId, toModelName, toRegionId, toRevision, toVmId } from '@cuminvale/common'
 import { documentNames } from '@cuminvale/documents'
 import { HttpClientDirectory, HttpConfigurationService, HttpLoadSource, HttpVmList, HttpWeightStore } from '@cuminvale/services'
-import type { Clock, ListedVm } from '@cuminvale/common'
+import type { ListedVm } from '@cuminvale/common'
 import type { DocumentTexts } from '@cuminvale/documents'
 import { FakeClientDirectory } from './fakeClientDirectory.js'
 import { FakeConfigurationService } from './fakeConfigurationService.js'
@@ -12,12 +12,6 @@
 import { FakeWeightStore } from './fakeWeightStore.js'
 import type { HttpFake } from './httpFake.js'
 
-class SteppedClock implements Clock {
-  now = 0
-  monotonic = (): number => this.now
-  wall = (): number => this.now
-}
-
 const started: HttpFake[] = []
 
 afterEach(async () => {
@@ -120,7 +114,7 @@
 
 describe.each(forms)('the VM list %s', (form) => {
   it('shows changes after its lag', async () => {
-    const clock = new SteppedClock()
+    const clock = new ManualClock(0)
     const fake = new FakeVmList(100, clock)
     const list = form === 'in memory' ? fake : new HttpVmList(await addressOf(fake.server))
     fake.set([vm])
@@ -136,7 +130,7 @@
 
 describe.each(forms)('the weight store %s', (form) => {
   it('describes weights, refuses unknown ones, and refuses calls above its rate', async () => {
-    const clock = new SteppedClock()
+    const clock = new ManualClock(0)
     const weights = { model: toModelName('writer'), version: '1', bytes: 8, region: toRegionId('lombardia'), rateBytesPerSecond: 4 }
     const fake = new FakeWeightStore([weights], 2, clock)
     const store = form === 'in memory' ? fake : new HttpWeightStore(await addressOf(fake.server))
--- a/packages/gateway/src/forwarding.test.ts
+++ b/packages/gateway/src/forwarding.test.ts
@@ -4,7 +4,7 @@
 import { FailureKind } from './answerSink.js'
 import { forwardPath } from './forwardCall.js'
 import { FrameKind, frameOf, packedFrame, unpackForward } from './forwardFrames.js'
-import { callGateway, sealedHead, service, startTestGateway, startUpstream, testDocument, testRoute } from './testSupport.js'
+import { callGateway, listen, sealedHead, service, startTestGateway, startUpstream, testDocument, testRoute } from './testSupport.js'
 import type { Server } from 'node:http'
 import type { TestGateway } from './testSupport.js'
 
@@ -34,10 +34,7 @@
     })
   })
   servers.push(server)
-  const port = await new Promise<number>((resolve) => server.listen({ host: '127.0.0.1', port: 0 }, () => {
-    const address = server.address()
-    resolve(address === null || typeof address === 'string' ? 0 : address.port)
-  }))
+  const port = await listen(server)
   const region = toRegionId(name)
   const { state } = gateway.gateway
   const identity = {
--- a/packages/gateway/src/peerLinks.test.ts
+++ b/packages/gateway/src/peerLinks.test.ts
@@ -1,27 +1,14 @@
 import { createServer } from 'node:http'
-import { SeededRandom, toFailureDomainId, toIncarnationId, toRegionId, toUpstreamId, toVmId } from '@cuminvale/common'
+import { ManualClock, SeededRandom, toFailureDomainId, toIncarnationId, toRegionId, toUpstreamId, toVmId } from '@cuminvale/common'
 import { ServingConfiguration } from '@cuminvale/serving'
 import { afterEach, describe, expect, it } from 'vitest'
 import { GatewayMetrics } from './gatewayMetrics.js'
 import { PeerLinks } from './peerLinks.js'
 import { ServingState } from './servingState.js'
 import { TestDecoder, listen, silentLog, testCodec, testDocument, testSettings, testTeam } from './testSupport.js'
-import type { Clock } from '@cuminvale/common'
 import type { PeerIdentity, PromptPartId } from '@cuminvale/serving'
 import type { Server } from 'node:http'
 
-class SteppedClock implements Clock {
-  now = 1_000
-
-  monotonic (): number {
-    return this.now
-  }
-
-  wall (): number {
-    return this.now
-  }
-}
-
 interface Node {
   readonly identity: PeerIdentity
   readonly state: ServingState
@@ -36,7 +23,7 @@
 const mostSteps = 600
 
 let nodes: Node[] = []
-let clock = new SteppedClock()
+let clock = new ManualClock()
 
 const stop = (node: Node): void => {
   node.isStopped = true
@@ -68,7 +55,7 @@
 }
 
 const startFleet = async (): Promise<void> => {
-  clock = new SteppedClock()
+  clock = new ManualClock()
   const first = await startNode('north', 0, [])
   const seeds = [first.identity.linkAddress]
   const rest = [['north', 1], ['north', 2], ['south', 0], ['south', 1], ['south', 2]] as const
@@ -76,7 +63,7 @@
 }
 
 const step = async (): Promise<void> => {
-  clock.now += stepMilliseconds
+  clock.advance(stepMilliseconds)
   for (const node of nodes) {
     if (!node.isStopped) node.links.tick()
   }
@@ -166,7 +153,7 @@
   })
 
   it('tells at once that a VM takes no more work, also where heartbeats are rare', async () => {
-    clock = new SteppedClock()
+    clock = new ManualClock()
     const first = await startNode('north', 0, [])
     const rest = await Promise.all(Array.from({ length: 10 }, async (_, index) => await startNode('north', index + 1, [first.identity.linkAddress])))
     nodes = [first, ...rest]
--- a/packages/serving/src/testSupport.ts
+++ b/packages/serving/src/testSupport.ts
@@ -3,25 +3,9 @@
  */
 
 import { toFailureDomainId, toRegionId, toRouteName, toTeamId, toUpstreamId } from '@cuminvale/common'
-import type { Clock } from '@cuminvale/common'
 import type { AdmittedRequest, AnnouncedUpstream, AttemptId, PromptPartId, RequestHead, Route, ServedTeam, ServiceName, ServiceShape } from './types.js'
 
-/** A clock that only the test moves. */
-export class ManualClock implements Clock {
-  now = 1_000
-
-  monotonic (): number {
-    return this.now
-  }
-
-  wall (): number {
-    return this.now
-  }
-
-  advance (milliseconds: number): void {
-    this.now += milliseconds
-  }
-}
+export { ManualClock } from '@cuminvale/common'
 
 export const engine = 'engine' as ServiceName
 export const desk = 'desk' as ServiceName
