Log what marked the end of each answer, and the bytes of a stream after its last event

Now 'request' lines carry 'framing' and 'partialEvent', and cuminvale_gateway_answer_ends_total counts them. No decision depends on them.

--- a/packages/gateway/src/answerRelay.ts
+++ b/packages/gateway/src/answerRelay.ts
@@ -16,9 +16,17 @@
   /** Answer to a safe request, until it is complete or too long to buffer. */
   private held: BufferedAnswer | undefined
   private readonly eventBuffer: EventBoundaryBuffer | undefined
+  /** Follows the events of a stream that is passed on as it arrives. */
+  private readonly passedEvents: EventBoundaryBuffer | undefined
 
   constructor (private readonly sink: AnswerSink, private readonly route: Route) {
     this.eventBuffer = route.kind === RequestKind.Stream && route.isResumable ? new EventBoundaryBuffer() : undefined
+    this.passedEvents = route.kind === RequestKind.Stream && !route.isResumable ? new EventBoundaryBuffer() : undefined
+  }
+
+  /** Bytes of a stream after its last event boundary. */
+  get partialEventBytes (): number {
+    return (this.eventBuffer ?? this.passedEvents)?.partialEvent()?.length ?? 0
   }
 
   /** Whether another attempt may still answer: nothing was passed on yet, or the stream can be resumed. */
@@ -53,6 +61,7 @@
       if (this.held.exceedsLimit) this.relayBuffered()
       return true
     }
+    this.passedEvents?.push(chunk)
     if (this.eventBuffer === undefined || !isSuccess(this.status)) return this.sink.data(chunk)
     const completeEvents = this.eventBuffer.push(chunk)
     return completeEvents === undefined || this.sink.data(completeEvents)
--- a/packages/gateway/src/forwardCall.ts
+++ b/packages/gateway/src/forwardCall.ts
@@ -4,6 +4,7 @@
  * a slow answer.
  */
 
+import { AnswerFraming } from './answerFraming.js'
 import { CallFailure, CallFailureKind } from './errors.js'
 import { AnswerFailureKind } from './answerSink.js'
 import { FrameKind, FrameDecoder, encodeForward, decodePackedContent } from './forwardFrames.js'
@@ -19,7 +20,7 @@
   onForwardedHead (status: number, headers: readonly string[]): void
   /** False if the caller can't take more for now. */
   onData (chunk: Buffer): boolean
-  onEnd (): void
+  onEnd (framing: AnswerFraming): void
   onForwardedRefusal (refusal: Refusal): void
   onForwardedFailure (kind: AnswerFailureKind, detail: string): void
   onFailure (failure: CallFailure): void
@@ -125,7 +126,7 @@
         return listener.onData(frame.content)
       case FrameKind.End:
         this.isOver = true
-        listener.onEnd()
+        listener.onEnd(AnswerFraming.EndFrame)
         return true
       case FrameKind.Refused:
         this.isOver = true
--- a/packages/gateway/src/gatewayMetrics.ts
+++ b/packages/gateway/src/gatewayMetrics.ts
@@ -17,6 +17,13 @@
     registers: [this.registry]
   })
 
+  readonly answerEnds = new Counter({
+    name: 'cuminvale_gateway_answer_ends_total',
+    help: 'Answers of upstreams and other VMs that ended as complete, by what marked their end, and whether an event was left incomplete there',
+    labelNames: ['framing', 'end'],
+    registers: [this.registry]
+  })
+
   readonly refusals = new Counter({
     name: 'cuminvale_gateway_refusals_total',
     help: 'Requests refused before they were placed, by reason',
--- a/packages/gateway/src/requestExecution.ts
+++ b/packages/gateway/src/requestExecution.ts
@@ -16,6 +16,7 @@
 import { maximumAttemptsNotRun, predictionTimeoutFactor, requestSilenceTimeoutMilliseconds, peerDiscoveryWaitMilliseconds, upstreamSilenceTimeoutMilliseconds } from './constants.js'
 import type { Refusal, RegionId, UpstreamId } from '@cuminvale/common'
 import type { AdmittedRequest, Placement } from '@cuminvale/serving'
+import type { AnswerFraming } from './answerFraming.js'
 import type { AnswerSink } from './answerSink.js'
 import type { Attempt, ForwardAttempt, LocalAttempt } from './attempts.js'
 import type { CallFailure } from './errors.js'
@@ -63,6 +64,10 @@
   /** Prompt tokens that the upstream was predicted to read; undefined if the request went to no upstream of this region. */
   unreadTokens: number | undefined
   retryAfterMilliseconds: number | undefined
+  /** What marked the end of the answer; undefined if none was complete. */
+  framing: AnswerFraming | undefined
+  /** Bytes of an event stream after its last complete event, at its end. */
+  partialEventBytes = 0
   private waitForPeersUntil: number | undefined
   private attempt: Attempt | undefined
   private attemptsLeft: number
@@ -157,7 +162,9 @@
     return this.relay.data(chunk)
   }
 
-  onEnd (): void {
+  onEnd (framing: AnswerFraming): void {
+    this.framing = framing
+    this.partialEventBytes = this.relay.partialEventBytes
     this.relay.end()
     this.outcome = 'answered'
     this.options.state.crashDetector.recordCompletion(this.request, this.options.body)
--- a/packages/gateway/src/requestLog.ts
+++ b/packages/gateway/src/requestLog.ts
@@ -29,11 +29,14 @@
       expected: execution.predictedMilliseconds,
       unread: execution.unreadTokens,
       retryAfter: execution.retryAfterMilliseconds,
+      framing: execution.framing,
+      partialEvent: execution.partialEventBytes === 0 ? undefined : execution.partialEventBytes,
       first: firstAnswerMilliseconds,
       total: roundToTenths(now - receivedAt),
       forwarded: isForwarded || undefined,
       detail: execution.detail === '' ? undefined : execution.detail
     })
+    if (execution.framing !== undefined) this.metrics.answerEnds.inc({ framing: execution.framing, end: execution.partialEventBytes === 0 ? 'whole' : 'inside-event' })
     if (isForwarded) return
     this.metrics.requests.inc({ kind: request.route.kind, outcome: execution.outcome })
     if (execution.sends > 1) this.metrics.retries.inc(execution.sends - 1)
--- a/packages/gateway/src/upstreamCall.ts
+++ b/packages/gateway/src/upstreamCall.ts
@@ -2,6 +2,7 @@
  * One request of the gateway process on one upstream connection.
  */
 
+import { AnswerFraming, framingOf } from './answerFraming.js'
 import { CallFailure, CallFailureKind } from './errors.js'
 import type { Dispatcher } from 'undici'
 import type { UpstreamConnection, UpstreamConnections } from './upstreamConnections.js'
@@ -10,7 +11,7 @@
   onHead (status: number, headers: Readonly<Record<string, string | string[] | undefined>>): void
   /** False if the caller can't take more for now. */
   onData (chunk: Buffer): boolean
-  onEnd (): void
+  onEnd (framing: AnswerFraming): void
   onFailure (failure: CallFailure): void
 }
 
@@ -25,7 +26,7 @@
   private controller: Dispatcher.DispatchController | undefined
   private isOver = false
   private isDetached = false
-  private isChunked = false
+  private framing: AnswerFraming = AnswerFraming.Length
 
   constructor (
     private readonly connections: UpstreamConnections,
@@ -61,8 +62,8 @@
   }
 
   onResponseStart (_controller: Dispatcher.DispatchController, status: number, headers: Readonly<Record<string, string | string[] | undefined>>): void {
-    this.isChunked = headers['transfer-encoding'] !== undefined
-    this.connection.isCloseDelimited = !this.isChunked && headers['content-length'] === undefined
+    this.framing = framingOf(status, headers)
+    this.connection.isCloseDelimited = this.framing === AnswerFraming.Close
     if (!this.isOver && !this.isDetached && status >= 200) this.listener.onHead(status, headers)
   }
 
@@ -73,10 +74,10 @@
   onResponseEnd (): void {
     if (this.isOver) return
     const { wasReset, wasEnded } = this.connection
-    if (wasReset || (wasEnded && this.isChunked)) return this.fail(CallFailureKind.Broken, 'the connection ended before the answer did')
+    if (wasReset || (wasEnded && this.framing === AnswerFraming.Chunks)) return this.fail(CallFailureKind.Broken, 'the connection ended before the answer did')
     this.isOver = true
     this.connections.release(this.connection)
-    if (!this.isDetached) this.listener.onEnd()
+    if (!this.isDetached) this.listener.onEnd(this.framing)
   }
 
   onResponseError (_controller: Dispatcher.DispatchController, error: Error): void {
