Pass an event stream on without the length of its first part

What callers saw: none reported. A resumed stream kept the content-length of its first attempt; the test's caller waited 16 s for bytes that never came. Ruled out: that undici's check of the length helps; it sees the upstream's answer, not what was passed on. Measured: the new test failed before (16.0 s, no whole answer) and passes after; 237 of 237 tests of gateway, repository and platform. Why it works: chunks say only that the VM that wrote them saw the end, which is what it can vouch for.

--- a/packages/gateway/src/answerEnd.test.ts
+++ b/packages/gateway/src/answerEnd.test.ts
@@ -114,6 +114,20 @@
   })
 })
 
+describe('a stream with a length', () => {
+  // Guards against a resumed stream that kept the length of its first part: the caller took the rest for its next answer.
+  it('is passed on without it, since a resumed part may not keep it', async () => {
+    const answer = await callWith(resumableStream, { body: eventsText(1, 2), framing: 'content-length: 1000\r\n' })
+    expect(answer).toMatchObject({ status: 200, isWhole: true, body: eventsText(1, 4) })
+    expect(answer.headers['content-length']).toBeUndefined()
+  })
+
+  it('is visibly incomplete if it ends inside an event', async () => {
+    const body = `${eventsText(1, 2)}id: 3\nda`
+    expect((await callWith(plainStream, { body, framing: `content-length: ${body.length}\r\n` })).isWhole).toBe(false)
+  })
+})
+
 describe('another answer that ends with its connection', () => {
   it.each([
     ['safe', safe], ['order', order], ['stream', resumableStream]
--- a/packages/gateway/src/answerRelay.ts
+++ b/packages/gateway/src/answerRelay.ts
@@ -9,7 +9,7 @@
 import { AnswerFraming } from './answerFraming.js'
 import { EventBoundaryBuffer } from './eventBoundaryBuffer.js'
 import { BufferedAnswer } from './bufferedAnswer.js'
-import { headerValue } from './headerValue.js'
+import { headerValue, withoutHeader } from './headerList.js'
 import type { Route } from '@cuminvale/serving'
 import type { AnswerSink, AnswerFailureKind } from './answerSink.js'
 
@@ -113,7 +113,7 @@
 
   private relayHead (status: number, headers: readonly string[]): void {
     this.status = status
-    this.options.sink.head(status, headers)
+    this.options.sink.head(status, this.events === undefined ? headers : withoutHeader(headers, 'content-length'))
   }
 
   private relayBuffered (): void {
