Find the end of events in streams with any line ending

What callers saw: none reported. With the check for streams cut inside an event, a stream whose lines end with CR, or of mixed line endings, would have counted as cut although it was whole; before it, nothing of it was passed on until its end. Cause: only LF LF and CRLF CRLF were taken for an event boundary; the format also allows CR and mixtures. Ruled out: splitting at every CR: it may be half of a CRLF, and a stream cut between the two is not whole. Change: lastBoundaryEnd looks for a blank line of any endings, from the end of the buffer, and only in what is new. Why it works: a CR at the end of the buffer counts only in a stream that has ended a line with CR alone.

--- /dev/null
+++ b/packages/gateway/src/eventBoundaryBuffer.test.ts
@@ -0,0 +1,55 @@
+import * as fastCheck from 'fast-check'
+import { describe, expect, it } from 'vitest'
+import { EventBoundaryBuffer } from './eventBoundaryBuffer.js'
+
+/** Pushes a stream in pieces of the given length; returns what was passed on. */
+const pushAll = (buffer: EventBoundaryBuffer, text: string, pieceLength = text.length): string => {
+  let passed = ''
+  for (let start = 0; start < text.length; start += pieceLength) {
+    passed += buffer.push(Buffer.from(text.slice(start, start + pieceLength), 'latin1'))?.toString('latin1') ?? ''
+  }
+  return passed
+}
+
+const events = (lineEnd: string): string => ['id: 1', 'data: one', '', 'id: 2', 'data: two', '', ''].join(lineEnd)
+
+describe('EventBoundaryBuffer', () => {
+  it.each([['LF', '\n'], ['CRLF', '\r\n'], ['CR', '\r']])('passes on every complete event of a stream with %s, however it is split', (_name, lineEnd) => {
+    fastCheck.assert(fastCheck.property(fastCheck.integer({ min: 1, max: 40 }), (pieceLength) => {
+      const buffer = new EventBoundaryBuffer()
+      const passed = pushAll(buffer, events(lineEnd), pieceLength)
+      expect(passed + (buffer.partialEvent()?.toString() ?? '')).toBe(events(lineEnd))
+      expect([buffer.isInsideEvent, buffer.hasCompleteEvents, buffer.lastEventId]).toEqual([false, true, '2'])
+    }))
+  })
+
+  it.each([['LF', '\n'], ['CRLF', '\r\n'], ['CR', '\r']])('is inside an event wherever a stream with %s is cut but after a blank line', (_name, lineEnd) => {
+    const text = events(lineEnd)
+    const firstEnd = text.indexOf('id: 2')
+    for (let length = 1; length < text.length; length += 1) {
+      const buffer = new EventBoundaryBuffer()
+      pushAll(buffer, text.slice(0, length))
+      expect([length, buffer.isInsideEvent]).toEqual([length, length !== firstEnd])
+    }
+  })
+
+  it('is inside an event between the two characters of the line ending after it', () => {
+    const buffer = new EventBoundaryBuffer()
+    expect(pushAll(buffer, 'id: 1\r\ndata: one\r\n\r')).toBe('')
+    expect(buffer.isInsideEvent).toBe(true)
+    expect(pushAll(buffer, '\n')).toBe('id: 1\r\ndata: one\r\n\r\n')
+    expect(buffer.isInsideEvent).toBe(false)
+  })
+
+  it('finds blank lines among mixed line endings', () => {
+    expect(pushAll(new EventBoundaryBuffer(), 'data: one\n\r\ndata: two\r\n\ndata: 3')).toBe('data: one\n\r\ndata: two\r\n\n')
+  })
+
+  it('is not inside an event after comments and blank lines', () => {
+    const buffer = new EventBoundaryBuffer()
+    pushAll(buffer, 'data: one\n\n: keep-alive\n\n: bye\n')
+    expect(buffer.isInsideEvent).toBe(false)
+    pushAll(buffer, ': by')
+    expect(buffer.isInsideEvent).toBe(true)
+  })
+})
--- a/packages/gateway/src/eventBoundaryBuffer.ts
+++ b/packages/gateway/src/eventBoundaryBuffer.ts
@@ -3,8 +3,10 @@
  * of the last complete event, so that a broken stream can be resumed after it.
  */
 
-const eventBoundary = Buffer.from('\n\n')
-const crlfEventBoundary = Buffer.from('\r\n\r\n')
+const lineFeed = 10
+const carriageReturn = 13
+/** Bytes of a blank line and the line ending before it that an earlier chunk may hold. */
+const maximumBoundaryBytes = 4
 const idFieldPattern = /^id: ?(.*)$/m
 const completeCommentsPattern = /^(?:(?::[^\r\n]*)?\r?\n)*$/
 const maximumEventBytes = 1_048_576
@@ -16,8 +18,9 @@
 
   /** Adds a chunk; returns the buffered bytes up to the last event boundary, or undefined if there is none. */
   push (chunk: Buffer): Buffer | undefined {
+    const searchedBytes = this.remainder?.length ?? 0
     const buffer = this.remainder === undefined ? chunk : Buffer.concat([this.remainder, chunk])
-    const end = lastBoundaryEnd(buffer)
+    const end = lastBoundaryEnd(buffer, Math.max(0, searchedBytes - maximumBoundaryBytes))
     this.remainder = end === buffer.length ? undefined : buffer.subarray(end)
     if (end === 0) return undefined
     const completeEvents = buffer.subarray(0, end)
@@ -52,14 +55,30 @@
   /** Id of the last complete event that was returned. */
   get lastEventId (): string | undefined {
     if (this.lastCompleteEvents === undefined) return undefined
-    const text = this.lastCompleteEvents.toString('latin1').replaceAll('\r', '').trimEnd()
+    const text = this.lastCompleteEvents.toString('latin1').replaceAll(/\r\n|\r/g, '\n').trimEnd()
     const id = idFieldPattern.exec(text.slice(Math.max(0, text.lastIndexOf('\n\n'))))?.[1]
     return id?.trim()
   }
 }
 
-const lastBoundaryEnd = (buffer: Buffer): number => {
-  const lastLf = buffer.lastIndexOf(eventBoundary)
-  const lastCrlf = buffer.lastIndexOf(crlfEventBoundary)
-  return Math.max(lastLf < 0 ? 0 : lastLf + eventBoundary.length, lastCrlf < 0 ? 0 : lastCrlf + crlfEventBoundary.length)
+/** Start of the line ending that ends at the given position; the position itself if none does. */
+const lineEndStart = (buffer: Buffer, end: number): number => {
+  if (buffer[end - 1] === carriageReturn) return end - 1
+  if (buffer[end - 1] !== lineFeed) return end
+  return buffer[end - 2] === carriageReturn ? end - 2 : end - 1
+}
+
+/**
+ * End of the last blank line after the given position; 0 if there is none. A
+ * carriage return at the end of the buffer counts only after another one, in a
+ * stream whose lines end with it: otherwise its line feed has not arrived.
+ */
+const lastBoundaryEnd = (buffer: Buffer, from: number): number => {
+  const { length } = buffer
+  const isHalfLineEnd = buffer[length - 1] === carriageReturn && buffer[length - 2] !== carriageReturn
+  for (let end = isHalfLineEnd ? length - 1 : length; end > from; end -= 1) {
+    const start = lineEndStart(buffer, end)
+    if (start !== end && start > 0 && lineEndStart(buffer, start) !== start) return end
+  }
+  return 0
 }
