Never begin a resumed stream again whose last event's id is unknown

What callers saw: none reported. Cause: the id was looked for in the newest bytes only; without one, the attempt that resumes asked for the stream from its start. Ruled out: that upstreams never send comments: the format allows them at any time, and keep-alives are the usual reason. Change: EventBoundaryBuffer keeps the newest events that have an id; AnswerRelay doesn't retry a stream of which events were passed on but no id is known. A stream that only had comments counts as one without events. Why it works: events are either resumed after a known id, or not at all.

--- a/packages/gateway/src/answerEnd.test.ts
+++ b/packages/gateway/src/answerEnd.test.ts
@@ -106,6 +106,12 @@
     }
   })
 
+  it('is not run again if its events have no ids', async () => {
+    const answer = await callWith(resumableStream, { body: 'data: one\n\ndata: two\n\nda' })
+    expect(answer.isWhole).toBe(false)
+    expect(runsOf(answer.upstreams)).toBe(1)
+  })
+
   it('is whole if a caller that has its last event resumes it, and nothing follows', async () => {
     const upstreams = [await startUpstream('u0', answersWith({ body: '' }))]
     running = await startTestGateway(testDocument([resumableStream]), upstreams)
--- a/packages/gateway/src/answerRelay.ts
+++ b/packages/gateway/src/answerRelay.ts
@@ -34,7 +34,8 @@
 
   /** Whether another attempt may still answer: nothing was passed on yet, or the stream can be resumed. */
   get isRetryable (): boolean {
-    return this.status === 0 || this.isResumable
+    if (this.status === 0) return true
+    return this.isResumable && (this.events?.hasCompleteEvents !== true || this.lastEventId !== undefined)
   }
 
   /** Id of the last event that was passed on; undefined unless the stream is resumable. */
--- a/packages/gateway/src/eventBoundaryBuffer.test.ts
+++ b/packages/gateway/src/eventBoundaryBuffer.test.ts
@@ -41,6 +41,17 @@
     expect(buffer.isInsideEvent).toBe(false)
   })
 
+  // Guards against a resumed stream that began again: a comment after the last event hid the event's id.
+  it('keeps the id of the last event that had one', () => {
+    const buffer = new EventBoundaryBuffer()
+    pushAll(buffer, 'id: 1\ndata: one\n\nid: 2\ndata: two\n\n: keep-alive\n\n')
+    expect(buffer.lastEventId).toBe('2')
+    pushAll(buffer, 'data: id: 7\n\n')
+    expect(buffer.lastEventId).toBe('2')
+    pushAll(buffer, 'id:3\ndata: three\n\n')
+    expect(buffer.lastEventId).toBe('3')
+  })
+
   it('finds blank lines among mixed line endings', () => {
     expect(pushAll(new EventBoundaryBuffer(), 'data: one\n\r\ndata: two\r\n\ndata: 3')).toBe('data: one\n\r\ndata: two\r\n\n')
   })
--- a/packages/gateway/src/eventBoundaryBuffer.ts
+++ b/packages/gateway/src/eventBoundaryBuffer.ts
@@ -7,14 +7,16 @@
 const carriageReturn = 13
 /** Bytes of a blank line and the line ending before it that an earlier chunk may hold. */
 const maximumBoundaryBytes = 4
-const idFieldPattern = /^id: ?(.*)$/m
-const completeCommentsPattern = /^(?:(?::[^\r\n]*)?\r?\n)*$/
+const idFieldPattern = /^id: ?(.*)$/gm
+const idFieldStarts = ['\nid:', '\rid:'] as const
+const completeCommentsPattern = /^(?:(?::[^\r\n]*)?(?:\r?\n|\r(?!$)))*$/
 const maximumEventBytes = 1_048_576
 
 export class EventBoundaryBuffer {
   private remainder: Buffer | undefined
-  /** The newest complete events, as they were returned. */
-  private lastCompleteEvents: Buffer | undefined
+  /** The newest complete events among which one has an id, as they were returned. */
+  private lastEventsWithId: Buffer | undefined
+  private hasEvents = false
 
   /** Adds a chunk; returns the buffered bytes up to the last event boundary, or undefined if there is none. */
   push (chunk: Buffer): Buffer | undefined {
@@ -24,7 +26,8 @@
     this.remainder = end === buffer.length ? undefined : buffer.subarray(end)
     if (end === 0) return undefined
     const completeEvents = buffer.subarray(0, end)
-    this.lastCompleteEvents = completeEvents
+    this.hasEvents ||= !hasOnlyComments(completeEvents)
+    if (hasIdField(completeEvents)) this.lastEventsWithId = completeEvents
     return completeEvents
   }
 
@@ -35,11 +38,11 @@
 
   /** Whether the stream so far ends inside an event. Comments and blank lines are no part of one. */
   get isInsideEvent (): boolean {
-    return this.remainder !== undefined && !completeCommentsPattern.test(this.remainder.toString('latin1'))
+    return this.remainder !== undefined && !hasOnlyComments(this.remainder)
   }
 
   get hasCompleteEvents (): boolean {
-    return this.lastCompleteEvents !== undefined
+    return this.hasEvents
   }
 
   /** Whether the partial event exceeds the size limit of one event. */
@@ -52,15 +55,18 @@
     this.remainder = undefined
   }
 
-  /** Id of the last complete event that was returned. */
+  /** Id of the last complete event that has one. */
   get lastEventId (): string | undefined {
-    if (this.lastCompleteEvents === undefined) return undefined
-    const text = this.lastCompleteEvents.toString('latin1').replaceAll(/\r\n|\r/g, '\n').trimEnd()
-    const id = idFieldPattern.exec(text.slice(Math.max(0, text.lastIndexOf('\n\n'))))?.[1]
-    return id?.trim()
+    const text = this.lastEventsWithId?.toString('latin1').replaceAll(/\r\n|\r/g, '\n') ?? ''
+    return [...text.matchAll(idFieldPattern)].at(-1)?.[1]?.trim()
   }
 }
 
+const hasOnlyComments = (events: Buffer): boolean => completeCommentsPattern.test(events.toString('latin1'))
+
+const hasIdField = (events: Buffer): boolean =>
+  events.toString('latin1', 0, 'id:'.length) === 'id:' || idFieldStarts.some((start) => events.includes(start))
+
 /** Start of the line ending that ends at the given position; the position itself if none does. */
 const lineEndStart = (buffer: Buffer, end: number): number => {
   if (buffer[end - 1] === carriageReturn) return end - 1
