Reset the connection of a caller without chunks when its answer breaks off

What callers saw: none reported. A caller of HTTP/1.0 got a broken-off stream with an orderly close, which is its only mark of a complete answer; also when the VM stopped in the middle of the answer. Ruled out: buffering such answers to give them a length: it would hold streams back, and the users' pages speak HTTP/1.1 only. Change: abort() resets the connection unless the answer is in chunks; a VM that stops aborts the answers under way. A VM that is killed still closes in an orderly way, as its kernel does. Why it works: a reset is an error to every caller, with or without chunks.

--- a/packages/gateway/src/answerEnd.test.ts
+++ b/packages/gateway/src/answerEnd.test.ts
@@ -1,3 +1,4 @@
+import { connect } from 'node:net'
 import { afterEach, describe, expect, it } from 'vitest'
 import { callGateway, startTestGateway, startUpstream, testDocument, testHeaders, testRoute } from './testSupport.js'
 import type { Socket } from 'node:net'
@@ -134,6 +135,45 @@
   })
 })
 
+/** Reads an answer as a caller of HTTP/1.0 does, for whom an orderly close ends it. */
+const callInHttp10 = async (port: number): Promise<{ readonly text: string, readonly isWhole: boolean }> => await new Promise((resolve) => {
+  const socket = connect(port, '127.0.0.1')
+  let text = ''
+  let isReset = false
+  socket.on('data', (chunk) => { text += chunk.toString() })
+  socket.on('error', () => { isReset = true })
+  socket.on('close', () => resolve({ text, isWhole: !isReset }))
+  socket.write(`POST /orders/7 HTTP/1.0\r\nhost: shop.example\r\n${testHeaders.attempt}: a1\r\n\r\n`)
+})
+
+describe('a caller of HTTP/1.0', () => {
+  const startWith = async (script: UpstreamScript): Promise<number> => {
+    running = await startTestGateway(testDocument([plainStream]), [await startUpstream('u0', script)])
+    return running.port
+  }
+
+  it('gets a whole stream with an orderly close', async () => {
+    const answer = await callInHttp10(await startWith(answersWith({ body: eventsText(1, 4) })))
+    expect(answer.isWhole).toBe(true)
+    expect(answer.text).toContain(eventsText(1, 4))
+  })
+
+  // Guards against an answer that broke off and ended in an orderly close, its only mark of completeness.
+  it('gets a reset after a stream that breaks off', async () => {
+    const port = await startWith(({ socket, headers }) => {
+      sendRaw(socket, String(headers[testHeaders.attempt]), { body: eventsText(1, 2), finish: resets })
+    })
+    expect((await callInHttp10(port)).isWhole).toBe(false)
+  })
+
+  it('gets a reset if the VM stops in the middle of a stream', async () => {
+    const port = await startWith(({ socket, headers }) => {
+      sendRaw(socket, String(headers[testHeaders.attempt]), { body: eventsText(1, 2), finish: () => { setTimeout(() => running?.gateway.close(), 50) } })
+    })
+    expect((await callInHttp10(port)).isWhole).toBe(false)
+  })
+})
+
 describe('another answer that ends with its connection', () => {
   it.each([
     ['safe', safe], ['order', order], ['stream', resumableStream]
--- a/packages/gateway/src/executions.ts
+++ b/packages/gateway/src/executions.ts
@@ -27,7 +27,13 @@
     this.running.delete(execution)
   }
 
+  /** Ends all requests, so that no answer under way looks complete to its caller. */
   close (): void {
+    this.stopTimer()
+    for (const execution of this.running) execution.abandon()
+  }
+
+  private stopTimer (): void {
     clearInterval(this.timer)
     this.timer = undefined
   }
@@ -35,6 +41,6 @@
   private check (): void {
     const now = this.clock.monotonic()
     for (const execution of this.running) execution.check(now)
-    if (this.running.size === 0) this.close()
+    if (this.running.size === 0) this.stopTimer()
   }
 }
--- a/packages/gateway/src/gatewayCallerServer.ts
+++ b/packages/gateway/src/gatewayCallerServer.ts
@@ -46,7 +46,9 @@
   }
 
   abort (): void {
-    this.response.destroy()
+    // Without chunks, a caller of HTTP/1.0 takes an orderly close for the end of the answer.
+    if (this.response.chunkedEncoding) this.response.destroy()
+    else this.response.socket?.resetAndDestroy()
   }
 
   private close (status: number, headers: string[], text: string): void {
--- a/packages/gateway/src/requestExecution.ts
+++ b/packages/gateway/src/requestExecution.ts
@@ -114,6 +114,14 @@
     this.finish(this.request.route.kind !== RequestKind.Order || this.attempt === undefined)
   }
 
+  /** Ends the execution while the VM stops; an answer that was begun is seen to be incomplete. */
+  abandon (): void {
+    if (this.isOver) return
+    this.outcome = 'abandoned'
+    if (this.status !== 0) this.options.sink.abort()
+    this.finish(true)
+  }
+
   /** Continues reading the answer after the response to the caller has drained; unrelated to resuming a broken stream. */
   resume (): void {
     this.attempt?.call.resume()
