Tell a reset from the end of an answer without a length in cuminvaled

What callers saw: none reported. cuminvaled collected a cut answer and passed it on with a length, as a whole one. Change: the connector gives such an error another code, with which undici fails the answer. A reset that arrives together with the last bytes is reported as an end of file, and still counts as one here. Why it works: undici decides by the code alone, and the connector sees the error first.

--- a/packages/daemon/src/upstreamClient.test.ts
+++ b/packages/daemon/src/upstreamClient.test.ts
@@ -3,6 +3,7 @@
 import { afterEach, beforeEach, describe, expect, it } from 'vitest'
 import type { Server } from 'node:http'
 import type { AddressInfo, Socket } from 'node:net'
+import { collectAnswer } from './collectAnswer.js'
 import { UpstreamErrorKind } from './errors.js'
 import { UpstreamClient } from './upstreamClient.js'
 import type { ExchangeRequest } from './upstreamClient.js'
@@ -67,4 +68,23 @@
     const result = await client.exchange(refused)
     expect(result.isErr && result.error.kind).toBe(UpstreamErrorKind.NotSent)
   })
+
+  // Guards against an answer that a reset cut and that counted as complete, since nothing but the close ends it.
+  it.each([
+    ['resets the connection', (socket: Socket) => socket.resetAndDestroy(), '', UpstreamErrorKind.Broken],
+    ['closes it before the last chunk', (socket: Socket) => socket.end(), 'transfer-encoding: chunked\r\n', UpstreamErrorKind.Broken],
+    ['closes it before the length is reached', (socket: Socket) => socket.end(), 'content-length: 100\r\n', UpstreamErrorKind.Broken],
+    ['closes it, and the answer has neither', (socket: Socket) => socket.end(), '', 'half']
+  ])('tells whether an answer is whole if the upstream %s', async (_case, finish, framing, expected) => {
+    server.removeAllListeners('request')
+    server.on('request', ({ socket }) => {
+      socket.write(`HTTP/1.1 200 OK\r\nconnection: close\r\n${framing}\r\n${framing.startsWith('transfer') ? '4\r\nhalf\r\n' : 'half'}`)
+      setTimeout(() => finish(socket), 20)
+    })
+    for (const usesNewConnection of [true, false]) {
+      const result = await client.exchange(requestTo('/whole', usesNewConnection))
+      const collected = result.isOk ? await collectAnswer(result.value) : result
+      expect(collected.isOk ? collected.value.body.toString() : collected.error.kind).toBe(expected)
+    }
+  })
 })
--- a/packages/daemon/src/upstreamClient.ts
+++ b/packages/daemon/src/upstreamClient.ts
@@ -3,7 +3,7 @@
  * exchange destroys its connection, so that no later request can read its answer.
  */
 
-import { Client, Pool, errors } from 'undici'
+import { Client, Pool, buildConnector, errors } from 'undici'
 import { Result } from 'true-myth'
 import type { Dispatcher } from 'undici'
 import { idleConnectionTimeoutMilliseconds, upstreamConnectTimeoutMilliseconds } from './constants.js'
@@ -33,6 +33,18 @@
 const connectErrorCodes: readonly string[] = ['ECONNREFUSED', 'EHOSTUNREACH', 'ENETUNREACH', 'UND_ERR_CONNECT_TIMEOUT']
 const timeoutErrorCodes: readonly string[] = ['UND_ERR_HEADERS_TIMEOUT', 'UND_ERR_BODY_TIMEOUT']
 const maximumConnectionsPerOrigin = 256
+const resetCode = 'UPSTREAM_RESET'
+
+const connectSocket = buildConnector({ timeout: upstreamConnectTimeoutMilliseconds })
+
+/** Undici takes ECONNRESET for the end of an answer that has no length; another code makes it fail the answer. */
+const connectUpstream: buildConnector.connector = (options, callback) => connectSocket(options, (error, socket) => {
+  if (error !== null) return callback(error, null)
+  socket.on('error', (socketError: NodeJS.ErrnoException) => {
+    if (socketError.code === 'ECONNRESET') socketError.code = resetCode
+  })
+  callback(null, socket)
+})
 
 /** Classifies an error of undici or of the socket. */
 export const toUpstreamError = (error: unknown): UpstreamError => {
@@ -96,7 +108,7 @@
   }
 
   private createClient (origin: string): Client {
-    return new Client(origin, { connect: { timeout: upstreamConnectTimeoutMilliseconds }, pipelining: 1 })
+    return new Client(origin, { connect: connectUpstream, pipelining: 1 })
   }
 
   private pool (origin: string): Pool {
@@ -105,7 +117,7 @@
     const pool = new Pool(origin, {
       connections: maximumConnectionsPerOrigin,
       pipelining: 1,
-      connect: { timeout: upstreamConnectTimeoutMilliseconds },
+      connect: connectUpstream,
       keepAliveTimeout: idleConnectionTimeoutMilliseconds
     })
     this.pools.set(origin, pool)
