Heed upstreams that say in an answer that they leave, or that they want a pause

Change: UpstreamTable leaves such upstreams out, which all sends choose by; leaves are told to the other VMs of the region. If all upstreams want a pause, requests are refused at once and told when the first takes some again. Ruled out: ending a leave with an answer that doesn't say so (answers overtake each other), and taking dates (the time of day differs between machines).

--- a/packages/gateway/src/gatewayMetrics.ts
+++ b/packages/gateway/src/gatewayMetrics.ts
@@ -24,6 +24,10 @@
     registers: [this.registry]
   })
 
+  readonly pauses = new Counter({
+    name: 'cuminvale_gateway_upstream_pauses_total', help: 'Answers by which an upstream asked this VM for a pause', registers: [this.registry]
+  })
+
   readonly refusals = new Counter({
     name: 'cuminvale_gateway_refusals_total',
     help: 'Requests refused before they were placed, by reason',
--- a/packages/gateway/src/gatewayPeerLinks.test.ts
+++ b/packages/gateway/src/gatewayPeerLinks.test.ts
@@ -6,7 +6,7 @@
 import { GatewayPeerLinks } from './gatewayPeerLinks.js'
 import { GatewayState } from './gatewayState.js'
 import { TestDecoder, listen, service, silentLog, testCodec, testDocument, testSettings, testTeam } from './testSupport.js'
-import type { PeerIdentity, PromptPartId } from '@cuminvale/serving'
+import type { AnnouncedUpstream, PeerIdentity, PromptPartId } from '@cuminvale/serving'
 import type { Server } from 'node:http'
 
 interface TestVm {
@@ -198,14 +198,27 @@
 
   const northVms = (): readonly TestVm[] => running().filter(({ identity }) => identity.region === toRegionId('north'))
 
+  const announcedUpstream: AnnouncedUpstream = {
+    id: upstream, service, host: '127.0.0.1', port: 1, failureDomain: toFailureDomainId('north-0'), slots: 6, isLeaving: false, leavesInMilliseconds: undefined, coldMilliseconds: 0, startedAt: 1
+  }
+
   const announceUpstream = (): void => {
-    for (const { state } of northVms()) {
-      state.upstreams.sync([{
-        id: upstream, service, host: '127.0.0.1', port: 1, failureDomain: toFailureDomainId('north-0'), slots: 6, isLeaving: false, leavesInMilliseconds: undefined, coldMilliseconds: 0, startedAt: 1
-      }], new Set())
-    }
+    for (const { state } of northVms()) state.upstreams.sync([announcedUpstream], new Set())
   }
 
+  it('tells all VMs that an upstream said to leave, also by way of hubs, but not of one that has started since', async () => {
+    await startLargeRegion()
+    announceUpstream()
+    const teller = vmNamed('north-11')
+    const restarted = vmNamed('north-5')
+    restarted.state.upstreams.sync([{ ...announcedUpstream, startedAt: 2 }], new Set())
+    const found = teller.state.upstreams.find(upstream)
+    if (found !== undefined) teller.state.saidToLeave(found)
+    const tellers = northVms().filter((vm) => vm !== restarted)
+    expect(await stepUntil(() => tellers.every(({ state }) => state.upstreams.find(upstream)?.hasSaidToLeave))).toBe(true)
+    expect(restarted.state.upstreams.find(upstream)?.hasSaidToLeave).toBe(false)
+  })
+
   const inFlightAt = ({ state }: TestVm): { own: number, others: number } => {
     const found = state.upstreams.find(upstream)
     return { own: found?.ownInFlight ?? 0, others: found?.neighbourLoad.inFlight ?? 0 }
--- a/packages/gateway/src/gatewayPeerLinks.ts
+++ b/packages/gateway/src/gatewayPeerLinks.ts
@@ -101,6 +101,7 @@
     this.suspensionDetector = new SuspensionDetector(clock)
     this.feed = new RecordFeed({ clock, records: state.records, takesRecords: () => this.recordRole !== RecordRole.Reading || isSourceLost(), onRecordsAdopted })
     state.linkedVms = () => this.linkedVms
+    state.announceLeaving = ({ id, startedAt }) => this.sendToRegion(packMessage({ kind: 'upstream-leaving', upstream: id, startedAt }))
     this.webSocketServer = new WebSocketServer({ server, path: linkPath, perMessageDeflate: false, maxPayload: maximumLinkMessageBytes })
     this.webSocketServer.on('connection', (socket) => this.accept(socket))
     this.webSocketServer.on('error', (error) => state.log.warn('link-server-error', { detail: error.message }))
@@ -247,7 +248,11 @@
   /** Passes changes that this VM read from the source to the VMs that it feeds. */
   feedChanges (changes: readonly RecordChange[], after: number): void {
     if (this.recordRole !== RecordRole.Feeding) return
-    const message = this.feed.packChanges(changes, after)
+    this.sendToRegion(this.feed.packChanges(changes, after))
+  }
+
+  /** Sends a message to the VMs of the region that this VM links to, and to those that follow it as their hub. */
+  private sendToRegion (message: Buffer): void {
     const { near, otherHubs } = this.plan
     for (const { linkAddress } of [...near, ...otherHubs]) this.linksByAddress.get(linkAddress)?.send(message)
     this.feedMembers(message)
@@ -377,6 +382,11 @@
         this.domainReports.remove(message.identity)
         state.removeNeighbourLoads(message.identity.vm)
         return
+      case 'upstream-leaving': {
+        const upstream = state.upstreams.find(message.upstream)
+        if (upstream !== undefined && upstream.announced.startedAt === (message.startedAt ?? undefined)) state.saidToLeave(upstream, sender?.vm)
+        return
+      }
       case 'suspicion.report':
         if (sender !== undefined) state.crashDetector.suspicionGossip.receive(sender, message)
         return
--- a/packages/gateway/src/gatewayState.ts
+++ b/packages/gateway/src/gatewayState.ts
@@ -13,7 +13,7 @@
 import { interRegionRoundTripMilliseconds, hubReportIntervalMilliseconds, tickIntervalMilliseconds, peerDiscoveryMilliseconds } from './constants.js'
 import type { Clock, FailureDomainId, Random, RegionId, UpstreamId, VmId } from '@cuminvale/common'
 import type { Log } from '@cuminvale/logs'
-import type { InFlightLoad, PeerIdentity, PromptPart, PromptPartId, NeighbourReports, ServiceForecast, ServiceName, Service, UpstreamState } from '@cuminvale/serving'
+import type { AnnouncedUpstream, InFlightLoad, PeerIdentity, PromptPart, PromptPartId, NeighbourReports, ServiceForecast, ServiceName, Service, UpstreamState } from '@cuminvale/serving'
 import type { GatewayMetrics } from './gatewayMetrics.js'
 import type { GatewaySettings, RecordDecoder, RequestCodec } from './types.js'
 
@@ -60,6 +60,8 @@
   usesHubs = false
   /** VMs of this region to which messages can be sent. */
   linkedVms: () => readonly VmId[] = () => []
+  /** Tells the other VMs of the region that an upstream leaves. */
+  announceLeaving: (upstream: AnnouncedUpstream) => void = () => { /* no links yet */ }
   /** Loads by the VM that reported them, or by failure domain where a hub reported their sum. */
   private readonly neighbourLoads = new Map<VmId | FailureDomainId, ReadonlyMap<UpstreamId, InFlightLoad>>()
   private readonly unreachableUpstreams = new Set<UpstreamId>()
@@ -212,6 +214,22 @@
     this.log.warn('upstream-lost', { upstream: upstream.announced.id, service: upstream.announced.service })
   }
 
+  /** Records that an upstream said in an answer, to this VM or another, that it leaves. */
+  saidToLeave (upstream: UpstreamState, heardFrom?: VmId): void {
+    if (upstream.hasSaidToLeave) return
+    upstream.hasSaidToLeave = true
+    this.log.info('upstream-leaving', { upstream: upstream.announced.id, service: upstream.announced.service, peer: heardFrom })
+    // Without hubs, the VM that was told has told all others.
+    if (heardFrom === undefined || this.usesHubs) this.announceLeaving(upstream.announced)
+  }
+
+  /** Records that an upstream wants no request of this VM for a time. */
+  askedToPause (upstream: UpstreamState, milliseconds: number): void {
+    upstream.pauseFor(milliseconds)
+    this.options.metrics.pauses.inc()
+    this.log.info('upstream-paused', { upstream: upstream.announced.id, service: upstream.announced.service, milliseconds: Math.round(milliseconds) })
+  }
+
   /** Records an answer of an upstream; one that was unreachable may have restarted, and counts as cold. */
   recordReachable (upstream: UpstreamState): void {
     if (this.unreachableUpstreams.size === 0 || !this.unreachableUpstreams.delete(upstream.announced.id)) return
--- a/packages/gateway/src/linkMessages.ts
+++ b/packages/gateway/src/linkMessages.ts
@@ -127,6 +127,14 @@
   readonly identity: PeerIdentity
 }
 
+/** An upstream said in an answer that it leaves. */
+export interface UpstreamLeavingMessage {
+  readonly kind: 'upstream-leaving'
+  readonly upstream: UpstreamId
+  /** The announced start of the upstream; one that has started since doesn't leave. */
+  readonly startedAt: number | undefined
+}
+
 /** Asks for the published records that the receiver knows. */
 export interface RecordsRequestMessage {
   readonly kind: 'records-request'
@@ -165,7 +173,7 @@
 }
 
 export type LinkMessage =
-  | SuspicionMessage | HelloMessage | HeartbeatMessage | RegionReport | DigestMessage | AcknowledgementMessage | LeavingMessage
+  | SuspicionMessage | HelloMessage | HeartbeatMessage | RegionReport | DigestMessage | AcknowledgementMessage | LeavingMessage | UpstreamLeavingMessage
   | RecordsRequestMessage | RecordChangesMessage | RecordsMessage | CompressedMessage
 
 // Records name the fields of equal objects once in a message, which halves a list of VMs.
--- a/packages/gateway/src/requestExecution.ts
+++ b/packages/gateway/src/requestExecution.ts
@@ -153,6 +153,8 @@
     if (answer.attempt !== undefined && answer.attempt !== this.request.attempt) return this.handleBrokenAttempt(attempt, 'the answer names another attempt')
     recordLocalAnswer(attempt, this.now)
     if (answer.load !== undefined) attempt.upstream.recordReportedLoad(answer.load)
+    if (answer.isLeaving) state.saidToLeave(attempt.upstream)
+    if (answer.pauseMilliseconds > 0) state.askedToPause(attempt.upstream, answer.pauseMilliseconds)
     if (answer.isDeclined || status === misdirectedStatus) return this.handleDeclined(attempt, status)
     this.mayHaveRun = true
     if (status >= 200 && status < 300 && !answer.isSealed) return this.handleBrokenAttempt(attempt, 'a success without its seal')
@@ -236,8 +238,9 @@
   private place (lastRefusal?: Refusal): void {
     const placement = this.choosePlacement()
     if (placement.kind !== PlacementKind.Refuse) return this.sendByPlacement(placement)
-    if (lastRefusal === undefined && this.startOrContinuePeerWait(this.now)) return
-    this.refuseOrFail(lastRefusal ?? refuse(RefusalReason.NoUpstream, placement.reason, { retryAfterMilliseconds: placement.retryAfterMilliseconds }))
+    if (lastRefusal === undefined && !placement.isPaused && this.startOrContinuePeerWait(this.now)) return
+    const { reason, retryAfterMilliseconds, isPaused } = placement
+    this.refuseOrFail(lastRefusal !== undefined && !isPaused ? lastRefusal : refuse(RefusalReason.NoUpstream, reason, { retryAfterMilliseconds }))
   }
 
   private choosePlacement (): Placement {
@@ -336,8 +339,11 @@
       this.attemptsLeft += 1
       attempt.upstream.isReplaced = true
     }
-    const refusal = refuse(RefusalReason.NoUpstream, `upstream ${attempt.upstream.announced.id} declined with ${status}`, { retryAfterMilliseconds: declinedRetryAfterMilliseconds })
     const { state } = this.options
+    const pauseMilliseconds = state.upstreams.pauseMilliseconds(this.request.service, state.settings.region)
+    const refusal = refuse(RefusalReason.NoUpstream, `upstream ${attempt.upstream.announced.id} declined with ${status}`, {
+      retryAfterMilliseconds: Math.max(declinedRetryAfterMilliseconds, pauseMilliseconds)
+    })
     if (this.attemptsLeft <= 0 || !state.retries.tryTake(this.request.service)) return this.refuseOrFail(refusal)
     this.place(refusal)
   }
--- a/packages/gateway/src/testSupport.ts
+++ b/packages/gateway/src/testSupport.ts
@@ -50,7 +50,7 @@
 })
 
 /** Header names of this codec; a deployment's adapter has its own. */
-export const testHeaders = { attempt: 'x-attempt', seal: 'x-seal', notRun: 'x-not-run', deadline: 'x-deadline', upstream: 'x-upstream' } as const
+export const testHeaders = { attempt: 'x-attempt', seal: 'x-seal', notRun: 'x-not-run', deadline: 'x-deadline', upstream: 'x-upstream', leaving: 'x-leaving' } as const
 
 const textOf = (value: string | string[] | undefined): string | undefined => typeof value === 'string' ? value : undefined
 
@@ -80,6 +80,8 @@
     isSealed: headers[testHeaders.seal] !== undefined,
     isDeclined: headers[testHeaders.notRun] !== undefined,
     load: undefined,
+    isLeaving: headers[testHeaders.leaving] === '1',
+    pauseMilliseconds: status === 503 ? Number(textOf(headers['retry-after']) ?? 0) * 1_000 : 0,
     headers: Object.entries(headers).flatMap(([name, value]) =>
       typeof value === 'string' && !['connection', 'keep-alive', 'transfer-encoding'].includes(name) ? [name, value] : [])
   }),
--- a/packages/gateway/src/types.ts
+++ b/packages/gateway/src/types.ts
@@ -52,6 +52,10 @@
   /** Whether the upstream states that it has not run the request. */
   readonly isDeclined: boolean
   readonly load: ReportedLoad | undefined
+  /** Whether the upstream says that it leaves. */
+  readonly isLeaving: boolean
+  /** Time for which the upstream wants no request of this VM; 0 if it didn't say so. */
+  readonly pauseMilliseconds: number
   /** Headers to pass on, as alternating names and values. */
   readonly headers: readonly string[]
 }
--- a/packages/serving/src/placement.test.ts
+++ b/packages/serving/src/placement.test.ts
@@ -152,6 +152,17 @@
     expect(placement.kind === 'refuse' ? placement.retryAfterMilliseconds : 0).toBeGreaterThanOrEqual(100)
   })
 
+  it('refuses a request at once while all upstreams want none, and says when the first takes some again', () => {
+    upstreams.sync([announced('a'), announced('b')], new Set())
+    upstreamState('a').pauseFor(9_000)
+    upstreamState('b').pauseFor(5_000)
+    const placement = chooser.choose(query({ mayForward: false }))
+    expect(placement).toMatchObject({ kind: 'refuse', isPaused: true })
+    const retryAfter = placement.kind === 'refuse' ? placement.retryAfterMilliseconds : 0
+    expect(retryAfter).toBeGreaterThanOrEqual(5_000)
+    expect(retryAfter).toBeLessThan(5_500)
+  })
+
   it('starts the requests of an excessive burst that will be on time, and refuses the rest at once', () => {
     upstreams.sync([announced('a')], new Set())
     reachable = []
--- a/packages/serving/src/placement.ts
+++ b/packages/serving/src/placement.ts
@@ -15,11 +15,14 @@
 
 export const PlacementKind = { Run: 'run', Forward: 'forward', Refuse: 'refuse' } as const
 
-/** `milliseconds` is the predicted time to the first event of an engine, or to the whole answer of a plain service. */
+/**
+ * `milliseconds` is the predicted time to the first event of an engine, or to the whole answer of a plain service.
+ * `isPaused`: all upstreams of this region want no request for a time, after which the first of them takes some again.
+ */
 export type Placement =
   | { readonly kind: typeof PlacementKind.Run, readonly upstream: UpstreamState, readonly prediction: Prediction }
   | { readonly kind: typeof PlacementKind.Forward, readonly region: RegionId, readonly milliseconds: number, readonly workMilliseconds: number }
-  | { readonly kind: typeof PlacementKind.Refuse, readonly reason: string, readonly retryAfterMilliseconds: number }
+  | { readonly kind: typeof PlacementKind.Refuse, readonly reason: string, readonly retryAfterMilliseconds: number, readonly isPaused: boolean }
 
 export interface PlacementQuery {
   readonly request: AdmittedRequest
@@ -144,8 +147,18 @@
 
   private refuse (query: PlacementQuery, waitMilliseconds: number): Placement {
     const hasCandidate = waitMilliseconds !== Infinity
+    const pauseMilliseconds = hasCandidate ? 0 : this.options.upstreams.pauseMilliseconds(query.request.service, this.options.region)
+    if (pauseMilliseconds > 0) {
+      return {
+        kind: PlacementKind.Refuse,
+        reason: `all upstreams want no request for ${Math.round(pauseMilliseconds)} ms`,
+        retryAfterMilliseconds: pauseMilliseconds + minimumRetryAfterMilliseconds * this.options.random.next(),
+        isPaused: true
+      }
+    }
     return {
       kind: PlacementKind.Refuse,
+      isPaused: false,
       reason: hasCandidate ? `the least wait is ${Math.round(waitMilliseconds)} ms` : 'no upstream of a permitted region takes work',
       retryAfterMilliseconds: this.retryAfter(query, hasCandidate ? waitMilliseconds : 0)
     }
--- a/packages/serving/src/upstreamState.ts
+++ b/packages/serving/src/upstreamState.ts
@@ -57,11 +57,14 @@
   lastAnswerAt = -Infinity
   /** Whether another upstream has answered at this one's address; this one is then gone, even if it is still announced. */
   isReplaced = false
+  /** Whether an answer of the upstream said that it leaves. Nothing withdraws that; a new start has a state of its own. */
+  hasSaidToLeave = false
   readonly sends: SendWindow
   private load: (ReportedLoad & { readonly at: number, readonly ownInFlightAtReport: number }) | undefined
   private failures = 0
   private ejectionMilliseconds = 0
   private ejectedUntil = 0
+  private pausedUntil = 0
   private readonly parts: RecentParts
 
   private readonly unreportedTokens: DecayingSum
@@ -114,6 +117,16 @@
     return this.clock.monotonic() < this.ejectedUntil
   }
 
+  /** Milliseconds for which the upstream wants no request of this VM. */
+  get pauseMilliseconds (): number {
+    return Math.max(0, this.pausedUntil - this.clock.monotonic())
+  }
+
+  /** Records that the upstream wants no request of this VM for a time; a shorter one doesn't replace a longer one. */
+  pauseFor (milliseconds: number): void {
+    this.pausedUntil = Math.max(this.pausedUntil, this.clock.monotonic() + milliseconds)
+  }
+
   markCold (milliseconds: number): void {
     if (milliseconds > 0) this.coldUntil = Math.max(this.coldUntil, this.clock.monotonic() + milliseconds)
   }
--- a/packages/serving/src/upstreamTable.test.ts
+++ b/packages/serving/src/upstreamTable.test.ts
@@ -41,6 +41,30 @@
     expect(usable()).toEqual(['a'])
   })
 
+  // Guards against requests to an upstream that said to leave in an answer, while its record still says that it is ready.
+  it('does not use an upstream that said to leave until it restarts', () => {
+    upstreams.sync([announced('a')], noEvacuations)
+    const state = upstreams.find(toUpstreamId('a'))
+    if (state !== undefined) state.hasSaidToLeave = true
+    upstreams.sync([announced('a')], noEvacuations)
+    expect(usable()).toEqual([])
+    upstreams.sync([announced('a', { startedAt: 9 })], noEvacuations)
+    expect(usable()).toEqual(['a'])
+  })
+
+  it('uses an upstream again when its longest pause is over', () => {
+    upstreams.sync([announced('a'), announced('b')], noEvacuations)
+    upstreams.find(toUpstreamId('a'))?.pauseFor(2_500)
+    upstreams.find(toUpstreamId('a'))?.pauseFor(500)
+    expect([usable(), upstreams.pauseMilliseconds(engine, north)]).toEqual([['b'], 0])
+    upstreams.find(toUpstreamId('b'))?.pauseFor(4_000)
+    expect([usable(), upstreams.pauseMilliseconds(engine, north)]).toEqual([[], 2_500])
+    clock.advance(2_499)
+    expect(usable()).toEqual([])
+    clock.advance(1)
+    expect(usable()).toEqual(['a'])
+  })
+
   it('discards the state of an upstream that restarted under the same id', () => {
     upstreams.sync([announced('a')], noEvacuations)
     upstreams.find(toUpstreamId('a'))?.recordParts([part('p', 100).id])
--- a/packages/serving/src/upstreamTable.ts
+++ b/packages/serving/src/upstreamTable.ts
@@ -54,10 +54,21 @@
 
   /** Upstreams of a service and region that accept new work. */
   usable (service: ServiceName, region: RegionId): readonly UpstreamState[] {
+    return this.staying(service, region).filter(({ pauseMilliseconds }) => pauseMilliseconds === 0)
+  }
+
+  /** Milliseconds until the first upstream of a service and region accepts new work, if all of them want none for a time; 0 otherwise. */
+  pauseMilliseconds (service: ServiceName, region: RegionId): number {
+    const pauses = this.staying(service, region).map(({ pauseMilliseconds }) => pauseMilliseconds)
+    return pauses.length === 0 ? 0 : Math.min(...pauses)
+  }
+
+  /** Upstreams of a service and region that neither leave nor are evacuated. */
+  private staying (service: ServiceName, region: RegionId): readonly UpstreamState[] {
     const found: UpstreamState[] = []
     for (const upstream of this.beliefs.values()) {
       const { announced } = upstream
-      if (announced.service !== service || announced.isLeaving || upstream.isReplaced) continue
+      if (announced.service !== service || announced.isLeaving || upstream.hasSaidToLeave || upstream.isReplaced) continue
       if (this.evacuated.has(announced.failureDomain) || this.options.regionOf(announced.failureDomain) !== region) continue
       found.push(upstream)
     }
