Order what is known of the store by its era, then by revision

VMs ordered records by revision alone: until the store had passed the lost revisions again they would have ignored every change, and taken changes that follow other ones. After a rise, what a VM knows holds against the older copy until it is written again: values by version or count, missing records for a time, removed ones until they are written. Ruled out: a field of its own for the era in all messages and records (every comparison would have to change, and one that is missed reverts a configuration); taking the copy as it is (a withdrawn key and a drained runner would come back).

--- a/packages/gateway/src/gatewayMetrics.ts
+++ b/packages/gateway/src/gatewayMetrics.ts
@@ -62,6 +62,10 @@
     name: 'cuminvale_gateway_configuration_version', help: 'Configuration in force', registers: [this.registry]
   })
 
+  readonly storeEra = new Gauge({
+    name: 'cuminvale_gateway_store_era', help: 'Era of the store of which the records are known', registers: [this.registry]
+  })
+
   readonly peers = new Gauge({
     name: 'cuminvale_gateway_peers_heard', help: 'Other VMs heard lately', registers: [this.registry]
   })
--- a/packages/gateway/src/gatewayState.ts
+++ b/packages/gateway/src/gatewayState.ts
@@ -5,7 +5,7 @@
  */
 
 import { rendezvousScore } from '@cuminvale/common'
-import { AttemptAges, PeerTable, PlacementChooser, PublishedRecords, RegionForecasts, RetryBudget, ServingConfiguration, TeamRateLimiter, UpstreamTable, UpstreamParts, coldSendsPerSecond, predictWait } from '@cuminvale/serving'
+import { AttemptAges, PeerTable, PlacementChooser, PublishedRecords, RegionForecasts, RetryBudget, ServingConfiguration, TeamRateLimiter, UpstreamTable, UpstreamParts, coldSendsPerSecond, describePosition, eraOf, predictWait } from '@cuminvale/serving'
 import { CrashDetector, probeUpstream } from './crashDetector.js'
 import { Executions } from './executions.js'
 import { ForwardPools } from './forwardPools.js'
@@ -66,6 +66,7 @@
   private readonly neighbourLoads = new Map<VmId | FailureDomainId, ReadonlyMap<UpstreamId, InFlightLoad>>()
   private readonly unreachableUpstreams = new Set<UpstreamId>()
   private readonly startedAt: number
+  private era = 0
   private readonly longParts: UpstreamParts
   /** Long prompt parts to name in the next heartbeat, by upstream. */
   private partsToReportInRegion = new Map<UpstreamId, Set<PromptPartId>>()
@@ -81,7 +82,7 @@
     this.executions = new Executions(clock)
     this.codec = options.codec
     this.log = options.log
-    this.records = new PublishedRecords({ clock, mayLapse: (key) => decoder.mayLapse(key) })
+    this.records = new PublishedRecords({ clock, mayLapse: (key) => decoder.mayLapse(key), isOlder: (key, value, known) => decoder.isOlder(key, value, known) })
     const findService = (service: ServiceName): Service | undefined => this.configuration?.service(service)
     this.upstreams = new UpstreamTable({
       clock,
@@ -136,13 +137,15 @@
   /** Applies the published records to the configuration and to the upstreams. */
   adoptRecords (): void {
     const { decoder, log, metrics } = this.options
+    const at = describePosition(this.records.at)
+    this.recordEra(eraOf(this.records.at))
     const view = decoder.decode(this.records.all)
-    for (const { key, detail } of view.faults) log.warn('record-unreadable', { key, detail, at: this.records.at })
+    for (const { key, detail } of view.faults) log.warn('record-unreadable', { key, detail, at })
     const document = view.configuration
     if (document !== undefined && document.version > (this.configuration?.version ?? -Infinity)) {
       this.configuration = new ServingConfiguration(document)
       metrics.version.set(document.version)
-      log.info('configuration-adopted', { version: document.version, routes: document.routes.length, teams: document.teams.length, at: this.records.at })
+      log.info('configuration-adopted', { version: document.version, routes: document.routes.length, teams: document.teams.length, at })
     }
     const { added, removed, leaving } = this.upstreams.sync(view.upstreams, view.evacuated)
     if (added.length + removed.length + leaving.length === 0) return
@@ -151,7 +154,14 @@
       this.longParts.forget(id)
     }
     for (const id of added) this.upstreams.find(id)?.recordParts(this.longParts.of(id))
-    log.info('upstreams-changed', { at: this.records.at, added: added.join(), removed: removed.join(), leaving: leaving.join() })
+    log.info('upstreams-changed', { at, added: added.join(), removed: removed.join(), leaving: leaving.join() })
+  }
+
+  private recordEra (era: number): void {
+    if (era === this.era) return
+    this.era = era
+    this.options.metrics.storeEra.set(era)
+    this.log.warn('store-era', { era, at: describePosition(this.records.at) })
   }
 
   /** Records the prompt parts of a request that is sent to an upstream. */
--- a/packages/gateway/src/recordFeed.test.ts
+++ b/packages/gateway/src/recordFeed.test.ts
@@ -15,7 +15,7 @@
 beforeEach(() => { clock = new ManualClock() })
 
 const startVm = (): TestVm => {
-  const records = new PublishedRecords({ clock, mayLapse: (key) => key.startsWith('upstreams/') })
+  const records = new PublishedRecords({ clock, mayLapse: (key) => key.startsWith('upstreams/'), isOlder: (_key, value, known) => Number(value.slice(1)) < Number(known.slice(1)) })
   const vm: TestVm = { records, adopted: 0, feed: new RecordFeed({ clock, records, takesRecords: () => true, onRecordsAdopted: () => { vm.adopted += 1 } }) }
   return vm
 }
--- a/packages/gateway/src/recordPoller.ts
+++ b/packages/gateway/src/recordPoller.ts
@@ -10,6 +10,7 @@
   staleKnowledgeShare
 } from './constants.js'
 import { SourceErrorKind } from './errors.js'
+import { describePosition } from '@cuminvale/serving'
 import type { RecordChange } from '@cuminvale/serving'
 import type { SourceError } from './errors.js'
 import type { GatewayMetrics } from './gatewayMetrics.js'
@@ -139,14 +140,14 @@
     metrics.sourceCalls.inc({ result: error.kind })
     if (error.kind === SourceErrorKind.HistoryDropped) {
       this.isHistoryLost = true
-      state.log.warn('source-history-lost', { at: state.records.at })
+      state.log.warn('source-history-lost', { at: describePosition(state.records.at) })
       return error
     }
     if (this.sourceLostAt === undefined) {
       // A fed VM didn't poll, so the source may have been lost since its knowledge was last confirmed.
       const now = state.clock.monotonic()
       this.sourceLostAt = this.options.role() === RecordRole.Fed ? Math.max(this.startedAt, now - feed.ageMilliseconds) : now
-      state.log.warn('source-lost', { kind: error.kind, detail: error.message, at: state.records.at })
+      state.log.warn('source-lost', { kind: error.kind, detail: error.message, at: describePosition(state.records.at) })
     }
     return error
   }
@@ -159,6 +160,6 @@
     const lostMilliseconds = Math.round(state.clock.monotonic() - this.sourceLostAt)
     this.sourceLostAt = undefined
     if (lostMilliseconds >= recordExpiryOutageMilliseconds) state.records.startLapseGrace()
-    state.log.info('source-regained', { lostMilliseconds, at: state.records.at })
+    state.log.info('source-regained', { lostMilliseconds, at: describePosition(state.records.at) })
   }
 }
--- a/packages/gateway/src/testSupport.ts
+++ b/packages/gateway/src/testSupport.ts
@@ -111,6 +111,10 @@
   mayLapse (): boolean {
     return false
   }
+
+  isOlder (): boolean {
+    return false
+  }
 }
 
 export interface ScriptedUpstream {
--- a/packages/gateway/src/types.ts
+++ b/packages/gateway/src/types.ts
@@ -78,20 +78,20 @@
 
 export interface RecordSnapshot {
   readonly records: readonly PublishedRecord[]
-  /** Revision up to which the records are complete. */
+  /** Position up to which the records are complete. */
   readonly at: number
 }
 
 export interface RecordChanges {
   readonly changes: readonly RecordChange[]
-  /** Revision up to which the changes are complete. */
+  /** Position up to which the changes are complete. */
   readonly at: number
 }
 
 /** Reads the published records. */
 export interface RecordSource {
   snapshot (): Promise<Result<RecordSnapshot, SourceError>>
-  /** Long poll for changes after a revision; resolves with an empty list when the wait expires. */
+  /** Long poll for changes after a position; resolves with an empty list when the wait expires. */
   changes (after: number, waitMilliseconds: number): Promise<Result<RecordChanges, SourceError>>
   close (): void
 }
@@ -109,4 +109,6 @@
   decode (records: Iterable<PublishedRecord>): PublishedView
   /** Whether the record belongs to an upstream, so that it can expire while the store is unavailable. */
   mayLapse (key: string): boolean
+  /** Whether a value of a record is an earlier one than that which is known. */
+  isOlder (key: string, value: string, known: string): boolean
 }
--- a/packages/serving/src/publishedRecords.test.ts
+++ b/packages/serving/src/publishedRecords.test.ts
@@ -1,6 +1,7 @@
 import fc from 'fast-check'
 import { beforeEach, describe, expect, it } from 'vitest'
 import { PublishedRecords } from './publishedRecords.js'
+import { describePosition, eraOf, maximumEra, revisionOf, toPosition } from './recordPosition.js'
 import { ManualClock } from './testSupport.js'
 import type { RecordChange } from './publishedRecords.js'
 
@@ -8,7 +9,7 @@
 let records: PublishedRecords
 beforeEach(() => {
   clock = new ManualClock()
-  records = new PublishedRecords({ clock, mayLapse: (key) => key.startsWith('upstreams/') })
+  records = new PublishedRecords({ clock, mayLapse: (key) => key.startsWith('upstreams/'), isOlder: (_key, value, known) => Number(value.slice(1)) < Number(known.slice(1)) })
 })
 
 const keys = (): readonly string[] => [...records.all].map(({ key }) => key).sort()
@@ -67,7 +68,7 @@
       [...stateAt(revision)].map(([key, value]) => ({ key, value, revision: Number(value.slice(1)) }))
     const step = fc.record({ isSnapshot: fc.boolean(), revision: fc.integer({ min: 1, max: history.length }) })
     fc.assert(fc.property(fc.array(step, { maxLength: 20 }), (steps) => {
-      const replica = new PublishedRecords({ clock: new ManualClock(), mayLapse: () => false })
+      const replica = new PublishedRecords({ clock: new ManualClock(), mayLapse: () => false, isOlder: () => false })
       for (const { isSnapshot, revision } of steps) {
         if (isSnapshot) replica.applySnapshot(snapshot(revision), revision)
         else if (revision >= replica.at) replica.applyChanges(history.filter((change) => change.revision > replica.at && change.revision <= revision), revision)
@@ -79,8 +80,8 @@
   it('gives the changes since a revision, so that another VM ends with the same records', () => {
     const change = fc.record({ key: fc.constantFrom('a', 'b', 'c', 'd'), isRemoved: fc.boolean() })
     fc.assert(fc.property(fc.array(change, { minLength: 1, maxLength: 30 }), fc.nat(30), (changes, knownCount) => {
-      const source = new PublishedRecords({ clock, mayLapse: () => false })
-      const copy = new PublishedRecords({ clock, mayLapse: () => false })
+      const source = new PublishedRecords({ clock, mayLapse: () => false, isOlder: () => false })
+      const copy = new PublishedRecords({ clock, mayLapse: () => false, isOlder: () => false })
       source.applySnapshot([], 1)
       copy.applySnapshot([], 1)
       changes.forEach(({ key, isRemoved }, index) => {
@@ -113,3 +114,77 @@
     expect(keys()).toEqual([])
   })
 })
+
+describe('positions', () => {
+  it('are ordered by era first, then by revision, and give both back', () => {
+    const era = fc.integer({ min: 0, max: maximumEra })
+    const revision = fc.integer({ min: 0, max: 2 ** 36 - 1 })
+    fc.assert(fc.property(era, revision, era, revision, (firstEra, firstRevision, secondEra, secondRevision) => {
+      const [first, second] = [toPosition(firstEra, firstRevision), toPosition(secondEra, secondRevision)]
+      expect(Math.sign(first - second)).toBe(Math.sign(firstEra - secondEra) || Math.sign(firstRevision - secondRevision))
+      expect([eraOf(first), revisionOf(first)]).toEqual([firstEra, firstRevision])
+      expect(Number.isSafeInteger(first)).toBe(true)
+    }), { seed: 1 })
+    expect([describePosition(7), describePosition(toPosition(2, 7))]).toEqual([7, '2/7'])
+  })
+})
+
+describe('PublishedRecords after the store has come back from an older copy', () => {
+  const inEra = (era: number, revision: number): number => toPosition(era, revision)
+  const valueOf = (key: string): string | undefined => [...records.all].find((record) => record.key === key)?.value
+
+  beforeEach(() => {
+    records.applySnapshot([{ key: 'config', value: 'v7', revision: 90 }, { key: 'upstreams/1', value: 'v4', revision: 80 }], 100)
+  })
+
+  // Guards against a configuration with a withdrawn key, or an upstream that had left, out of an older copy.
+  it('keeps the values that it knows against older ones, until they are written again', () => {
+    records.applySnapshot([{ key: 'config', value: 'v5', revision: inEra(1, 50) }, { key: 'upstreams/1', value: 'v2', revision: inEra(1, 40) }], inEra(1, 60))
+    expect([valueOf('config'), valueOf('upstreams/1')]).toEqual(['v7', 'v4'])
+    records.applyChanges([set('config', inEra(1, 61), 'v7'), set('upstreams/1', inEra(1, 62), 'v9')], inEra(1, 62))
+    expect([valueOf('config'), valueOf('upstreams/1')]).toEqual(['v7', 'v9'])
+    expect(records.at).toBe(inEra(1, 62))
+  })
+
+  it('takes revisions that were given out again', () => {
+    records.applySnapshot([{ key: 'config', value: 'v7', revision: inEra(1, 50) }], inEra(1, 60))
+    expect(records.applyChanges([set('config', inEra(1, 91), 'v8')], inEra(1, 91))).toBe(true)
+    expect(valueOf('config')).toBe('v8')
+  })
+
+  it('ignores what arrives late from an earlier era', () => {
+    records.applySnapshot([{ key: 'config', value: 'v7', revision: inEra(2, 50) }], inEra(2, 60))
+    expect(records.applySnapshot([{ key: 'config', value: 'v9', revision: inEra(1, 900) }], inEra(1, 900))).toBe(false)
+    expect(records.applyChanges([set('config', 901, 'v9')], 901)).toBe(false)
+    expect(valueOf('config')).toBe('v7')
+  })
+
+  it('keeps records that the copy lacks for as long as they may be written again', () => {
+    records.applyChanges([set('evacuated', 101)], 101)
+    records.applySnapshot([], inEra(1, 60))
+    records.applySnapshot([], inEra(1, 61))
+    clock.advance(2_499)
+    expect(records.removeLapsed()).toBe(false)
+    expect(keys()).toEqual(['config', 'evacuated', 'upstreams/1'])
+    records.applyChanges([set('evacuated', inEra(1, 62))], inEra(1, 62))
+    clock.advance(10_000)
+    records.removeLapsed()
+    expect(keys()).toEqual(['evacuated'])
+  })
+
+  it('does not bring back records that it knows to be removed, until they are written again', () => {
+    records.applyChanges([removed('upstreams/1', 101)], 101)
+    const copy = [{ key: 'config', value: 'v7', revision: inEra(1, 50) }, { key: 'upstreams/1', value: 'v4', revision: inEra(1, 40) }]
+    records.applySnapshot(copy, inEra(1, 60))
+    records.applySnapshot(copy, inEra(1, 61))
+    expect(keys()).toEqual(['config'])
+    records.applyChanges([set('upstreams/1', inEra(1, 62))], inEra(1, 62))
+    expect(keys()).toEqual(['config', 'upstreams/1'])
+  })
+
+  it('has no changes for a VM that knows another era, which then takes all records', () => {
+    records.applySnapshot([{ key: 'config', value: 'v7', revision: inEra(1, 50) }], inEra(1, 60))
+    expect(records.changesSince(100)).toBeUndefined()
+    expect(records.changesSince(inEra(1, 60))).toEqual([])
+  })
+})
--- a/packages/serving/src/publishedRecords.ts
+++ b/packages/serving/src/publishedRecords.ts
@@ -1,21 +1,25 @@
 /**
- * The published records that this VM knows, and the revision up to which it
- * knows them. The revision never decreases, whether records come from the store
+ * The published records that this VM knows, and the position up to which it
+ * knows them. The position never decreases, whether records come from the store
  * or from another VM. Records of upstreams can lapse while the store is
  * unavailable. Such a removal takes effect only after the upstream has had time
- * to publish its record again.
+ * to publish its record again. After the store has come back from an older copy,
+ * what was known before holds for a time, until it is written again.
  */
 
+import { eraOf } from './recordPosition.js'
 import type { Clock } from '@cuminvale/common'
 
 export interface PublishedRecord {
   readonly key: string
   readonly value: string
+  /** Position of the last change. */
   readonly revision: number
 }
 
 export interface RecordChange {
   readonly key: string
+  /** Position of the change. */
   readonly revision: number
   /** Undefined if the record was removed. */
   readonly value: string | undefined
@@ -25,12 +29,16 @@
   readonly clock: Clock
   /** Whether the record can lapse without being deleted while the store is unavailable. */
   readonly mayLapse: (key: string) => boolean
+  /** Whether a value is an earlier one than that which is known. */
+  readonly isOlder: (key: string, value: string, known: string) => boolean
 }
 
 /** Lapsed records are published again within about two seconds of the store's return; the rest is the delay of a watch. */
 const lapseGraceMilliseconds = 2_500
 /** Removals that are remembered for VMs that know an earlier revision. */
 const maximumRemovalCount = 512
+/** Time after the store has returned in a new era in which the operator writes again what was lost. */
+const restoreMilliseconds = 10_000
 
 export class PublishedRecords {
   private readonly records = new Map<string, PublishedRecord>()
@@ -42,10 +50,15 @@
   private removals: Array<{ readonly key: string, readonly revision: number }> = []
   /** Revision after which all removals are in that list. */
   private removalsKnownSince = 0
+  /** Keys that were removed last, oldest first. An older copy of the store may hold them. */
+  private readonly removedKeys = new Set<string>()
+  /** Positions of records that an older copy holds although they had been removed; they count only once they are written again. */
+  private readonly restoredRemovals = new Map<string, number>()
+  private restoredUntil = -Infinity
 
   constructor (private readonly options: PublishedRecordsOptions) {}
 
-  /** Revision up to which the records are complete; 0 before the first snapshot. */
+  /** Position up to which the records are complete; 0 before the first snapshot. */
   get at (): number {
     return this.revision
   }
@@ -105,19 +118,23 @@
     return changed
   }
 
-  /** Applies a full snapshot unless a later revision is already known; returns true if any record changed. */
+  /** Applies a full snapshot unless a later position is already known; returns true if any record changed. */
   applySnapshot (snapshot: readonly PublishedRecord[], at: number): boolean {
     if (at < this.revision) return false
+    const isNewEra = this.revision > 0 && eraOf(at) > eraOf(this.revision)
+    if (isNewEra) this.startEra(snapshot)
     let changed = false
     const listedKeys = new Set<string>()
     for (const record of snapshot) {
       listedKeys.add(record.key)
+      if (this.restoredRemovals.get(record.key) === record.revision) continue
       if ((this.records.get(record.key)?.revision ?? 0) >= record.revision && !this.pendingRemovals.has(record.key)) continue
       changed = this.applyOne(record) || changed
     }
     for (const { key, revision } of [...this.records.values()]) {
       if (listedKeys.has(key) || revision > at) continue
-      changed = this.remove(key) || changed
+      if (isNewEra) this.delayRemoval(key)
+      else if (!this.pendingRemovals.has(key)) changed = this.remove(key) || changed
     }
     this.revision = at
     // A snapshot doesn't tell at which revisions the missing records were removed.
@@ -133,11 +150,25 @@
     for (const [key, removeAt] of this.pendingRemovals) {
       if (removeAt > now) continue
       this.pendingRemovals.delete(key)
-      changed = this.records.delete(key) || changed
+      changed = this.delete(key) || changed
     }
     return changed
   }
 
+  /** Keeps what is known of the last era against an older copy of it. */
+  private startEra (snapshot: readonly PublishedRecord[]): void {
+    this.restoredUntil = this.options.clock.monotonic() + restoreMilliseconds
+    this.restoredRemovals.clear()
+    for (const { key, revision } of snapshot) {
+      if (this.removedKeys.has(key) && !this.records.has(key)) this.restoredRemovals.set(key, revision)
+    }
+  }
+
+  private delayRemoval (key: string): void {
+    const graceMilliseconds = this.options.mayLapse(key) ? lapseGraceMilliseconds : restoreMilliseconds
+    this.pendingRemovals.set(key, this.options.clock.monotonic() + graceMilliseconds)
+  }
+
   private rememberRemoval ({ key, revision }: RecordChange): void {
     this.removals.push({ key, revision })
     if (this.removals.length <= maximumRemovalCount) return
@@ -147,9 +178,13 @@
   private applyOne ({ key, value, revision }: RecordChange): boolean {
     if (value === undefined) return this.remove(key)
     this.pendingRemovals.delete(key)
+    this.restoredRemovals.delete(key)
+    this.removedKeys.delete(key)
     const existing = this.records.get(key)
-    this.records.set(key, { key, value, revision })
-    return existing?.value !== value
+    const isRestoring = this.options.clock.monotonic() < this.restoredUntil
+    const keepsKnown = isRestoring && existing !== undefined && this.options.isOlder(key, value, existing.value)
+    this.records.set(key, { key, value: keepsKnown ? existing.value : value, revision })
+    return existing?.value !== value && !keepsKnown
   }
 
   private remove (key: string): boolean {
@@ -160,6 +195,13 @@
       return false
     }
     this.pendingRemovals.delete(key)
+    return this.delete(key)
+  }
+
+  private delete (key: string): boolean {
+    this.removedKeys.delete(key)
+    this.removedKeys.add(key)
+    if (this.removedKeys.size > maximumRemovalCount) this.removedKeys.delete([...this.removedKeys][0] ?? '')
     return this.records.delete(key)
   }
 }
