--- a/packages/gateway/src/upstreamConnections.ts
+++ b/packages/gateway/src/upstreamConnections.ts
@@ -37,7 +37,7 @@
  * arrives together with data as an end of file. A write to a closed connection
  * succeeds once more; a write to a reset one fails at once.
  */
-const isUndetectedReset = (socket: Socket): boolean => {
+export const isUndetectedReset = (socket: Socket): boolean => {
   socket.write(lineEnd)
   return socket.errored !== null
 }
