Remember a leave or a pause while an upstream's record is gone

Cause: what an upstream says in its answers (that it leaves, that it wants a pause) was kept with its entry in the table of upstreams. A record lapses while its upstream is cut off from the store, and comes back with the same start; the table then made a new entry, without leave and pause. A request to a runner that leaves (DRAIN), or the third one in a pause (BUDGET), could follow. Evidence: the new test failed on the old code: both upstreams were chosen again ("c, a, b" in place of "c"). Ruled out: keeping removed upstreams in the table, since all its readers would have to leave them out; and keeping `isReplaced`, too: a record that comes back shows that the upstream has its address. Change: the table keeps the last 512 removed entries, and an entry of the same start takes over leave and pause from them. Why it works: a leave ends only with a new start, and a pause with its time, whatever happens to the record.

--- a/packages/serving/src/upstreamState.ts
+++ b/packages/serving/src/upstreamState.ts
@@ -127,6 +127,12 @@
     this.pausedUntil = Math.max(this.pausedUntil, this.clock.monotonic() + milliseconds)
   }
 
+  /** Takes over what the upstream said of leaving and pausing before its record lapsed. */
+  keepWishesOf (earlier: UpstreamState): void {
+    this.hasSaidToLeave = earlier.hasSaidToLeave
+    this.pauseFor(earlier.pauseMilliseconds)
+  }
+
   markCold (milliseconds: number): void {
     if (milliseconds > 0) this.coldUntil = Math.max(this.coldUntil, this.clock.monotonic() + milliseconds)
   }
--- a/packages/serving/src/upstreamTable.test.ts
+++ b/packages/serving/src/upstreamTable.test.ts
@@ -52,6 +52,23 @@
     expect(usable()).toEqual(['a'])
   })
 
+  // Guards against requests to an upstream whose record lapses and comes back while it leaves or pauses (DRAIN, BUDGET).
+  it('does not forget a leave or a pause when a record is gone for a while', () => {
+    upstreams.sync([announced('a'), announced('b'), announced('c')], noEvacuations)
+    const [leaving, pausing] = ['a', 'b'].map((id) => upstreams.find(toUpstreamId(id)))
+    if (leaving !== undefined) leaving.hasSaidToLeave = true
+    pausing?.pauseFor(5_000)
+    upstreams.sync([announced('c')], noEvacuations)
+    clock.advance(1_000)
+    upstreams.sync([announced('a'), announced('b'), announced('c')], noEvacuations)
+    expect(usable()).toEqual(['c'])
+    clock.advance(4_000)
+    expect(usable()).toEqual(['c', 'b'])
+    upstreams.sync([announced('c')], noEvacuations)
+    upstreams.sync([announced('a', { startedAt: 9 }), announced('c')], noEvacuations)
+    expect(usable()).toEqual(['c', 'a'])
+  })
+
   it('uses an upstream again when its longest pause is over', () => {
     upstreams.sync([announced('a'), announced('b')], noEvacuations)
     upstreams.find(toUpstreamId('a'))?.pauseFor(2_500)
--- a/packages/serving/src/upstreamTable.ts
+++ b/packages/serving/src/upstreamTable.ts
@@ -27,9 +27,13 @@
 const coldMarginMilliseconds = 1_200
 /** Added to the cold time after an evacuation, since the upstreams may have become cold at any time until its end. */
 const evacuationColdMarginMilliseconds = 1_500
+/** Upstreams that are remembered after their records were removed. */
+const maximumRemovedCount = 512
 
 export class UpstreamTable {
   private readonly beliefs = new Map<UpstreamId, UpstreamState>()
+  /** Upstreams whose records were removed, oldest first. A record may lapse and come back while the upstream runs on. */
+  private readonly removedStates = new Map<UpstreamId, UpstreamState>()
   private evacuated: ReadonlySet<FailureDomainId> = new Set()
   private hasSynced = false
 
@@ -93,7 +97,7 @@
       this.applyAnnouncedCold(existing, upstream.coldMilliseconds)
     }
     const removed = [...this.beliefs.keys()].filter((id) => !listedIds.has(id))
-    for (const id of removed) this.beliefs.delete(id)
+    for (const id of removed) this.remove(id)
     this.applyEvacuations(evacuated)
     this.hasSynced = true
     return { added, removed, leaving }
@@ -108,10 +112,22 @@
   private add (upstream: AnnouncedUpstream): void {
     const state = new UpstreamState(this.options.clock, upstream, this.options.neighbourReports)
     this.beliefs.set(upstream.id, state)
+    const removed = this.removedStates.get(upstream.id)
+    this.removedStates.delete(upstream.id)
+    if (removed !== undefined && !isNewRun(removed.announced, upstream)) state.keepWishesOf(removed)
     this.applyAnnouncedCold(state, upstream.coldMilliseconds)
     if (this.hasSynced) state.markCold(this.coldMilliseconds(upstream.service))
   }
 
+  private remove (id: UpstreamId): void {
+    const state = this.beliefs.get(id)
+    if (state === undefined) return
+    this.beliefs.delete(id)
+    this.removedStates.set(id, state)
+    const [oldestId] = this.removedStates.keys()
+    if (this.removedStates.size > maximumRemovedCount && oldestId !== undefined) this.removedStates.delete(oldestId)
+  }
+
   private applyAnnouncedCold (upstream: UpstreamState, milliseconds: number): void {
     if (milliseconds > 0) upstream.markCold(milliseconds + coldMarginMilliseconds)
   }
