Give the messages between VMs of a test turns of the event loop, not only time

Cause: a step of these tests advances the clock of all VMs by 200 ms and then waits 20 ms of real time for their messages. A process that gets no processor in that time reads no socket in it, so messages arrive some steps late, and VMs that sent in time count as silent. Change: a step also takes 200 turns of the event loop. Clock, steps and bounds are as they were. Why it works: all VMs of the test are in one process, so a message that was sent is read in the next turns, however long they take.

--- a/packages/gateway/src/gatewayPeerLinks.test.ts
+++ b/packages/gateway/src/gatewayPeerLinks.test.ts
@@ -18,8 +18,10 @@
 }
 
 const stepMilliseconds = 200
-/** Real time for the messages of a step to arrive; a pause that is too short only makes more steps necessary. */
+/** Real time for the messages of a step to arrive. */
 const stepPauseMilliseconds = 20
+/** Turns of the event loop for the same: on a busy machine the time above may be over before a socket was read. */
+const stepTurns = 200
 const maximumSteps = 600
 
 let testVms: TestVm[] = []
@@ -63,12 +65,17 @@
   testVms = [first, ...await Promise.all(rest.map(async ([region, index]) => await startVm(region, index, seeds)))]
 }
 
+const letMessagesArrive = async (): Promise<void> => {
+  for (let turn = 0; turn < stepTurns; turn += 1) await new Promise((resolve) => setImmediate(resolve))
+  await new Promise((resolve) => setTimeout(resolve, stepPauseMilliseconds))
+}
+
 const step = async (): Promise<void> => {
   clock.advance(stepMilliseconds)
   for (const node of testVms) {
     if (!node.isStopped) node.links.tick()
   }
-  await new Promise((resolve) => setTimeout(resolve, stepPauseMilliseconds))
+  await letMessagesArrive()
 }
 
 const stepUntil = async (condition: () => boolean): Promise<boolean> => {
@@ -81,7 +88,7 @@
 
 /** Waits in real time for messages that are under way; the VMs don't tick. */
 const waitUntil = async (condition: () => boolean): Promise<void> => {
-  for (let waits = 0; waits < maximumSteps && !condition(); waits += 1) await new Promise((resolve) => setTimeout(resolve, stepPauseMilliseconds))
+  for (let waits = 0; waits < maximumSteps && !condition(); waits += 1) await letMessagesArrive()
 }
 
 const running = (): readonly TestVm[] => testVms.filter(({ isStopped }) => !isStopped)
