Test the ends of answers that no test covered

Result: none of them fails on the code as it is; no logic changes. Evidence that the checks see the fault: with AnswerRelay.fail changed to end the answer in an orderly way, both tests of limits fail. The others were not broken by hand. A first version of the stream test ignored the position that the resumed attempt names, and got the first event three times; the stand-in was wrong, not cuminvaled.

--- a/packages/demo/src/upstreamFaults.test.ts
+++ b/packages/demo/src/upstreamFaults.test.ts
@@ -128,6 +128,31 @@
   })
 })
 
+describe('an answer that another VM passes on', () => {
+  /** Cuts the connections from the second VM, in another region than the upstreams, when half of the answer has arrived. */
+  const cutLinkAfter = (writeHalf: Script): Script => async (scripted) => {
+    await writeHalf(scripted)
+    setTimeout(() => { fleet.vms[1]?.daemon.context.upstreamClient.close().catch(() => {}) }, 200)
+  }
+
+  // Guards against the part of an answer that arrived before the connection between two VMs was cut, passed on as the whole.
+  it('is replaced by a failure that says it may have run if the connection between the VMs is cut', async () => {
+    await startWith([cutLinkAfter(({ response }) => { response.writeHead(200, { 'content-length': 100 }).write('{"half":') })], 2)
+    const { status, text } = await send('/v1/completions', completion('mine'), 1)
+    expect([status, JSON.parse(text)]).toMatchObject([503, { outcome: 'unknown' }])
+  })
+
+  it('is resumed with no event repeated or missing if it is a stream', async () => {
+    await startWith([cutLinkAfter((scripted) => {
+      if (scripted.request.headers['cuminvale-resume-from'] !== undefined) return streamEvents(4)(scripted)
+      scripted.response.writeHead(200, { 'content-type': 'text/event-stream' }).write('data: {"choices":[{"index":0,"text":"w0 "}]}\n\ndata: {"cho')
+    })], 2)
+    const { text } = await send('/v1/completions', completion('x', true), 1)
+    expect(wordsOf(text)).toEqual([0, 1, 2, 3])
+    expect(text.trimEnd().endsWith('data: [DONE]')).toBe(true)
+  })
+})
+
 describe('unresponsive upstreams', () => {
   it('retries elsewhere when an upstream never responds, within the request deadline', async () => {
     await startWith([neverAnswer, echoBody])
--- a/packages/gateway/src/answerEnd.test.ts
+++ b/packages/gateway/src/answerEnd.test.ts
@@ -121,6 +121,21 @@
   })
 })
 
+describe('a stream that is cut by a limit', () => {
+  // Guards against an answer under way that a limit of the VM ends as if it were complete.
+  it.each([
+    ['its deadline', () => { /* nothing more comes */ }],
+    ['the size limit of one event', (socket: Socket) => { socket.write(Buffer.alloc(1_100_000, 'x')) }]
+  ])('is visibly incomplete after %s', async (_case, finish) => {
+    const script: UpstreamScript = ({ socket, headers }) => {
+      sendRaw(socket, String(headers[testHeaders.attempt]), { body: `${eventsText(1, 2)}data: `, finish })
+    }
+    running = await startTestGateway(testDocument([plainStream]), [await startUpstream('u0', script)])
+    const answer = await callGateway({ port: running.port, path: '/orders/7', headers: { [testHeaders.deadline]: '600' } })
+    expect(answer).toMatchObject({ status: 200, isWhole: false, body: eventsText(1, 2) })
+  })
+})
+
 describe('a stream with a length', () => {
   // Guards against a resumed stream that kept the length of its first part: the caller took the rest for its next answer.
   it('is passed on without it, since a resumed part may not keep it', async () => {
