Forward no request to a region in which no configured upstream serves it

Cause: a VM forwards by the free slots that another region reported last. That report may precede a configuration that the VM has already taken over. Ruled out: the withdrawal of keys; the first request, which ran, was stopped in time in each run. Change: the choice of other regions is a function of its own (remoteRegions.ts), and leaves out regions in which the configuration in use lists no upstream for the route and model. Why it works: the configuration orders what exists, reports only how full it is.

--- a/packages/daemon/src/createRouting.ts
+++ b/packages/daemon/src/createRouting.ts
@@ -9,8 +9,9 @@
 import type { ConfigurationHolder } from '@cuminvale/configuration'
 import type { Membership } from '@cuminvale/membership'
 import type { PeerIdentity } from '@cuminvale/messages'
-import type { RegionPeer, RemoteRegionView, RoutingRequest, UpstreamTable } from '@cuminvale/routing'
+import type { RegionPeer, RoutingRequest, UpstreamTable } from '@cuminvale/routing'
 import { prefixCacheIndexCapacity } from './constants.js'
+import { findRemoteRegions } from './remoteRegions.js'
 import type { Settings } from './settings.js'
 
 export interface RoutingOptions {
@@ -23,25 +24,10 @@
   readonly table: UpstreamTable
 }
 
-const interRegionLatencyMilliseconds = 55
-
 const liveMembers = (membership: Membership) => (): readonly RegionPeer[] => membership.members
   .filter(({ vm, reachable }) => reachable && vm.state === VmState.Live)
   .map(({ vm }) => ({ vm: vm.name, region: vm.region }))
 
-/** Permitted regions other than this VM's that have reachable VMs, with the free slots that they last reported. */
-const createRemoteRegions = ({ identity }: RoutingOptions, peers: () => readonly RegionPeer[], regionDigests: RegionDigests) =>
-  (request: RoutingRequest): readonly RemoteRegionView[] => {
-    if (!request.mayCrossBorder) return []
-    const permitted = peers().filter(({ region }) => region !== identity.region && request.allowedRegions.includes(region))
-    return [...new Set(permitted.map(({ region }) => region))].map((region) => ({
-      region,
-      vms: permitted.filter((peer) => peer.region === region).map(({ vm }) => vm),
-      freeSlots: regionDigests.freeSlots(region, request),
-      latencyMilliseconds: interRegionLatencyMilliseconds
-    }))
-  }
-
 export const createRouting = (options: RoutingOptions) => {
   const { clock, random, settings, identity, configuration, membership, table } = options
   const peers = liveMembers(membership)
@@ -61,7 +47,7 @@
     linkBudget,
     vmCount,
     chooser: new PredictedLatencyChooser({ clock, random, failureDomain: identity.failureDomain, spillover, prefixCacheIndex, vmCount }),
-    remoteRegions: createRemoteRegions(options, peers, regionDigests),
+    remoteRegions: (request: RoutingRequest) => findRemoteRegions({ region: identity.region, peers, regionDigests, table }, request),
     loadReportExchange: new LoadReportExchange({
       clock, vm: identity.vm, region: identity.region, table, digests: regionDigests, configuration: () => configuration.current, peers
     })
