Name the regions of a test one by one, and its subject as in the code

Cause: read as a newcomer, the test of other regions began with a cast over three types, and that of the table of upstreams carried the name the table had once. Change: three constants; "UpstreamTable".

--- a/packages/daemon/src/remoteRegions.test.ts
+++ b/packages/daemon/src/remoteRegions.test.ts
@@ -3,7 +3,9 @@
 import { findRemoteRegions } from './remoteRegions.js'
 import type { RoutingRequest, UpstreamView } from '@cuminvale/routing'
 
-const [north, south, west] = ['north', 'south', 'west'].map(toRegionId) as [ReturnType<typeof toRegionId>, ReturnType<typeof toRegionId>, ReturnType<typeof toRegionId>]
+const north = toRegionId('north')
+const south = toRegionId('south')
+const west = toRegionId('west')
 const request = { route: toRouteName('counter'), mayCrossBorder: true, allowedRegions: [north, south] } as unknown as RoutingRequest
 
 // Guards against a refusal in another region after a change of the configuration, where the request could have waited at home.
--- a/packages/serving/src/upstreamTable.test.ts
+++ b/packages/serving/src/upstreamTable.test.ts
@@ -13,7 +13,7 @@
 const noEvacuations = new Set<typeof northA>()
 const usable = (): readonly string[] => upstreams.usable(engine, north).map(({ announced: { id } }) => id)
 
-describe('UpstreamBoard', () => {
+describe('UpstreamTable', () => {
   it('uses upstreams of the service and region that are neither leaving nor evacuated', () => {
     upstreams.sync([
       announced('here'), announced('there', { failureDomain: southA }), announced('other', { service: desk }),
