--- a/packages/gateway/src/answerRelay.ts
+++ b/packages/gateway/src/answerRelay.ts
@@ -14,19 +14,24 @@
 import type { AnswerSink, AnswerFailureKind } from './answerSink.js'
 
 const eventStreamType = 'text/event-stream'
+const typeHeader = 'content-type'
+const encodingHeader = 'content-encoding'
 /** Growth of an event that shows a sound upstream; a stalled one may send a byte now and then. */
 const minimumProgressBytes = 64
 
 export interface AnswerRelayOptions {
   readonly sink: AnswerSink
   readonly route: Route
-  /** Whether the caller has events of the stream already, so that no further one may come. */
-  readonly isResumed: boolean
+  /** Id of the last event of the stream that the caller has already; undefined for one that begins. */
+  readonly resumeAfter: string | undefined
+  /** Whether it was the caller that named this event, rather than a VM whose answer to it is under way. */
+  readonly isTakenUp: boolean
 }
 
 export class AnswerRelay {
   /** Status that was passed on; 0 until then. */
   status = 0
+  private relayedHeaders: readonly string[] = []
   /** Whether the last data were progress: an event ended with them, or a long one has grown. */
   hasProgressed = false
   /** Bytes of the event that is begun, at the last progress. */
@@ -64,9 +69,10 @@
     return this.events?.partialEventBytes ?? 0
   }
 
-  /** Whether the stream has exceeded the size limit of one event. */
-  get exceedsEventLimit (): boolean {
-    return this.events?.exceedsLimit === true
+  /** Why the answer under way is no part of the stream; undefined if it may be. */
+  get flawInData (): string | undefined {
+    if (this.events?.exceedsLimit === true) return 'an event is over a megabyte'
+    return this.events?.isDiscontinuous === true ? 'events that do not continue the stream' : undefined
   }
 
   /** Discards the part of an attempt's answer that was not passed on, before another attempt answers. */
@@ -76,15 +82,22 @@
     this.events?.discardPartialEvent()
   }
 
-  /** Whether an attempt's answer can be passed on: if the caller has the head of an earlier one, only a stream can continue its body. */
+  /** Whether an attempt's answer can be passed on: if the caller has the head of an earlier one, only a stream of the same status, type and encoding can continue its body. */
   canTake (status: number, headers: readonly string[]): boolean {
-    return this.status === 0 || this.isEventStream(status, headers)
+    if (this.status === 0) return true
+    const isNamed = headerValue(headers, typeHeader) !== undefined || headerValue(this.relayedHeaders, typeHeader) === undefined
+    const isSameEncoding = headerValue(headers, encodingHeader) === headerValue(this.relayedHeaders, encodingHeader)
+    return status === this.status && isNamed && isSameEncoding && this.isEventStream(status, headers)
   }
 
   /** Takes the head of an attempt's answer that can be passed on. */
   head (status: number, headers: readonly string[], softwareVersion?: SoftwareVersion): void {
-    if (this.status !== 0) return
+    if (this.status !== 0) {
+      this.events?.continueAfter(this.lastEventId ?? this.resumeAfter)
+      return
+    }
     this.events = this.isEventStream(status, headers) ? new EventBoundaryBuffer() : undefined
+    if (this.resumeAfter !== undefined && this.isResumable) this.events?.continueAfter(this.resumeAfter)
     if (this.options.route.kind === RequestKind.Safe) this.held = new BufferedAnswer(status, headers)
     else this.relayHead(status, headers, softwareVersion)
   }
@@ -92,7 +105,7 @@
   /** False if the sink can't take more until the response drains. */
   data (chunk: Buffer): boolean {
     const passable = this.events === undefined ? chunk : this.events.push(chunk)
-    this.hasProgressed = passable !== undefined || this.partialEventBytes - this.bytesAtProgress >= minimumProgressBytes
+    this.hasProgressed = passable !== undefined || (this.flawInData === undefined && this.partialEventBytes - this.bytesAtProgress >= minimumProgressBytes)
     if (this.hasProgressed) this.bytesAtProgress = this.partialEventBytes
     if (passable === undefined) return true
     if (this.held === undefined) return this.options.sink.data(passable)
@@ -106,8 +119,10 @@
     const { events } = this
     if (events === undefined) return undefined
     if (events.isInsideEvent) return 'the stream ended inside an event'
-    const isEmpty = !events.hasCompleteEvents && !this.options.isResumed
-    return isEmpty && framing === AnswerFraming.Close ? 'the connection ended before the first event of the stream' : undefined
+    if (events.owesEvent) return 'the stream ended before an event that had begun'
+    // A caller may have had the last event before it sent the request.
+    const mayBeEmpty = this.options.isTakenUp && !events.hasCompleteEvents
+    return framing === AnswerFraming.Close && !events.hasAnswerEvents && !mayBeEmpty ? 'the connection ended before the first event of the answer' : undefined
   }
 
   end (): void {
@@ -123,6 +138,11 @@
     else this.options.sink.fail(kind, detail)
   }
 
+  /** An empty id is that of a caller without events. */
+  private get resumeAfter (): string | undefined {
+    return this.options.resumeAfter === '' ? undefined : this.options.resumeAfter
+  }
+
   private get isResumable (): boolean {
     const { kind, isResumable } = this.options.route
     return kind === RequestKind.Stream && isResumable && this.events !== undefined
@@ -133,12 +153,13 @@
   }
 
   private hasEvents (headers: readonly string[]): boolean {
-    const type = headerValue(headers, 'content-type')
+    const type = headerValue(headers, typeHeader)
     return type === undefined ? this.options.route.kind === RequestKind.Stream : type.trimStart().toLowerCase().startsWith(eventStreamType)
   }
 
   private relayHead (status: number, headers: readonly string[], softwareVersion?: SoftwareVersion): void {
     this.status = status
+    this.relayedHeaders = headers
     this.options.sink.head(status, this.events === undefined ? headers : withoutHeader(headers, 'content-length'), softwareVersion)
   }
 
--- a/packages/gateway/src/eventBoundaryBuffer.ts
+++ b/packages/gateway/src/eventBoundaryBuffer.ts
@@ -3,6 +3,8 @@
  * of the last complete event, so that a broken stream can be resumed after it.
  */
 
+import { ContinuedEvents } from './continuedEvents.js'
+
 const lineFeed = 10
 const carriageReturn = 13
 /** Bytes of a blank line and the line ending before it that an earlier chunk may hold. */
@@ -20,6 +22,34 @@
   /** The newest complete events among which one has an id, as they were returned. */
   private lastEventsWithId: Buffer | undefined
   private hasEvents = false
+  /** Checks the events of an answer that continues the stream; undefined during the first one. */
+  private continuation: ContinuedEvents | undefined
+  private hasForeignEvents = false
+  private hasEventsOfAnswer = false
+  private hasLostEvent = false
+
+  /** Whether what has come does not continue the stream; it is not returned then. */
+  get isDiscontinuous (): boolean {
+    return this.hasForeignEvents
+  }
+
+  /** Begins with another answer, whose events must come after the one with the id; undefined if there is none. */
+  continueAfter (id: string | undefined): void {
+    this.discardPartialEvent()
+    this.continuation = new ContinuedEvents(id)
+    this.hasForeignEvents = false
+    this.hasEventsOfAnswer = false
+  }
+
+  /** Whether the answer under way has brought a complete event. */
+  get hasAnswerEvents (): boolean {
+    return this.hasEventsOfAnswer
+  }
+
+  /** Whether an event that an earlier answer had begun has not come yet. */
+  get owesEvent (): boolean {
+    return this.hasLostEvent
+  }
 
   /** Adds a chunk; returns the buffered bytes up to the last event boundary, or undefined if there is none. */
   push (chunk: Buffer): Buffer | undefined {
@@ -29,7 +59,9 @@
     if (end === 0) return undefined
     this.hold(buffer.subarray(end))
     const completeEvents = buffer.subarray(0, end)
-    this.hasEvents ||= !hasOnlyComments(completeEvents)
+    if (this.continuation?.accept(completeEvents) === false) this.hasForeignEvents = true
+    if (this.hasForeignEvents) return undefined
+    this.recordEvents(completeEvents)
     if (hasIdField(completeEvents)) this.lastEventsWithId = completeEvents
     return completeEvents
   }
@@ -61,6 +93,7 @@
 
   /** Discards a partial event before the stream is resumed on another upstream. */
   discardPartialEvent (): void {
+    this.hasLostEvent ||= this.isInsideEvent
     this.hold(emptyBuffer)
   }
 
@@ -70,6 +103,12 @@
     return [...text.matchAll(idFieldPattern)].at(-1)?.[1]?.trim()
   }
 
+  private recordEvents (completeEvents: Buffer): void {
+    if (this.hasEventsOfAnswer || hasOnlyComments(completeEvents)) return
+    this.hasEvents = this.hasEventsOfAnswer = true
+    this.hasLostEvent = false
+  }
+
   /** Replaces the held bytes by a buffer, which is not written to. */
   private hold (buffer: Buffer): void {
     this.storage = buffer
