Take an answer without an attempt as proof only on a new connection

What callers saw: 503, "not run, try again", for an order that two upstreams had run. Each had written an earlier refusal once more, without the header that names its attempt, after the next request was written. Cause: isAnswerOf asked only successes for a name, and only on a connection that had named one. An unnamed refusal counted as that of whatever request was waiting: the order went to the next upstream, and was refused there in the same way. Ruled out: copies that name any attempt, copies in the same piece as the first answer or on an idle connection (undici closes it), copies inside another answer's head or chunks (it breaks off). Change: AnswerNaming (serving) decides per upstream. An answer that names the attempt is its own. One that names none is proven if its connection had no answer before, since there is nothing that it could be a copy of. Any other one fails a request that may run only once, as one that may have run. A repeatable request takes it from upstreams that never name attempts, or a refusal from those that leave refusals unnamed; the connection is then closed, as the answer itself would follow. Where an upstream is found to leave answers unnamed, orders get connections of their own, so that later ones are proven: for good if that is its habit, 30 s if it may have been a copy, until it names a refusal. Price: at an upstream that names successes but not refusals, or is never heard to name any, one order is answered 502 instead of 503, and later orders cost a connection each. Upstreams that name all answers cost nothing more. Partly open: a safe request at upstreams that never name attempts (docs/design/faults-elsewhere.md).

--- a/packages/gateway/src/attemptStarter.ts
+++ b/packages/gateway/src/attemptStarter.ts
@@ -82,7 +82,8 @@
     const { announced } = upstream
     const now = state.clock.monotonic()
     const listener = new LocalAttemptListener(handler)
-    const call = new UpstreamCall(state.connections, state.connections.acquire(announced, route.kind !== RequestKind.Safe), listener)
+    const connection = state.connections.acquire(announced, { isOrder: route.kind !== RequestKind.Safe, isSingleUse: !request.isRepeatable && upstream.naming.needsNewConnections })
+    const call = new UpstreamCall(state.connections, connection, listener)
     const attempt = startLocalAttempt({ call, upstream, prediction, sentAt: now, tokens: resumeAfter === undefined ? head.tokens : undefined })
     listener.attempt = attempt
     state.recordSentParts(upstream, head.parts)
--- a/packages/gateway/src/upstreamCall.ts
+++ b/packages/gateway/src/upstreamCall.ts
@@ -5,7 +5,7 @@
 import { AnswerFraming, framingOf } from './answerFraming.js'
 import { CallFailure, CallFailureKind } from './errors.js'
 import { detachedRunTimeoutMilliseconds, discardedAnswerTimeoutMilliseconds, maximumDiscardedAnswerBytes } from './constants.js'
-import type { AttemptId } from '@cuminvale/serving'
+import type { AnswerNaming, ReceivedAnswer } from '@cuminvale/serving'
 import type { Dispatcher } from 'undici'
 import type { UpstreamConnection, UpstreamConnections } from './upstreamConnections.js'
 
@@ -35,6 +35,8 @@
   private isOver = false
   private isDetached = false
   private isAnswered = false
+  private isFirstOnConnection = false
+  private mayReuse = true
   /** Bytes of the body that were read after the listener was detached. */
   private discardedBytes = 0
   private framing: AnswerFraming = AnswerFraming.Length
@@ -55,11 +57,11 @@
     return this.controller !== undefined
   }
 
-  /** Whether an answer is that of an attempt: one without a name is, unless an earlier one on the connection had a name, and so has a late copy of it. */
-  isAnswerOf (attempt: AttemptId | undefined, named: AttemptId | undefined, { needsName }: { readonly needsName: boolean }): boolean {
-    const isUnnamed = named === undefined && (!needsName || !this.connection.namesAttempts)
-    this.connection.namesAttempts ||= named !== undefined
-    return isUnnamed || named === attempt
+  /** Whether the answer that has begun is that of an attempt. After an unproven refusal the connection is closed: if it was a copy, the answer itself would follow. */
+  isAnswerOf (naming: AnswerNaming, answer: Omit<ReceivedAnswer, 'isFirstOnConnection'>): boolean {
+    const { isFirstOnConnection } = this
+    this.mayReuse = isFirstOnConnection || answer.named !== undefined || answer.isSuccess
+    return naming.accepts({ ...answer, isFirstOnConnection })
   }
 
   /** Cancels the call and closes its connection; the listener is not called again. */
@@ -95,6 +97,8 @@
     this.connection.isCloseDelimited = this.framing === AnswerFraming.Close
     if (this.isOver || status < 200) return
     this.isAnswered = true
+    this.isFirstOnConnection = !this.connection.hasAnswered
+    this.connection.hasAnswered = true
     this.connection.overhead.mark()
     if (this.isDetached) this.connections.detachedCalls.add(this, discardedAnswerTimeoutMilliseconds)
     else this.listener.onHead(status, headers)
@@ -114,7 +118,8 @@
     this.isOver = true
     this.connection.overhead.mark()
     this.connections.detachedCalls.delete(this)
-    if (this.isDetached || this.listener.onEnd(this.framing)) this.connections.release(this.connection)
+    const isWhole = this.isDetached || this.listener.onEnd(this.framing)
+    if (isWhole && this.mayReuse) this.connections.release(this.connection)
     else this.connections.drop(this.connection)
   }
 
--- a/packages/gateway/src/upstreamConnections.ts
+++ b/packages/gateway/src/upstreamConnections.ts
@@ -22,12 +22,21 @@
   wasEnded: boolean
   /** Whether the current answer has no length, so that the close of the connection ends it. */
   isCloseDelimited: boolean
-  /** Whether an answer on it has named its attempt, as later ones then do. */
-  namesAttempts: boolean
+  /** Whether an answer was read on it; a copy of that may be read as the next one. */
+  hasAnswered: boolean
+  /** Whether it was opened for one request only. */
+  readonly isSingleUse: boolean
   /** Counts what is no body since the request was sent, its answer began, or a part of the body came. */
   readonly overhead: ReadLimit
 }
 
+export interface ConnectionNeeds {
+  /** Whether the request may be lost if the upstream has closed the connection meanwhile. */
+  readonly isOrder: boolean
+  /** Whether the connection must have had no request before, nor be used for another one. */
+  readonly isSingleUse: boolean
+}
+
 export interface UpstreamConnectionsOptions {
   readonly clock: Clock
   readonly onOpened: () => void
@@ -58,7 +67,8 @@
   }
 
   /** Returns the most recently used idle connection, or a new one. */
-  acquire (upstream: AnnouncedUpstream, isOrder: boolean): UpstreamConnection {
+  acquire (upstream: AnnouncedUpstream, { isOrder, isSingleUse }: ConnectionNeeds): UpstreamConnection {
+    if (isSingleUse) return this.open(upstream, isSingleUse)
     const idleConnections = this.idleByUpstream.get(upstream.id)
     const now = this.options.clock.monotonic()
     const maximumIdleMilliseconds = isOrder ? orderIdleTimeoutMilliseconds : upstreamIdleTimeoutMilliseconds
@@ -71,10 +81,11 @@
       }
       this.drop(connection)
     }
-    return this.open(upstream)
+    return this.open(upstream, isSingleUse)
   }
 
   release (connection: UpstreamConnection): void {
+    if (connection.isSingleUse) return this.drop(connection)
     connection.idleSince = this.options.clock.monotonic()
     const idleConnections = this.idleByUpstream.get(connection.upstream)
     if (idleConnections === undefined) this.idleByUpstream.set(connection.upstream, [connection])
@@ -101,8 +112,8 @@
     this.idleByUpstream.clear()
   }
 
-  private open (upstream: AnnouncedUpstream): UpstreamConnection {
-    const connection = { upstream: upstream.id, idleSince: 0, wasReset: false, wasEnded: false, isCloseDelimited: false, namesAttempts: false, overhead: new ReadLimit(maximumAnswerOverheadBytes) }
+  private open (upstream: AnnouncedUpstream, isSingleUse: boolean): UpstreamConnection {
+    const connection = { upstream: upstream.id, idleSince: 0, wasReset: false, wasEnded: false, isCloseDelimited: false, hasAnswered: false, isSingleUse, overhead: new ReadLimit(maximumAnswerOverheadBytes) }
     const client = new Client(`http://${upstream.host}:${upstream.port}`, {
       pipelining: 1,
       headersTimeout: 0,
@@ -110,7 +121,7 @@
       keepAliveTimeout: upstreamIdleTimeoutMilliseconds + 1_000,
       connect: (options, callback) => connectHalfOpen(options, (error, socket) => {
         if (error !== null) return callback(error, null)
-        connection.wasReset = connection.wasEnded = false
+        connection.wasReset = connection.wasEnded = connection.hasAnswered = false
         connection.overhead.watch(socket)
         socket.on('error', () => { connection.wasReset = true })
         socket.on('end', () => {
--- a/packages/serving/src/upstreamState.ts
+++ b/packages/serving/src/upstreamState.ts
@@ -4,6 +4,7 @@
  * read prompt parts.
  */
 
+import { AnswerNaming } from './answerNaming.js'
 import { BrittleGuard } from './brittleGuard.js'
 import { DecayingSum } from './decayingSum.js'
 import { QueueLimit } from './queueLimit.js'
@@ -83,6 +84,8 @@
   /** Decides whether the upstream still is the start that was announced last. */
   readonly startDoubt: StartDoubt
   readonly brittle: BrittleGuard
+  /** Whether its answers name their attempts. */
+  naming: AnswerNaming
   readonly queueLimit: QueueLimit
   readonly sends: SendWindow
   /** Keeps to the limit that the upstream names in its answers, if it names one. */
@@ -101,6 +104,7 @@
     this.performance = new UpstreamPerformance(clock, servicePerformance)
     this.startDoubt = new StartDoubt(clock)
     this.brittle = new BrittleGuard(clock)
+    this.naming = new AnswerNaming(clock)
     this.queueLimit = new QueueLimit(clock)
     this.sends = new SendWindow(clock)
     this.sendLimit = new SharedSendLimit({ clock, share: (perSecond) => sharing.share(this.announced.id, perSecond), onSent: () => sharing.onSent(this) })
@@ -189,9 +193,10 @@
     this.pausedUntil = Math.max(this.pausedUntil, this.clock.monotonic() + milliseconds)
   }
 
-  /** Takes over what the upstream said of leaving, pausing and its limit before its record lapsed, and its learned performance. */
+  /** Takes over what the upstream said of leaving, pausing and its limit before its record lapsed, and what was learned of its performance and answers. */
   keepWishesOf (earlier: UpstreamState): void {
     this.performance = earlier.performance
+    this.naming = earlier.naming
     this.hasSaidToLeave = earlier.hasSaidToLeave
     this.pauseFor(earlier.pauseMilliseconds)
     this.sendLimit = earlier.sendLimit
