--- a/packages/gateway/src/upstreamCall.ts
+++ b/packages/gateway/src/upstreamCall.ts
@@ -4,9 +4,10 @@
 
 import { AnswerFraming, framingOf } from './answerFraming.js'
 import { CallFailure, CallFailureKind } from './errors.js'
-import { detachedRunTimeoutMilliseconds, discardedAnswerTimeoutMilliseconds, maximumDiscardedAnswerBytes } from './constants.js'
-import type { AttemptId } from '@cuminvale/serving'
+import { detachedRunTimeoutMilliseconds, discardedAnswerTimeoutMilliseconds, maximumDiscardedAnswerBytes, refusedStatus } from './constants.js'
+import type { AdmittedRequest, AnswerNaming } from '@cuminvale/serving'
 import type { Dispatcher } from 'undici'
+import type { AnswerHead } from './types.js'
 import type { UpstreamConnection, UpstreamConnections } from './upstreamConnections.js'
 
 export interface UpstreamCallListener {
@@ -30,11 +31,16 @@
   readonly answerTimeoutMilliseconds?: number
 }
 
+/** Whether an answer of this status can state that the request has not run. */
+const isRefusal = (status: number): boolean => (status >= 400 && status < 500) || status === refusedStatus
+
 export class UpstreamCall implements Dispatcher.DispatchHandler {
   private controller: Dispatcher.DispatchController | undefined
   private isOver = false
   private isDetached = false
   private isAnswered = false
+  private isFirstOnConnection = false
+  private mayReuse = true
   /** Bytes of the body that were read after the listener was detached. */
   private discardedBytes = 0
   private framing: AnswerFraming = AnswerFraming.Length
@@ -55,11 +61,13 @@
     return this.controller !== undefined
   }
 
-  /** Whether an answer is that of an attempt: one without a name is, unless an earlier one on the connection had a name, and so has a late copy of it. */
-  isAnswerOf (attempt: AttemptId | undefined, named: AttemptId | undefined, { needsName }: { readonly needsName: boolean }): boolean {
-    const isUnnamed = named === undefined && (!needsName || !this.connection.namesAttempts)
-    this.connection.namesAttempts ||= named !== undefined
-    return isUnnamed || named === attempt
+  /** Why the answer that has begun is not taken for that of the request; undefined if it is. After an unproven refusal the connection is closed: if it was a copy, the answer itself would follow. */
+  flawOf ({ status, attempt: named, isDeclined }: AnswerHead, { attempt, isRepeatable }: AdmittedRequest, naming: AnswerNaming): string | undefined {
+    const { isFirstOnConnection } = this
+    const isSuccess = status >= 200 && status < 300
+    this.mayReuse = isFirstOnConnection || named !== undefined || isSuccess
+    if (!naming.accepts({ attempt, isRepeatable, named, isSuccess, isFirstOnConnection })) return named === undefined ? 'the answer names no attempt' : 'the answer names another attempt'
+    return isDeclined && !isRefusal(status) ? `status ${status} with the mark of a request that has not run` : undefined
   }
 
   /** Cancels the call and closes its connection; the listener is not called again. */
@@ -95,9 +103,13 @@
     this.connection.isCloseDelimited = this.framing === AnswerFraming.Close
     if (this.isOver || status < 200) return
     this.isAnswered = true
+    this.isFirstOnConnection = !this.connection.hasAnswered
+    this.connection.hasAnswered = true
     this.connection.overhead.mark()
-    if (this.isDetached) this.connections.detachedCalls.add(this, discardedAnswerTimeoutMilliseconds)
-    else this.listener.onHead(status, headers)
+    if (!this.isDetached) return this.listener.onHead(status, headers)
+    // Nobody checks whose answer it is.
+    this.mayReuse = this.isFirstOnConnection
+    this.connections.detachedCalls.add(this, discardedAnswerTimeoutMilliseconds)
   }
 
   onResponseData (controller: Dispatcher.DispatchController, chunk: Buffer): void {
@@ -114,7 +126,8 @@
     this.isOver = true
     this.connection.overhead.mark()
     this.connections.detachedCalls.delete(this)
-    if (this.isDetached || this.listener.onEnd(this.framing)) this.connections.release(this.connection)
+    const isWhole = this.isDetached || this.listener.onEnd(this.framing)
+    if (isWhole && this.mayReuse) this.connections.release(this.connection)
     else this.connections.drop(this.connection)
   }
 
