--- a/packages/logs/src/log.ts
+++ b/packages/logs/src/log.ts
@@ -3,10 +3,11 @@
  * never log API keys or request bodies.
  */
 
-import { write as writeDescriptor, writeSync } from 'node:fs'
+import { writeSync } from 'node:fs'
 import { createConsola } from 'consola/core'
 import type { ConsolaInstance, ConsolaOptions, LogObject } from 'consola/core'
 import type { VmId } from '@cuminvale/common'
+import { writeDescriptor } from './descriptorWriter.js'
 import { LineBuffer } from './lineBuffer.js'
 
 export type LogFields = Readonly<Record<string, string | number | boolean | undefined>>
@@ -26,7 +27,6 @@
 
 const standardOutputDescriptor = 1
 
-/** fs.write runs in the thread pool; process.stdout blocks the event loop while a pipe is full. */
 const standardOutputBuffer = new LineBuffer((text, done) => writeDescriptor(standardOutputDescriptor, text, done))
 
 /** Writes pending lines synchronously, for use before the process exits. */
