Log answers that a stopping VM cuts, and count what it leaves

Nothing runs while the VM doesn't stop, except one call for a stream that breaks. Tests: leavingAnswers.test.ts, a stream whose upstream goes on, and 16 MB for a caller that doesn't read.

--- a/packages/gateway/src/exchangeServer.ts
+++ b/packages/gateway/src/exchangeServer.ts
@@ -80,6 +80,15 @@
       exchanges.size === 0 && !isHalfClosed && socket.bytesRead !== bytesReadAtEnd && (socket.bytesRead > 0 || openedAt >= newSince)).length
   }
 
+  get connectionCount (): number {
+    return this.openConnections.size
+  }
+
+  /** Answers that were not handed to the operating system, on connections that can still send them. */
+  get unsentAnswers (): readonly ServerResponse[] {
+    return [...this.openConnections.values()].flatMap(({ exchanges, isHalfClosed }) => isHalfClosed ? [] : [...exchanges].filter(({ writableFinished }) => !writableFinished))
+  }
+
   /** Connections whose answers were sent, and whose callers haven't closed them yet. */
   get halfClosedCount (): number {
     return [...this.openConnections.values()].filter(({ isHalfClosed }) => isHalfClosed).length
--- a/packages/gateway/src/gatewayCallerServer.ts
+++ b/packages/gateway/src/gatewayCallerServer.ts
@@ -7,6 +7,7 @@
 import { STATUS_CODES } from 'node:http'
 import { RefusalReason, millisecondsPerSecond, refuse } from '@cuminvale/common'
 import { AnswerFailureKind } from './answerSink.js'
+import { CutAnswers } from './cutAnswers.js'
 import { continuesStream } from './continuesStream.js'
 import { discardBody } from './discardBody.js'
 import { ExchangeServer, polled } from './exchangeServer.js'
@@ -40,7 +41,7 @@
 const encodeSeconds = (milliseconds: number): string => (milliseconds / millisecondsPerSecond).toFixed(2)
 
 class CallerAnswerSink implements AnswerSink {
-  constructor (private readonly response: ServerResponse, private readonly state: GatewayState, private readonly server: ExchangeServer) {}
+  constructor (private readonly response: ServerResponse, private readonly state: GatewayState, private readonly server: ExchangeServer, private readonly cutAnswers: CutAnswers) {}
 
   head (status: number, headers: readonly string[]): void {
     this.response.writeHead(status, this.withConnectionClose(headers))
@@ -67,6 +68,7 @@
   }
 
   abort (): void {
+    this.cutAnswers.record(this.response)
     // Without chunks, a caller of HTTP/1.0 takes an orderly close for the end of the answer.
     if (this.response.chunkedEncoding) this.response.destroy()
     else this.response.socket?.resetAndDestroy()
@@ -87,6 +89,7 @@
 
 export class GatewayCallerServer {
   private readonly server: ExchangeServer
+  private readonly cutAnswers: CutAnswers
   private readonly intake: RequestIntake
   /** Whether limits of a configuration are in force, rather than those of Node. */
   private hasLimits = false
@@ -96,13 +99,14 @@
       maxHeaderSize: maximumRequestHeaderBytes, connectionsCheckingInterval: headerCheckIntervalMilliseconds, noDelay: true
     }, (request, response) => this.guard(request, response, () => this.handle(request, response)), () => this.connectionRefusal())
     this.server.requestTimeout = 0
+    this.cutAnswers = new CutAnswers(state)
     this.intake = new RequestIntake({
       state,
       metrics,
       start: (read) => this.guard(read.response.req, read.response, () => this.serve(read)),
       refuse: ({ response, request: { head, configurationVersion } }, refusal) => this.guard(response.req, response, () => {
         this.requestLog.refused(head, refusal, configurationVersion)
-        new CallerAnswerSink(response, state, this.server).refuse(refusal)
+        this.sinkOf(response).refuse(refusal)
       }),
       onLeft: ({ request, receivedAt }) => this.requestLog.leftBeforePlacement(request, receivedAt)
     })
@@ -146,6 +150,23 @@
     return this.server.halfClosedCount
   }
 
+  get connectionCount (): number {
+    return this.server.connectionCount
+  }
+
+  /** Answers whose connections were closed before they were sent, while this VM stopped. */
+  get cutAnswerCount (): number {
+    return this.cutAnswers.count
+  }
+
+  /** Closes the connections with answers that were not sent. */
+  cutUnsent (): void {
+    for (const response of this.server.unsentAnswers) {
+      this.cutAnswers.record(response)
+      response.req.socket.destroy()
+    }
+  }
+
   /** Closes idle connections, after what waits on them was read. */
   async closeIdle (): Promise<void> {
     await polled()
@@ -181,7 +202,7 @@
       this.state.log.error('request-error', { detail: describeError(error) })
       request.resume()
       if (response.headersSent) response.destroy()
-      else new CallerAnswerSink(response, this.state, this.server).refuse(refuse(RefusalReason.NotReady, 'a fault of the gateway'))
+      else this.sinkOf(response).refuse(refuse(RefusalReason.NotReady, 'a fault of the gateway'))
     }
   }
 
@@ -237,7 +258,7 @@
 
   private serve ({ response, request, body, receivedAt }: ReadRequest): void {
     const { state } = this
-    const sink = new CallerAnswerSink(response, state, this.server)
+    const sink = this.sinkOf(response)
     const { team, charge, head } = request
     if (team !== undefined && !state.rateLimiter.trySpend(team, charge)) {
       const waitMilliseconds = state.rateLimiter.millisecondsUntilAvailable(team)
@@ -285,9 +306,13 @@
     })
   }
 
+  private sinkOf (response: ServerResponse): CallerAnswerSink {
+    return new CallerAnswerSink(response, this.state, this.server, this.cutAnswers)
+  }
+
   private refuse (request: IncomingMessage, response: ServerResponse, head: RequestHead, refusal: Refusal): void {
     discardBody(request, Math.max(maximumDiscardedBodyBytes, this.state.configuration?.document.limits.bodyBytes ?? 0))
     this.requestLog.refused(head, refusal, this.state.configuration?.version)
-    new CallerAnswerSink(response, this.state, this.server).refuse(refusal)
+    this.sinkOf(response).refuse(refusal)
   }
 }
--- a/packages/gateway/src/gatewayProcess.ts
+++ b/packages/gateway/src/gatewayProcess.ts
@@ -139,6 +139,12 @@
     await this.left
   }
 
+  /** What the stop has left: connections of callers and forwards that are open, and answers that were cut. */
+  get remainder (): { readonly connections: number, readonly forwards: number, readonly answersCut: number } {
+    const { connectionCount, cutAnswerCount } = this.callerServer
+    return { connections: connectionCount, forwards: this.linkServer.exchangeCount, answersCut: cutAnswerCount }
+  }
+
   close (): void {
     this.timers.forEach((timer) => clearInterval(timer))
     this.state.executions.close()
@@ -176,6 +182,7 @@
     while (this.isBusy && clock.monotonic() < sendUntil) await delay(checkIntervalMilliseconds)
     const closeUntil = Math.min(clock.monotonic() + leavingCloseMilliseconds, sendUntil)
     while (this.callerServer.halfClosedCount > 0 && clock.monotonic() < closeUntil) await delay(checkIntervalMilliseconds)
+    await this.runLeaveStep('cut-unsent', () => this.callerServer.cutUnsent())
     await this.runLeaveStep('end-links', () => this.links.leave())
     await delay(checkIntervalMilliseconds)
   }
--- a/packages/gateway/src/leavingAnswers.test.ts
+++ b/packages/gateway/src/leavingAnswers.test.ts
@@ -1,15 +1,23 @@
 import { connect } from 'node:net'
+import { runtimeClock } from '@cuminvale/common'
 import { afterAll, describe, expect, it } from 'vitest'
-import { startTestGateway, startUpstream, testDocument, testHeaders, testRoute, testTeam, wait } from './testSupport.js'
+import { sealedHead, silentLog, startTestGateway, startUpstream, testDocument, testHeaders, testRoute, testSettings, testTeam, wait } from './testSupport.js'
 import type { Socket } from 'node:net'
+import type { LogFields } from '@cuminvale/logs'
+import type { Route } from '@cuminvale/serving'
 import type { TestGateway, UpstreamScript } from './testSupport.js'
 
 const gateways: TestGateway[] = []
 afterAll(() => { gateways.forEach((gateway) => gateway.stop()) })
 
-const start = async (script: UpstreamScript, isPublic: boolean): Promise<TestGateway> => {
+const settings = { ...testSettings, bounds: { ...testSettings.bounds, leavingGraceMilliseconds: 3_600 } }
+/** More than the kernel's buffers of a connection on loopback hold. */
+const largeBytes = 16_000_000
+
+const start = async (script: UpstreamScript, changes: Partial<Route>, log = silentLog): Promise<TestGateway> => {
   const upstream = await startUpstream('u0', script)
-  const gateway = await startTestGateway(testDocument([testRoute({ isPublic })], [testTeam()]), [upstream])
+  const route = testRoute({ timeoutMilliseconds: 20_000, ...changes })
+  const gateway = await startTestGateway(testDocument([route], [testTeam()]), [upstream], log, runtimeClock, settings)
   gateways.push(gateway)
   return gateway
 }
@@ -35,7 +43,7 @@
 describe.concurrent('the last answer of a VM that stops', () => {
   // Guards against a reset by the rest of the body, to which the caller lost the refusal, and then didn't know whether the request ran.
   it('reaches a caller that is refused while it still sends its body', async () => {
-    const { gateway, port } = await start(() => { /* not reached */ }, false)
+    const { gateway, port } = await start(() => { /* not reached */ }, { isPublic: false })
     const left = gateway.leave()
     const { socket, seen } = open(port)
     socket.pause()
@@ -52,4 +60,39 @@
     expect(seen).toMatchObject({ error: undefined, isClosed: true })
     expect(seen.text).toMatch(/^HTTP\/1.1 401 [^]*connection: close/i)
   })
+
+  interface LoggedGateway extends TestGateway {
+    readonly cut: LogFields[]
+  }
+
+  const startLogged = async (script: UpstreamScript, kind: Route['kind']): Promise<LoggedGateway> => {
+    const cut: LogFields[] = []
+    const log = { ...silentLog, warn: (event: string, fields: LogFields = {}) => { if (event === 'answer-cut') cut.push(fields) } }
+    return { ...await start(script, { kind }, log), cut }
+  }
+
+  // Guards against connections that were closed with an answer under way, of which no line and no count told.
+  it('is logged and counted if it is cut since its upstream goes on', async () => {
+    const { gateway, port, cut } = await startLogged((request, response) => {
+      response.writeHead(200, { ...sealedHead(request), 'content-type': 'text/event-stream' }).write('data: one\n\n')
+    }, 'stream')
+    const { socket, seen } = open(port)
+    socket.write(head('a1', 0))
+    await wait(100)
+    await gateway.leave()
+    expect(cut).toEqual([{ id: 'a1', status: 200, sentOnConnection: seen.text.length, unsent: 0 }])
+    expect(gateway.remainder).toEqual({ connections: 0, forwards: 0, answersCut: 1 })
+  })
+
+  it('is logged and counted if it is cut since its caller reads slowly', async () => {
+    const { gateway, port, cut } = await startLogged((request, response) => { response.writeHead(200, sealedHead(request)).end(Buffer.alloc(largeBytes)) }, 'safe')
+    const { socket } = open(port)
+    socket.pause()
+    socket.write(head('a1', 0))
+    await wait(500)
+    await gateway.leave()
+    expect(cut).toMatchObject([{ id: 'a1', status: 200 }])
+    expect(cut[0]?.['unsent']).toBeGreaterThan(0)
+    expect(gateway.remainder).toMatchObject({ answersCut: 1 })
+  })
 })
