Log a link that is no longer needed differently from a lost one

In the incident's record a VM lost two links to one other VM 0.3 s apart, and nothing told whether these were faults: a link that its VM closed since no plan needed it was logged as link-down too. It is link-closed now, an info line. outgoingLink.test.ts: failed before (link-down).

--- a/packages/gateway/src/outgoingLink.test.ts
+++ b/packages/gateway/src/outgoingLink.test.ts
@@ -1,7 +1,7 @@
 import { createServer } from 'node:http'
 import { ManualClock } from '@cuminvale/common'
 import { WebSocketServer } from 'ws'
-import { expect, it } from 'vitest'
+import { expect, it, vi } from 'vitest'
 import { OutgoingLink, linkPath } from './outgoingLink.js'
 import { linkRetryIntervalMilliseconds, startingLinkRetryIntervalMilliseconds } from './constants.js'
 import { listen, silentLog } from './testSupport.js'
@@ -44,3 +44,27 @@
 it('links soon to a VM that starts a little later, if VMs are starting', async () => {
   expect(await connectAfterStart(startingLinkRetryIntervalMilliseconds)).toBeLessThan(linkRetryIntervalMilliseconds - 100)
 })
+
+// Guards against a link that is no longer needed and was logged as a lost one.
+it('logs whether a link was lost or is no longer needed', async () => {
+  const events: string[] = []
+  const record = (event: string): void => { events.push(event) }
+  const server = createServer()
+  const webSocketServer = new WebSocketServer({ server, path: linkPath })
+  const address = `${host}:${await listen(server)}`
+  const openLink = async (): Promise<OutgoingLink> => {
+    let link: OutgoingLink | undefined
+    await new Promise<void>((resolve) => {
+      link = new OutgoingLink({ address, clock: new ManualClock(), log: { info: record, warn: record, error: record }, onOpen: resolve, onClosed: () => { /* logged */ }, onMessage: () => { /* none is sent */ } })
+      link.maintain(0)
+    })
+    return link as OutgoingLink
+  }
+  const first = await openLink()
+  first.close()
+  await openLink()
+  for (const socket of webSocketServer.clients) socket.terminate()
+  await vi.waitFor(() => expect(events).toEqual(['link-up', 'link-closed', 'link-up', 'link-down']))
+  webSocketServer.close()
+  server.close()
+})
--- a/packages/gateway/src/outgoingLink.ts
+++ b/packages/gateway/src/outgoingLink.ts
@@ -33,6 +33,7 @@
   private lostAt = -Infinity
   private pingedAt = 0
   private pongAt = 0
+  private isClosed = false
 
   constructor (private readonly options: OutgoingLinkOptions) {}
 
@@ -73,7 +74,9 @@
     if (this.isOpen) this.socket?.send(message)
   }
 
+  /** Closes a link that is no longer needed. */
   close (): void {
+    this.isClosed = true
     this.socket?.terminate()
   }
 
@@ -97,7 +100,8 @@
       if (this.socket !== socket) return
       this.socket = undefined
       this.lostAt = clock.monotonic()
-      log.warn('link-down', { address })
+      if (this.isClosed) log.info('link-closed', { address })
+      else log.warn('link-down', { address })
       onClosed()
     })
   }
