Add failing tests for odd entries, items and configurations

Report of another operator: VMs ended, or stopped following the list, by one entry of another writer.

--- a/packages/gateway/src/recordPoller.test.ts
+++ b/packages/gateway/src/recordPoller.test.ts
@@ -52,6 +52,8 @@
   readonly poller: RecordPoller
   readonly state: GatewayState
   readonly feed: RecordFeed
+  readonly decoder: TestDecoder
+  readonly metrics: GatewayMetrics
 }
 
 const start = (role: () => RecordRole = () => RecordRole.Reading, seeds: readonly string[] = []): StartedPoller => {
@@ -68,13 +70,14 @@
     bounds: { configurationApplyMilliseconds: 3_000, upstreamLeavingMilliseconds: 3_000, leavingGraceMilliseconds: 8_000, retryRatio: 0.2, retryWindowSeconds: 10, retryMargin: 56, coldOverage: 1.5, coldMargin: 3 }
   }
   const metrics = new GatewayMetrics()
+  const decoder = new TestDecoder()
   const state = new GatewayState({
     settings,
     self: { vm: settings.vm, incarnation: newIncarnationId(), region, failureDomain: domain, linkAddress: 'a:1', callerAddress: 'a:2', processorCapacity: 1 },
     clock,
     random: new SeededRandom(1),
     codec: testCodec,
-    decoder: new TestDecoder(),
+    decoder,
     log,
     metrics
   })
@@ -84,7 +87,7 @@
   const timer = setInterval(() => poller.tick(), 200)
   timers.push(timer)
   poller.tick()
-  return { source, poller, state, feed }
+  return { source, poller, state, feed, decoder, metrics }
 }
 
 const keysOf = (state: GatewayState): readonly string[] => [...state.records.all].map(({ key }) => key)
@@ -180,4 +183,16 @@
     expect(others.every(({ state }) => state.records.at > 0)).toBe(true)
     for (const { poller } of [seed, ...others]) poller.stop()
   })
+
+  // Guards against records that are left out unnoticed.
+  it.fails('counts the records that could not be read, and the items of the source that name none', async () => {
+    const { source, decoder, state, metrics, poller } = start()
+    decoder.view = { ...decoder.view, faults: [{ key: 'a', detail: 'not JSON' }] }
+    state.adoptRecords()
+    source.records = { ...source.records, ...{ skipped: 2 } }
+    await vi.advanceTimersByTimeAsync(50)
+    const { values } = await metrics.registry.getSingleMetric('cuminvale_gateway_unreadable_records_total')?.get() ?? { values: [] }
+    expect(values.map(({ value }) => value)).toEqual([3])
+    poller.stop()
+  })
 })
--- a/packages/serving/src/upstreamTable.test.ts
+++ b/packages/serving/src/upstreamTable.test.ts
@@ -31,6 +31,16 @@
     expect(upstreams.find(toUpstreamId('late'))?.isCold).toBe(false)
   })
 
+  // Guards against memory that grows with each service that an entry ever named.
+  it.fails('forgets what it learned of a service that has neither an upstream nor a configuration', () => {
+    const named = 'named-once' as typeof engine
+    upstreams.sync([announced('a', { service: named }), announced('b')], noEvacuations)
+    const [forgotten, kept] = [upstreams.performanceOf(named), upstreams.performanceOf(engine)]
+    upstreams.sync([], noEvacuations)
+    expect(upstreams.performanceOf(engine)).toBe(kept)
+    expect(upstreams.performanceOf(named)).not.toBe(forgotten)
+  })
+
   it('does not use an upstream whose address another one has taken until it restarts', () => {
     upstreams.sync([announced('a')], noEvacuations)
     const state = upstreams.find(toUpstreamId('a'))
