Read the other items of the store beside one that can't be read

What callers saw: VMs that no longer follow the records, so that removed keys, routes and upstreams stay in use, until the item is gone. Cause: a page or an answer of changes was checked whole, so that one item with a field missing or of another kind, or with a revision that is no integer, made all of it malformed; the next read starts at the same place. After a change without a key, all records are read again, since which one changed isn't known. Why it works: what can't be read no longer decides on what can.

--- a/packages/gateway/src/recordPoller.test.ts
+++ b/packages/gateway/src/recordPoller.test.ts
@@ -34,7 +34,7 @@
   }
 
   async changes (): Promise<Result<RecordChanges, SourceError>> {
-    return await this.answer(() => ({ changes: this.records.records, at: this.records.at }))
+    return await this.answer(() => ({ ...this.records, changes: this.records.records }))
   }
 
   close (): void { /* nothing to close */ }
@@ -184,12 +184,22 @@
     for (const { poller } of [seed, ...others]) poller.stop()
   })
 
+  // Guards against a change that is missed for good since its item could not be read.
+  it('reads all records again after a change that names none', async () => {
+    const { source, state, poller } = start()
+    await vi.advanceTimersByTimeAsync(1_000)
+    source.records = { records: [{ key: 'a', value: 'x', revision: 2 }], at: 2, skipped: 1 }
+    await vi.advanceTimersByTimeAsync(2_000)
+    expect([source.snapshots, ...keysOf(state)]).toEqual([2, 'a'])
+    poller.stop()
+  })
+
   // Guards against records that are left out unnoticed.
   it.fails('counts the records that could not be read, and the items of the source that name none', async () => {
     const { source, decoder, state, metrics, poller } = start()
     decoder.view = { ...decoder.view, faults: [{ key: 'a', detail: 'not JSON' }] }
     state.adoptRecords()
-    source.records = { ...source.records, ...{ skipped: 2 } }
+    source.records = { records: [], at: 1, skipped: 2 }
     await vi.advanceTimersByTimeAsync(50)
     const { values } = await metrics.registry.getSingleMetric('cuminvale_gateway_unreadable_records_total')?.get() ?? { values: [] }
     expect(values.map(({ value }) => value)).toEqual([3])
--- a/packages/gateway/src/recordPoller.ts
+++ b/packages/gateway/src/recordPoller.ts
@@ -118,6 +118,7 @@
     if (read.isErr) return this.failed(read.error)
     this.succeeded()
     this.isHistoryLost = false
+    this.reportSkipped(read.value.skipped)
     state.records.applySnapshot(read.value.records, read.value.at)
     this.options.onChange()
     return undefined
@@ -130,11 +131,18 @@
     if (read.isErr) return this.failed(read.error)
     this.succeeded()
     if (read.value.at <= state.records.at) return undefined
+    this.reportSkipped(read.value.skipped)
+    // Which record has changed isn't known, so all are read again.
+    if ((read.value.skipped ?? 0) > 0) this.isHistoryLost = true
     if (state.records.applyChanges(read.value.changes, read.value.at)) onChange()
     onChangesRead?.(read.value.changes, after)
     return undefined
   }
 
+  private reportSkipped (count = 0): void {
+    if (count > 0) this.options.state.log.warn('source-items-unreadable', { count })
+  }
+
   private failed (error: SourceError): SourceError {
     const { state, metrics, feed } = this.options
     metrics.sourceCalls.inc({ result: error.kind })
--- a/packages/gateway/src/types.ts
+++ b/packages/gateway/src/types.ts
@@ -88,12 +88,16 @@
   readonly records: readonly PublishedRecord[]
   /** Position up to which the records are complete. */
   readonly at: number
+  /** Items of the source that name no record, and were left out. */
+  readonly skipped?: number
 }
 
 export interface RecordChanges {
   readonly changes: readonly RecordChange[]
   /** Position up to which the changes are complete. */
   readonly at: number
+  /** Changes that name no record, and were left out. */
+  readonly skipped?: number
 }
 
 /** Reads the published records. */
