Count the records that can't be used

Operators saw a log line only. unreadable_records_total counts each revision of a record that can't be used, once, and the items of the store without a key. Evidence: 'counts the records that could not be read' failed before.

--- a/packages/gateway/src/gatewayMetrics.ts
+++ b/packages/gateway/src/gatewayMetrics.ts
@@ -112,6 +112,12 @@
     registers: [this.registry]
   })
 
+  readonly unreadableRecords = new Counter({
+    name: 'cuminvale_gateway_unreadable_records_total',
+    help: 'Revisions of published records that could not be used, and items of their source that name no record',
+    registers: [this.registry]
+  })
+
   readonly firstAnswerSeconds = new Histogram({
     name: 'cuminvale_gateway_first_answer_seconds',
     help: 'Time from the head of a request to the head of its answer',
--- a/packages/gateway/src/gatewayState.ts
+++ b/packages/gateway/src/gatewayState.ts
@@ -200,6 +200,7 @@
     const at = describePosition(this.records.at)
     this.recordEra(eraOf(this.records.at))
     const view = decoder.decode(this.records.all)
+    metrics.unreadableRecords.inc(view.faults.length)
     for (const { key, detail } of view.faults) log.warn('record-unreadable', { key, detail, at })
     const document = view.configuration
     if (document !== undefined && document.version > (this.configuration?.version ?? -Infinity)) {
--- a/packages/gateway/src/recordPoller.test.ts
+++ b/packages/gateway/src/recordPoller.test.ts
@@ -195,7 +195,7 @@
   })
 
   // Guards against records that are left out unnoticed.
-  it.fails('counts the records that could not be read, and the items of the source that name none', async () => {
+  it('counts the records that could not be read, and the items of the source that name none', async () => {
     const { source, decoder, state, metrics, poller } = start()
     decoder.view = { ...decoder.view, faults: [{ key: 'a', detail: 'not JSON' }] }
     state.adoptRecords()
--- a/packages/gateway/src/recordPoller.ts
+++ b/packages/gateway/src/recordPoller.ts
@@ -140,7 +140,9 @@
   }
 
   private reportSkipped (count = 0): void {
-    if (count > 0) this.options.state.log.warn('source-items-unreadable', { count })
+    if (count === 0) return
+    this.options.metrics.unreadableRecords.inc(count)
+    this.options.state.log.warn('source-items-unreadable', { count })
   }
 
   private failed (error: SourceError): SourceError {
