Forget what was learned of services that nothing names

What callers saw: nothing is known from callers. An entry that names another service at each revision left learned unit times for each of them in memory for good. Change: they are dropped once neither an upstream nor the configuration names the service. SoftwareVersionHistory keeps an empty map for each such service after 10 minutes; that has no test and stays. Evidence: 'forgets what it learned of a service' failed before.

--- a/packages/serving/src/upstreamTable.test.ts
+++ b/packages/serving/src/upstreamTable.test.ts
@@ -32,8 +32,9 @@
   })
 
   // Guards against memory that grows with each service that an entry ever named.
-  it.fails('forgets what it learned of a service that has neither an upstream nor a configuration', () => {
+  it('forgets what it learned of a service that has neither an upstream nor a configuration', () => {
     const named = 'named-once' as typeof engine
+    upstreams = new UpstreamTable({ clock, regionOf, findService: (service) => service === named ? undefined : findService(service) })
     upstreams.sync([announced('a', { service: named }), announced('b')], noEvacuations)
     const [forgotten, kept] = [upstreams.performanceOf(named), upstreams.performanceOf(engine)]
     upstreams.sync([], noEvacuations)
--- a/packages/serving/src/upstreamTable.ts
+++ b/packages/serving/src/upstreamTable.ts
@@ -149,6 +149,7 @@
     const removed = [...this.beliefs.keys()].filter((id) => !listedIds.has(id))
     for (const id of removed) this.remove(id)
     this.applyEvacuations(evacuated)
+    this.forgetServices()
     this.hasSynced = true
     return { added, removed, leaving }
   }
@@ -178,6 +179,14 @@
     if (this.removedStates.size > maximumRemovedCount && oldestId !== undefined) this.removedStates.delete(oldestId)
   }
 
+  /** Forgets what was learned of services without an upstream or a configuration: an entry may name another service at each revision. */
+  private forgetServices (): void {
+    const announced = new Set([...this.beliefs.values()].map(({ announced: { service } }) => service))
+    for (const service of this.performances.keys()) {
+      if (!announced.has(service) && this.options.findService(service) === undefined) this.performances.delete(service)
+    }
+  }
+
   private applyAnnouncedCold (upstream: UpstreamState, milliseconds: number): void {
     if (milliseconds > 0) upstream.markCold(milliseconds + coldMarginMilliseconds)
   }
