Log when a stopping VM received a request, who forwarded it, and what the stop cut

Change: `request` lines carry `sinceStop` while the VM stops, `sender` (the VM that forwarded) and `peer` (whether the VM of a broken forward was known to stop); `left` has counts; two counters for requests refused and cut by the stop. The sender goes in a header of the forward: VMs of earlier versions refuse an envelope with more values, and ignore headers. At most 64 characters of it are logged.

RequestExecutionOptions takes what it shares from AttemptStarterOptions, for the bound on lines.

--- a/packages/gateway/src/attemptStarter.ts
+++ b/packages/gateway/src/attemptStarter.ts
@@ -21,7 +21,7 @@
   readonly state: GatewayState
   readonly request: AdmittedRequest
   readonly body: Buffer | null
-  /** Monotonic time of the deadline. */
+  /** Monotonic time of the deadline, at which the request fails. */
   readonly deadlineAt: number
   /** Monotonic time until which the first answer meets the route's objective. */
   readonly firstAnswerDueAt: number
@@ -100,7 +100,7 @@
     if (peer === undefined) return undefined
     const now = state.clock.monotonic()
     const listener = new ForwardAttemptListener(handler)
-    const call = new ForwardCall({ clock: state.clock, pool: state.forwardPools.poolFor(peer.linkAddress), listener, roundTripMilliseconds: state.roundTripMillisecondsTo(region) })
+    const call = new ForwardCall({ clock: state.clock, pool: state.forwardPools.poolFor(peer.linkAddress), listener, sender: state.settings.vm, roundTripMilliseconds: state.roundTripMillisecondsTo(region) })
     const attempt: ForwardAttempt = { kind: 'forward', call, region, vm: peer.vm, granted: grantedAttempts, workMilliseconds, sentAt: now, dueAt: Math.max(firstAnswerDueAt, now + milliseconds * lateForwardFactor), softwareVersion: undefined, isAnswered: false, isRetryDenied: false }
     listener.attempt = attempt
     state.forecasts.forwarded(region, request.service, workMilliseconds)
--- a/packages/gateway/src/forwardCall.ts
+++ b/packages/gateway/src/forwardCall.ts
@@ -11,13 +11,15 @@
 import { readAnswerFrame } from './answerFrames.js'
 import { DetachedCalls } from './detachedCalls.js'
 import { detachedRunTimeoutMilliseconds, discardedAnswerTimeoutMilliseconds, forwardReceiptTimeoutMilliseconds, maximumDiscardedAnswerBytes } from './constants.js'
-import type { Clock, Refusal } from '@cuminvale/common'
+import type { Clock, Refusal, VmId } from '@cuminvale/common'
 import type { AdmittedRequest, SoftwareVersion } from '@cuminvale/serving'
 import type { Dispatcher, Pool } from 'undici'
 import type { Frame, ForwardedHead } from './forwardFrames.js'
 import type { DetachOptions } from './upstreamCall.js'
 
 export const forwardPath = '/forward'
+/** Names the VM that forwards, for the log of the other VM. A header, since VMs of earlier versions refuse longer envelopes and ignore unknown headers. */
+export const forwardingVmHeader = 'x-forwarding-vm'
 
 export interface ForwardCallListener {
   onForwardedHead (head: ForwardedHead): void
@@ -33,6 +35,7 @@
   readonly clock: Clock
   readonly pool: Pool
   readonly listener: ForwardCallListener
+  readonly sender: VmId
   readonly roundTripMilliseconds: number
 }
 
@@ -69,7 +72,7 @@
   send ({ request, body, remainingMilliseconds, onTimeMilliseconds, attemptsLeft, resumeAfter, softwareVersion }: ForwardOptions): void {
     this.sentAt = this.options.clock.monotonic()
     const envelope = { request, remainingMilliseconds, onTimeMilliseconds, attemptsLeft, resumeAfter, softwareVersion }
-    this.options.pool.dispatch({ method: 'POST', path: forwardPath, body: encodeForward(envelope, body) }, this)
+    this.options.pool.dispatch({ method: 'POST', path: forwardPath, headers: [forwardingVmHeader, this.options.sender], body: encodeForward(envelope, body) }, this)
   }
 
   abort (): void {
--- a/packages/gateway/src/forwardServer.ts
+++ b/packages/gateway/src/forwardServer.ts
@@ -8,6 +8,7 @@
 import { forwardReadTimeoutMilliseconds, maximumForwardBytes } from './constants.js'
 import { describeError } from './errors.js'
 import { startExecution } from './startExecution.js'
+import { forwardingVmHeader } from './forwardCall.js'
 import { continuesStream } from './continuesStream.js'
 import { FrameKind, encodeFrame, encodePackedFrame, decodeForward } from './forwardFrames.js'
 import type { Refusal } from '@cuminvale/common'
@@ -17,6 +18,9 @@
 import type { RequestLog } from './requestLog.js'
 import type { GatewayState } from './gatewayState.js'
 
+/** Characters of another VM's name that are logged. */
+const maximumLoggedNameLength = 64
+
 class ForwardAnswerSink implements AnswerSink {
   constructor (private readonly response: ServerResponse) {}
 
@@ -66,23 +70,25 @@
 
   handle (request: IncomingMessage, response: ServerResponse): void {
     response.on('error', () => { /* 'close' follows and ends the execution */ })
-    readBody(request).then((message) => this.runOrRefuse(message, response)).catch((error: Error) => {
+    const sender = request.headers[forwardingVmHeader]
+    const senderName = typeof sender === 'string' ? sender.slice(0, maximumLoggedNameLength) : undefined
+    readBody(request).then((message) => this.runOrRefuse(message, response, senderName)).catch((error: Error) => {
       this.state.log.warn('forward-unreadable', { detail: error.message })
       response.destroy()
     })
   }
 
   /** Refuses a request that a fault keeps from its execution; until then it was not sent. */
-  private runOrRefuse (message: Buffer, response: ServerResponse): void {
+  private runOrRefuse (message: Buffer, response: ServerResponse, sender: string | undefined): void {
     try {
-      this.run(message, response)
+      this.run(message, response, sender)
     } catch (error) {
       this.state.log.error('request-error', { detail: describeError(error) })
       new ForwardAnswerSink(response).refuse(refuse(RefusalReason.NotReady, 'a fault of the other VM'))
     }
   }
 
-  private run (message: Buffer, response: ServerResponse): void {
+  private run (message: Buffer, response: ServerResponse, sender: string | undefined): void {
     const { envelope, body } = decodeForward(message)
     const { state } = this
     response.writeHead(200)
@@ -110,7 +116,7 @@
       resumeAfter,
       softwareVersion,
       sink,
-      onEnded: (execution) => this.requestLog.ended(execution, receivedAt, true)
+      onEnded: (execution) => this.requestLog.ended(execution, { receivedAt, isForwarded: true, sender })
     })
   }
 }
--- a/packages/gateway/src/gatewayCallerServer.ts
+++ b/packages/gateway/src/gatewayCallerServer.ts
@@ -275,7 +275,7 @@
       sink,
       onEnded: (execution) => {
         if (execution.outcome === 'refused') this.refund(request)
-        this.requestLog.ended(execution, receivedAt, false)
+        this.requestLog.ended(execution, { receivedAt, isForwarded: false })
       }
     })
   }
--- a/packages/gateway/src/gatewayMetrics.ts
+++ b/packages/gateway/src/gatewayMetrics.ts
@@ -20,6 +20,20 @@
     registers: [this.registry]
   })
 
+  readonly stopRefusals = new Counter({
+    name: 'cuminvale_gateway_stop_refusals_total',
+    help: 'Requests refused without being run because this VM stops, by kind of route',
+    labelNames: ['kind'],
+    registers: [this.registry]
+  })
+
+  readonly stopCuts = new Counter({
+    name: 'cuminvale_gateway_stop_cuts_total',
+    help: 'Requests under way that were ended because this VM stops, by kind of route',
+    labelNames: ['kind'],
+    registers: [this.registry]
+  })
+
   readonly answerEnds = new Counter({
     name: 'cuminvale_gateway_answer_ends_total',
     help: 'Answers of upstreams and other VMs that ended as complete, by what marked their end, and whether an event was left incomplete there',
--- a/packages/gateway/src/gatewayProcess.ts
+++ b/packages/gateway/src/gatewayProcess.ts
@@ -40,6 +40,7 @@
   readonly state: GatewayState
   private readonly metrics = new GatewayMetrics()
   private readonly self: PeerIdentity
+  private readonly requestLog: RequestLog
   private readonly linkServer: ExchangeServer
   private readonly callerServer: GatewayCallerServer
   private readonly links: GatewayPeerLinks
@@ -61,15 +62,15 @@
       processorCapacity: settings.processorCapacity
     }
     this.state = new GatewayState({ ...options, self: this.self, metrics: this.metrics })
-    const requestLog = new RequestLog(clock, log, this.metrics)
-    const forwards = new ForwardServer(this.state, requestLog)
+    this.requestLog = new RequestLog(clock, log, this.metrics, () => this.state.stopSignalledAt)
+    const forwards = new ForwardServer(this.state, this.requestLog)
     this.linkServer = new ExchangeServer({ headersTimeout: linkHeadTimeoutMilliseconds, connectionsCheckingInterval: headerCheckIntervalMilliseconds }, (request, response) => {
       if (request.url === forwardPath) return forwards.handle(request, response)
       discardBody(request, maximumEndpointBodyBytes)
       response.writeHead(404).end()
     })
     this.linkServer.keepAliveTimeout = 0
-    this.callerServer = new GatewayCallerServer(this.state, requestLog, this.metrics)
+    this.callerServer = new GatewayCallerServer(this.state, this.requestLog, this.metrics)
     this.links = new GatewayPeerLinks({
       state: this.state, self: this.self, server: this.linkServer, isSourceLost: () => this.recordPoller.isSourceLost || this.state.configuration === undefined, onRecordsAdopted: () => this.adoptRecords(), onSuspension: () => this.onSuspension()
     })
@@ -158,7 +159,7 @@
     state.isLeaving = true
     log.info('leaving', { underWay: state.executions.size })
     this.links.tick({ isUrgent: true })
-    const startedAt = clock.monotonic()
+    const startedAt = state.stopSignalledAt = clock.monotonic()
     const stopWaitingAt = startedAt + settings.bounds.leavingGraceMilliseconds - leavingAnswerReserveMilliseconds
     await delay(leavingIdleCloseMilliseconds)
     await this.callerServer.closeIdle()
@@ -168,8 +169,9 @@
       await delay(checkIntervalMilliseconds)
       await this.callerServer.closeIdle()
     }
-    log.info('left', { abandoned: state.executions.size })
+    const abandoned = state.executions.size
     state.executions.close()
+    log.info('left', { abandoned, ...this.requestLog.stopCounts, total: Math.round(clock.monotonic() - startedAt) })
     while (this.isBusy && clock.monotonic() < stopWaitingAt + leavingSendMilliseconds) await delay(checkIntervalMilliseconds)
     this.links.leave()
     await delay(checkIntervalMilliseconds)
--- a/packages/gateway/src/gatewayState.ts
+++ b/packages/gateway/src/gatewayState.ts
@@ -78,6 +78,8 @@
   readonly executions: Executions
   configuration: ServingConfiguration | undefined
   isLeaving = false
+  /** Monotonic time of the stop signal; undefined before it. */
+  stopSignalledAt: number | undefined
   /** Whether the VMs of the region report to hubs instead of to each other. */
   usesHubs = false
   /** Milliseconds since the published records were last known to be complete. */
--- a/packages/gateway/src/requestExecution.ts
+++ b/packages/gateway/src/requestExecution.ts
@@ -19,24 +19,16 @@
 import { TargetExclusions } from './targetExclusions.js'
 import { declineFailureWeight, heldRetryMilliseconds, maximumAttemptsNotRun, minimumRetryMilliseconds, misdirectedStatus, silenceFailureWeight } from './constants.js'
 import type { Refusal } from '@cuminvale/common'
-import type { AdmittedRequest, Placement, RefusalCause, SoftwareVersion } from '@cuminvale/serving'
+import type { AdmittedRequest, PeerStanding, Placement, RefusalCause, SoftwareVersion } from '@cuminvale/serving'
 import type { AnswerFraming } from './answerFraming.js'
 import type { AnswerSink } from './answerSink.js'
+import type { AttemptStarterOptions } from './attemptStarter.js'
 import type { AttemptHandler } from './attemptListeners.js'
 import type { Attempt, ForwardAttempt, LocalAttempt } from './attempts.js'
 import type { CallFailure } from './errors.js'
 import type { ForwardedHead } from './forwardFrames.js'
-import type { GatewayState } from './gatewayState.js'
-
-export interface RequestExecutionOptions {
-  readonly state: GatewayState
-  readonly request: AdmittedRequest
-  readonly body: Buffer | null
-  /** Monotonic time of the deadline, at which the request fails. */
-  readonly deadlineAt: number
-  /** Monotonic time until which the first answer meets the route's objective. */
-  readonly firstAnswerDueAt: number
-  readonly mayForward: boolean
+
+export interface RequestExecutionOptions extends Omit<AttemptStarterOptions, 'handler' | 'onStarted'> {
   /** Number of sends to upstreams that the request has left. */
   readonly attemptsLeft: number
   /** Id of the event after which a stream is resumed; undefined for a new one. */
@@ -61,6 +53,10 @@
   /** Prompt tokens that the upstream was predicted to read; undefined if the request went to no upstream of this region. */
   unreadTokens: number | undefined
   retryAfterMilliseconds: number | undefined
+  /** Why the request was refused, or ended before its time by this VM; undefined otherwise. */
+  endReason: RefusalReason | undefined
+  /** Whether the VM of the last forward that broke was known to stop; undefined if none broke. */
+  brokenForwardPeer: PeerStanding | undefined
   /** Why the last placement found no target while upstreams took work; undefined if it found one. */
   refusalCause: RefusalCause | undefined
   /** What marked the end of the answer; undefined if none was complete. */
@@ -124,6 +120,7 @@
     if (this.isOver) return
     if (!this.attempts.mayBeRunning) return this.refuse(refusal)
     this.outcome = 'abandoned'
+    this.endReason = refusal.reason
     this.detail = refusal.detail
     this.relay.fail(AnswerFailureKind.UpstreamBroke, this.detail)
     this.finish(true)
@@ -374,6 +371,7 @@
   /** Aborts an attempt that failed after it was sent. Retries the request if possible and fails it otherwise; it may have run. */
   private handleBrokenAttempt (attempt: Attempt, detail: string): void {
     attempt.call.abort()
+    if (attempt.kind === 'forward') this.brokenForwardPeer = this.options.state.peers.standingOf(attempt.vm)
     this.attempts.mayHaveRun = true
     if (attempt.kind === 'local') {
       this.options.state.connectionBroke(attempt.upstream, attempt.sentAt)
@@ -467,6 +465,7 @@
 
   private refuse (refusal: Refusal): void {
     this.outcome = 'refused'
+    this.endReason = refusal.reason
     this.detail = refusal.detail
     this.retryAfterMilliseconds = refusal.retryAfterMilliseconds
     this.options.sink.refuse(refusal)
--- a/packages/gateway/src/requestLog.ts
+++ b/packages/gateway/src/requestLog.ts
@@ -2,6 +2,7 @@
  * Writes one log line and updates the metrics for each request that has ended.
  */
 
+import { RefusalReason } from '@cuminvale/common'
 import type { Clock, Refusal } from '@cuminvale/common'
 import type { Log } from '@cuminvale/logs'
 import type { AdmittedRequest, RequestHead } from '@cuminvale/serving'
@@ -10,11 +11,23 @@
 
 const roundToTenths = (milliseconds: number): number => Math.round(milliseconds * 10) / 10
 
+export interface RequestOrigin {
+  /** Monotonic time. */
+  readonly receivedAt: number
+  /** Whether it came from another VM, and the name of that VM, unless it is of an earlier version. */
+  readonly isForwarded: boolean
+  readonly sender?: string | undefined
+}
+
 export class RequestLog {
-  constructor (private readonly clock: Clock, private readonly log: Log, private readonly metrics: GatewayMetrics) {}
+  /** Requests that ended since the stop signal: those received after it, and those that were refused or cut because of it. */
+  readonly stopCounts = { received: 0, refused: 0, cut: 0 }
+
+  constructor (private readonly clock: Clock, private readonly log: Log, private readonly metrics: GatewayMetrics, private readonly stopSignalledAt: () => number | undefined = () => undefined) {}
 
-  ended (execution: RequestExecution, receivedAt: number, isForwarded: boolean): void {
+  ended (execution: RequestExecution, { receivedAt, isForwarded, sender }: RequestOrigin): void {
     const { request } = execution
+    const stopSignalledAt = this.stopSignalledAt()
     const now = this.clock.monotonic()
     const firstAnswerMilliseconds = execution.firstAnswerAt === undefined ? undefined : roundToTenths(execution.firstAnswerAt - receivedAt)
     const cause = execution.outcome === 'refused' ? execution.refusalCause : undefined
@@ -40,16 +53,32 @@
       first: firstAnswerMilliseconds,
       total: roundToTenths(now - receivedAt),
       forwarded: isForwarded || undefined,
+      sender,
+      peer: execution.brokenForwardPeer,
+      sinceStop: stopSignalledAt === undefined ? undefined : Math.round(receivedAt - stopSignalledAt),
       detail: execution.detail === '' ? undefined : execution.detail
     })
     if (execution.framing !== undefined) this.metrics.answerEnds.inc({ framing: execution.framing, end: execution.partialEventBytes === 0 ? 'whole' : 'inside-event' })
     if (cause !== undefined) this.metrics.admissionRefusals.inc({ rank: request.priority, reason: cause })
+    if (stopSignalledAt !== undefined) this.countAtStop(execution, receivedAt > stopSignalledAt)
     if (isForwarded) return
     this.metrics.requests.inc({ kind: request.route.kind, outcome: execution.outcome })
     if (execution.sends > 1) this.metrics.retries.inc(execution.sends - 1)
     if (firstAnswerMilliseconds !== undefined) this.metrics.firstAnswerSeconds.observe({ kind: request.route.kind }, firstAnswerMilliseconds / 1_000)
   }
 
+  private countAtStop ({ endReason, outcome, request: { route: { kind } } }: RequestExecution, isReceivedSince: boolean): void {
+    if (isReceivedSince) this.stopCounts.received += 1
+    if (endReason !== RefusalReason.Draining) return
+    if (outcome === 'refused') {
+      this.stopCounts.refused += 1
+      this.metrics.stopRefusals.inc({ kind })
+    } else {
+      this.stopCounts.cut += 1
+      this.metrics.stopCuts.inc({ kind })
+    }
+  }
+
   /** Logs a request whose caller left while it waited to be placed. */
   leftBeforePlacement ({ attempt, route, team, configurationVersion }: AdmittedRequest, receivedAt: number): void {
     this.log.info('request', {
--- a/packages/serving/src/peerTable.ts
+++ b/packages/serving/src/peerTable.ts
@@ -23,6 +23,16 @@
   readonly processorCapacity: number
 }
 
+export const PeerStanding = {
+  Ready: 'ready',
+  /** It stops, or knows no configuration yet. */
+  NotReady: 'not-ready',
+  /** It announced that it left. */
+  Left: 'left',
+  Unknown: 'unknown'
+} as const
+export type PeerStanding = typeof PeerStanding[keyof typeof PeerStanding]
+
 /** A VM as a speaker of its region reports it. */
 export interface RegionMember {
   readonly identity: PeerIdentity
@@ -188,6 +198,14 @@
     return this.peers.get(linkAddress)?.identity.incarnation === incarnation
   }
 
+  /** Whether a VM takes new requests, as far as it or others have said. */
+  standingOf (vm: VmId): PeerStanding {
+    for (const { identity, isReady } of this.peers.values()) {
+      if (identity.vm === vm) return isReady ? PeerStanding.Ready : PeerStanding.NotReady
+    }
+    return [...this.departures.values()].some(({ identity }) => identity.vm === vm) ? PeerStanding.Left : PeerStanding.Unknown
+  }
+
   /** Whether the VM is unknown or is not heard. */
   isSilentVm (vm: VmId): boolean {
     for (const peer of this.peers.values()) {
