--- a/packages/gateway/src/gatewayCallerServer.ts
+++ b/packages/gateway/src/gatewayCallerServer.ts
@@ -301,7 +301,7 @@
       sink,
       onEnded: (execution) => {
         if (execution.outcome === 'refused') this.refund(request)
-        this.requestLog.ended(execution, receivedAt, false)
+        this.requestLog.ended(execution, { receivedAt, isForwarded: false })
       }
     })
   }
