Answer a caller whose stream broke off before its first data

Callers saw: a connection closed without any answer, when an upstream broke off after the head of a stream and the next one answered with an error. Cause: the head counted as passed on, though Node sends it only with the first data, so that nothing but an abort was left. Change: the head of a stream waits for its first data, at the VM that its caller uses. If its attempt fails, it is dropped with the rest of that answer, and the next answer or 502 is sent. At a deadline or a stop, while the upstream is still at work, the connection is closed as before. A VM that forwarded the request gets the head at once, since it takes the version of the stream from it. Why it works: until data come, the caller has nothing that an answer could contradict.

--- a/packages/gateway/src/answerRelay.ts
+++ b/packages/gateway/src/answerRelay.ts
@@ -22,10 +22,17 @@
 export interface AnswerRelayOptions {
   readonly sink: AnswerSink
   readonly route: Route
-  /** Id of the last event of the stream that the caller has already; undefined for one that begins. */
+  /** Id of the last event of the stream that the caller has, as the VM names it that forwarded the request; undefined if it has none. */
   readonly resumeAfter: string | undefined
-  /** Whether it was the caller that named this event, rather than a VM whose answer to it is under way. */
-  readonly isTakenUp: boolean
+  /** The same as the caller names it, which takes the stream up; an empty id is that of a caller without events. */
+  readonly takenUpAfter: string | undefined
+  /** Whether the head of a stream waits for its first data. Another VM needs it at once, a caller's connection would not send it before. */
+  readonly holdsHead: boolean
+}
+
+interface UnsentHead {
+  readonly status: number
+  readonly headers: readonly string[]
 }
 
 export class AnswerRelay {
@@ -36,6 +43,8 @@
   hasProgressed = false
   /** Bytes of the event that is begun, at the last progress. */
   private bytesAtProgress = 0
+  /** Head of a stream that has no data yet. */
+  private unsentHead: UnsentHead | undefined
   /** Answer to a safe request, until it is complete or too long to buffer. */
   private held: BufferedAnswer | undefined
   /** Events of a successful answer that is a stream; kept over the attempts of a resumed one. */
@@ -75,9 +84,10 @@
     return this.events?.isDiscontinuous === true ? 'events that do not continue the stream' : undefined
   }
 
-  /** Discards the part of an attempt's answer that was not passed on, before another attempt answers. */
+  /** Discards the part of an attempt's answer that was not passed on, after the attempt has failed or before another one answers. */
   discardUnsent (): void {
     this.held = undefined
+    this.unsentHead = undefined
     this.bytesAtProgress = 0
     this.events?.discardPartialEvent()
   }
@@ -99,6 +109,7 @@
     this.events = this.isEventStream(status, headers) ? new EventBoundaryBuffer() : undefined
     if (this.resumeAfter !== undefined && this.isResumable) this.events?.continueAfter(this.resumeAfter)
     if (this.options.route.kind === RequestKind.Safe) this.held = new BufferedAnswer(status, headers)
+    else if (this.options.holdsHead && this.events !== undefined) this.unsentHead = { status, headers }
     else this.relayHead(status, headers, softwareVersion)
   }
 
@@ -108,6 +119,7 @@
     this.hasProgressed = passable !== undefined || (this.flawInData === undefined && this.partialEventBytes - this.bytesAtProgress >= minimumProgressBytes)
     if (this.hasProgressed) this.bytesAtProgress = this.partialEventBytes
     if (passable === undefined) return true
+    this.relayUnsentHead()
     if (this.held === undefined) return this.options.sink.data(passable)
     this.held.push(passable)
     if (this.held.exceedsLimit) this.relayBuffered()
@@ -121,26 +133,28 @@
     if (events.isInsideEvent) return 'the stream ended inside an event'
     if (events.owesEvent) return 'the stream ended before an event that had begun'
     // A caller may have had the last event before it sent the request.
-    const mayBeEmpty = this.options.isTakenUp && !events.hasCompleteEvents
+    const mayBeEmpty = this.options.resumeAfter === undefined && this.options.takenUpAfter !== undefined && !events.hasCompleteEvents
     return framing === AnswerFraming.Close && !events.hasAnswerEvents && !mayBeEmpty ? 'the connection ended before the first event of the answer' : undefined
   }
 
   end (): void {
+    this.relayUnsentHead()
     this.relayBuffered()
     const remainder = this.events?.partialEvent()
     if (remainder !== undefined) this.options.sink.data(remainder)
     this.options.sink.end()
   }
 
-  /** Ends without a complete answer: fails if nothing was passed on, and aborts the answer otherwise. */
+  /** Ends without a complete answer: fails if none was begun, and aborts the answer otherwise. */
   fail (kind: AnswerFailureKind, detail: string): void {
-    if (this.status !== 0) this.options.sink.abort()
+    if (this.status !== 0 || this.unsentHead !== undefined) this.options.sink.abort()
     else this.options.sink.fail(kind, detail)
   }
 
-  /** An empty id is that of a caller without events. */
   private get resumeAfter (): string | undefined {
-    return this.options.resumeAfter === '' ? undefined : this.options.resumeAfter
+    const { resumeAfter, takenUpAfter } = this.options
+    const id = resumeAfter ?? takenUpAfter
+    return id === '' ? undefined : id
   }
 
   private get isResumable (): boolean {
@@ -163,6 +177,13 @@
     this.options.sink.head(status, this.events === undefined ? headers : withoutHeader(headers, 'content-length'), softwareVersion)
   }
 
+  private relayUnsentHead (): void {
+    const { unsentHead } = this
+    if (unsentHead === undefined) return
+    this.unsentHead = undefined
+    this.relayHead(unsentHead.status, unsentHead.headers)
+  }
+
   private relayBuffered (): void {
     const { held } = this
     if (held === undefined) return
--- a/packages/gateway/src/requestAttempts.ts
+++ b/packages/gateway/src/requestAttempts.ts
@@ -29,6 +29,8 @@
   /** Whether an attempt that is over may have run; false if all were declined or never sent. */
   mayHaveRun = false
   private currentAttempt: Attempt | undefined
+  /** The last attempt whose answer was passed on or held; undefined before that. */
+  private answering: Attempt | undefined
   private readonly silent = new Set<Attempt>()
   /** Time since which the current attempt is known to be under way beside silent ones. */
   private overlapsSince: number | undefined
@@ -97,6 +99,16 @@
     return aborted
   }
 
+  /** Makes an attempt the one whose answer is passed on or held, in place of those that are silent. */
+  answer (attempt: Attempt): void {
+    this.abortSilent()
+    this.answering = attempt
+  }
+
+  isAnswering (attempt: Attempt): boolean {
+    return attempt === this.answering
+  }
+
   abortSilent (): void {
     for (const attempt of this.silent) this.abort(attempt)
   }
--- a/packages/gateway/src/requestExecution.ts
+++ b/packages/gateway/src/requestExecution.ts
@@ -89,7 +89,7 @@
     this.attemptsLeft = options.attemptsLeft
     const { sink, request, resumeAfter, state } = options
     const takenUpAfter = headerValue(request.head.headers, 'last-event-id')
-    this.relay = new AnswerRelay({ sink, route: request.route, resumeAfter: resumeAfter ?? takenUpAfter, isTakenUp: resumeAfter === undefined && takenUpAfter !== undefined })
+    this.relay = new AnswerRelay({ sink, route: request.route, resumeAfter, takenUpAfter, holdsHead: options.mayForward })
     this.version = new StreamVersion({ state, request, relay: this.relay, isOfCaller: options.mayForward, softwareVersion: options.softwareVersion })
     this.attempts = new RequestAttempts({ forecasts: state.forecasts, service: request.service })
     this.peerWait = new PeerWait(options)
@@ -186,9 +186,8 @@
     this.version.dataPassedOn(attempt)
     if (!isTaken) this.isWaitingForCaller = true
     const flaw = this.relay.flawInData
-    if (flaw === undefined) return isTaken
-    this.handleBrokenAttempt(attempt, flaw)
-    return true
+    if (flaw !== undefined) this.handleBrokenAttempt(attempt, flaw)
+    return isTaken || flaw !== undefined
   }
 
   onEnd (attempt: Attempt, framing: AnswerFraming): boolean {
@@ -305,7 +304,7 @@
     this.reinstate(attempt)
     this.firstAnswerAt ??= this.now
     if (!this.relay.canTake(status, headers)) return this.handleUnusableResumption(attempt, status)
-    this.attempts.abortSilent()
+    this.attempts.answer(attempt)
     // What an earlier attempt has sent of an event or a body is no part of this answer.
     this.relay.discardUnsent()
     this.relay.head(status, headers, this.version.of(attempt))
@@ -376,6 +375,7 @@
   private handleBrokenAttempt (attempt: Attempt, detail: string): void {
     attempt.call.abort()
     this.attempts.mayHaveRun = true
+    if (this.attempts.isAnswering(attempt)) this.relay.discardUnsent()
     if (attempt.kind === 'local') {
       this.options.state.connectionBroke(attempt.upstream, attempt.sentAt)
       this.options.state.crashDetector.recordBrokenConnection(this.request, this.options.body, attempt.upstream.announced)
