--- a/packages/gateway/src/outgoingLink.test.ts
+++ b/packages/gateway/src/outgoingLink.test.ts
@@ -4,18 +4,11 @@
 import { expect, it, vi } from 'vitest'
 import { OutgoingLink, linkPath } from './outgoingLink.js'
 import { linkRetryIntervalMilliseconds, startingLinkRetryIntervalMilliseconds } from './constants.js'
-import { listen, silentLog } from './testSupport.js'
+import { freePort, listen, silentLog } from './testSupport.js'
 
 const host = '127.0.0.1'
 const maximumSteps = 20
 
-const freePort = async (): Promise<number> => {
-  const server = createServer()
-  const port = await listen(server)
-  await new Promise((resolve) => server.close(resolve))
-  return port
-}
-
 /** Milliseconds of the clock from the start of the other VM until the link to it is open. */
 const connectAfterStart = async (retryIntervalMilliseconds: number): Promise<number> => {
   const clock = new ManualClock()
--- a/packages/gateway/src/upstreamLimit.test.ts
+++ b/packages/gateway/src/upstreamLimit.test.ts
@@ -1,7 +1,7 @@
 import { createServer } from 'node:http'
 import { toVmId } from '@cuminvale/common'
 import { describe, it } from 'vitest'
-import { callGateway, listen, sealedHead, silentLog, startTestGateway, startUpstream, testDocument, testHeaders, testRoute } from './testSupport.js'
+import { callGateway, freePort, listen, sealedHead, silentLog, startTestGateway, startUpstream, testDocument, testHeaders, testRoute } from './testSupport.js'
 import type { CallerAnswer, ScriptedUpstream, TestGateway } from './testSupport.js'
 
 const limitPerSecond = 5
@@ -23,13 +23,6 @@
 
 const wait = async (milliseconds: number): Promise<void> => await new Promise((resolve) => setTimeout(resolve, milliseconds))
 
-const freePort = async (): Promise<number> => {
-  const server = createServer()
-  const port = await listen(server)
-  await new Promise((resolve) => server.close(resolve))
-  return port
-}
-
 /** VMs of one region, linked to each other, and upstreams that may name a limit. */
 class LimitFleet {
   private readonly gateways: TestGateway[] = []
