--- a/packages/gateway/src/lateRefusals.test.ts
+++ b/packages/gateway/src/lateRefusals.test.ts
@@ -165,6 +165,16 @@
   })
 })
 
+describe('an answer that does not say that it has not run, with a status that promises so to the caller', () => {
+  // Guards against a refusal that lost its mark, or a failure of a run, as a promise that the order has not run.
+  it.fails.each([408, 429, 503])('(%i) fails an order as one that may have run', async (status) => {
+    const upstreams = await startUpstreamsAnswering(status, { [testHeaders.seal]: 's1' })
+    running = await startTestGateway(testDocument([order]), upstreams)
+    const { status: passedOn, headers } = await callGateway({ port: running.port, path: '/orders/1' })
+    expect([passedOn, headers[testHeaders.seal]]).toEqual([502, undefined])
+  })
+})
+
 describe('a refusal that is written once more to an order whose caller has left', () => {
   // Guards against the answer of that order, which follows, as the answer to the next one on the connection.
   it.each(['its attempt', 'no attempt'])('closes the connection, if it names %s', async (names) => {
