--- a/packages/gateway/src/leavingAnswers.test.ts
+++ b/packages/gateway/src/leavingAnswers.test.ts
@@ -1,6 +1,7 @@
 import { connect } from 'node:net'
 import { runtimeClock } from '@cuminvale/common'
 import { afterAll, describe, expect, it } from 'vitest'
+import { leavingIdleCloseMilliseconds } from './constants.js'
 import { sealedHead, silentLog, startTestGateway, startUpstream, testDocument, testHeaders, testRoute, testSettings, testTeam, wait } from './testSupport.js'
 import type { Socket } from 'node:net'
 import type { LogFields } from '@cuminvale/logs'
@@ -96,3 +97,30 @@
     expect(gateway.remainder).toMatchObject({ answersCut: 1 })
   })
 })
+
+describe.concurrent('a request that crosses the close of an idle connection', () => {
+  // Guards against a run of which the caller can't learn. Nothing can be told it: the VM has ended its side (RFC 9112, section 9.3.1).
+  it('is not run, and its caller gets no byte', async () => {
+    const paths: string[] = []
+    const { gateway, port } = await start((request, response) => {
+      paths.push(String(request.url))
+      response.writeHead(200, sealedHead(request)).end('done')
+    }, {})
+    const { socket, seen } = open(port)
+    socket.write(head('a1', 0))
+    await wait(200)
+    expect(seen.text).toContain('done')
+    const { length } = seen.text
+    // As if the end of the connection were still under way.
+    socket.pause()
+    const left = gateway.leave()
+    await wait(leavingIdleCloseMilliseconds + 100)
+    socket.write(head('a2', 0))
+    await wait(50)
+    socket.resume()
+    await left
+    expect(seen).toMatchObject({ isClosed: true })
+    expect(seen.text).toHaveLength(length)
+    expect(paths).toEqual(['/orders/a1'])
+  })
+})
