--- a/packages/gateway/src/exchangeServer.test.ts
+++ b/packages/gateway/src/exchangeServer.test.ts
@@ -174,3 +174,40 @@
     refusingServer.close()
   })
 })
+
+describe('a caller that goes on to send, of an ExchangeServer', () => {
+  const parts = 20
+  const partBytes = 5_000
+  const refused = (request: string): string => `POST /${request} HTTP/1.1\r\nhost: shop.example\r\n`
+
+  // Guards against a reset by unread data, to which the caller lost the answer, and then didn't know whether its request ran.
+  it.fails.each([
+    ['a body, to a refusal after which the connection closes', `${refused('1')}connection: close\r\ncontent-length: ${parts * partBytes}\r\n\r\n`, 401],
+    ['a head that is too long', `${refused('2')}x-long: `, 431],
+    ['what can not be parsed', 'no request\r\n\r\n', 400],
+    ['what can not be parsed, after a request', `${requestText('/3')}no request\r\n\r\n`, 401]
+  ])('gets its answer (%s)', async (_case, text, status) => {
+    const refusingServer = new ExchangeServer({ maxHeaderSize: 16_384 }, (request, response) => {
+      request.resume()
+      response.writeHead(401, { 'content-length': 0 }).end()
+    })
+    const socket = connect(await listen(refusingServer), '127.0.0.1')
+    sockets.push(socket)
+    let answer = ''
+    const errors: string[] = []
+    socket.on('data', (chunk) => { answer += chunk.toString() })
+    socket.on('error', ({ message }) => errors.push(message))
+    const closed = new Promise((resolve) => { socket.on('close', resolve) })
+    socket.pause()
+    socket.write(text)
+    for (let part = 0; part < parts; part += 1) {
+      await pause(10)
+      socket.write('x'.repeat(partBytes))
+    }
+    socket.resume()
+    await closed
+    refusingServer.close()
+    expect(errors).toEqual([])
+    expect(answer).toMatch(new RegExp(`^HTTP/1.1 ${status} `))
+  })
+})
