Begin at a stopping VM only what ends within its grace

Cause: whatever was read after the signal was executed: on connections that were kept since their stream had begun before it, on new and pipelined ones, for VMs of other regions, and again after a broken attempt. 7.2 s after the signal all of it was cut.

Change: StopPlan compares the end of the grace with the earlier one of the request's deadline and the bound of its duration. AnswerDurations learns that bound by route: the ratio of the whole time to the predicted one that 1 answer in 100 exceeds. With fewer than 20 answers a stream counts until its deadline, anything else until 4 times its objective. The check follows placement, so it holds for each attempt. What doesn't fit is refused unsent (503, Retry-After 0.05 s, close). A VM that gets such a refusal for a forward takes the other VM for not ready and asks another one of its region; before, a refusal excluded the whole region.

Why it works: nothing is sent of which it is known that its answer would be cut, and a refusal costs its caller one round trip. What takes longer than the bound is still cut; cuminvale_gateway_stop_cuts_total counts it.

--- a/packages/gateway/src/attemptStarter.ts
+++ b/packages/gateway/src/attemptStarter.ts
@@ -3,12 +3,14 @@
  * connection, counts the work as running and sends the request.
  */
 
-import { RequestKind } from '@cuminvale/serving'
+import { RefusalReason, refuse } from '@cuminvale/common'
+import { PlacementKind, RefusalCause, RequestKind } from '@cuminvale/serving'
 import { ForwardAttemptListener, LocalAttemptListener } from './attemptListeners.js'
 import { startLocalAttempt } from './attempts.js'
 import { ForwardCall } from './forwardCall.js'
 import { UpstreamCall } from './upstreamCall.js'
-import type { RegionId, UpstreamId, VmId } from '@cuminvale/common'
+import { leavingRetryMilliseconds } from './constants.js'
+import type { Refusal, RegionId, UpstreamId, VmId } from '@cuminvale/common'
 import type { AdmittedRequest, Placement, SoftwareVersion } from '@cuminvale/serving'
 import type { AttemptHandler } from './attemptListeners.js'
 import type { Attempt, ForwardAttempt, LocalAttempt } from './attempts.js'
@@ -17,6 +19,13 @@
 /** Multiple of the predicted time from which on a forward that was late already tells that the other region is slower than it reports. */
 const lateForwardFactor = 2
 
+type RefusedPlacement = Extract<Placement, { kind: 'refuse' }>
+type TargetPlacement = Exclude<Placement, RefusedPlacement>
+
+const stopPlacement: RefusedPlacement = {
+  kind: PlacementKind.Refuse, reason: 'the VM stops before the answer would end', retryAfterMilliseconds: leavingRetryMilliseconds, isPaused: false, cause: RefusalCause.Stop
+}
+
 export interface AttemptStarterOptions {
   readonly state: GatewayState
   readonly request: AdmittedRequest
@@ -65,7 +74,7 @@
   chooseTarget ({ upstreams, regions }: ExcludedTargets, softwareVersion: SoftwareVersion | undefined): Placement {
     const { state, request, deadlineAt, firstAnswerDueAt, mayForward } = this.options
     const now = state.clock.monotonic()
-    return state.placement.choose({
+    const placement = state.placement.choose({
       request,
       remainingMilliseconds: deadlineAt - now,
       objectiveRemainingMilliseconds: firstAnswerDueAt - now,
@@ -74,16 +83,43 @@
       excludedRegions: regions,
       softwareVersion
     })
+    return placement.kind === PlacementKind.Refuse || this.endsInTime(placement, now) ? placement : stopPlacement
+  }
+
+  /** The refusal of a request without a target, of which one may have been refused elsewhere before. */
+  refusalOf ({ reason, retryAfterMilliseconds, isPaused, cause }: RefusedPlacement, lastRefusal: Refusal | undefined): Refusal {
+    const { state, request, mayForward } = this.options
+    if (cause === RefusalCause.Stop) return refuse(RefusalReason.Draining, reason, { retryAfterMilliseconds })
+    return lastRefusal !== undefined && !isPaused ? lastRefusal : refuse(state.refusalReason(request.service, { isForwarded: !mayForward }), reason, { retryAfterMilliseconds })
+  }
+
+  /** Whether this VM is still there when the answer of a placed request ends. */
+  private endsInTime (placement: TargetPlacement, now: number): boolean {
+    const { state: { stopPlan, answerDurations }, request: { route }, deadlineAt } = this.options
+    if (stopPlan === undefined) return true
+    return stopPlan.serves({ now, deadlineAt, boundMilliseconds: answerDurations.boundMilliseconds(route, this.wholeMilliseconds(placement)) })
+  }
+
+  /** Predicted time from the send to the end of the answer. */
+  private wholeMilliseconds (placement: TargetPlacement): number {
+    const { state, request: { service, head: { tokens } } } = this.options
+    const firstMilliseconds = placement.kind === PlacementKind.Run ? placement.prediction.milliseconds : placement.milliseconds
+    // A prediction for a plain service is that of the whole answer.
+    if (tokens === undefined || state.configuration?.service(service)?.isEngine !== true) return firstMilliseconds
+    if (placement.kind === PlacementKind.Forward) return firstMilliseconds + state.upstreams.performanceOf(service).outputMilliseconds(tokens)
+    const { performance } = placement.upstream
+    return firstMilliseconds + performance.slotMilliseconds(tokens) - performance.firstEventMilliseconds
   }
 
-  startLocal ({ upstream, prediction }: Extract<Placement, { kind: 'run' }>, resumeAfter: string | undefined): LocalAttempt {
+  startLocal (placement: Extract<Placement, { kind: 'run' }>, resumeAfter: string | undefined): LocalAttempt {
     const { state, request, body, deadlineAt, handler, onStarted } = this.options
+    const { upstream, prediction } = placement
     const { head, route } = request
     const { announced } = upstream
     const now = state.clock.monotonic()
     const listener = new LocalAttemptListener(handler)
     const call = new UpstreamCall(state.connections, state.connections.acquire(announced, route.kind !== RequestKind.Safe), listener)
-    const attempt = startLocalAttempt({ call, upstream, prediction, sentAt: now, tokens: resumeAfter === undefined ? head.tokens : undefined })
+    const attempt = startLocalAttempt({ call, upstream, prediction, wholeMilliseconds: this.wholeMilliseconds(placement), sentAt: now, tokens: resumeAfter === undefined ? head.tokens : undefined })
     listener.attempt = attempt
     state.recordSentParts(upstream, head.parts)
     onStarted(attempt)
@@ -101,7 +137,7 @@
     const now = state.clock.monotonic()
     const listener = new ForwardAttemptListener(handler)
     const call = new ForwardCall({ clock: state.clock, pool: state.forwardPools.poolFor(peer.linkAddress), listener, sender: state.settings.vm, roundTripMilliseconds: state.roundTripMillisecondsTo(region) })
-    const attempt: ForwardAttempt = { kind: 'forward', call, region, vm: peer.vm, granted: grantedAttempts, workMilliseconds, sentAt: now, dueAt: Math.max(firstAnswerDueAt, now + milliseconds * lateForwardFactor), softwareVersion: undefined, isAnswered: false, isRetryDenied: false }
+    const attempt: ForwardAttempt = { kind: 'forward', call, region, vm: peer.vm, granted: grantedAttempts, workMilliseconds, wholeMilliseconds: this.wholeMilliseconds(placement), sentAt: now, dueAt: Math.max(firstAnswerDueAt, now + milliseconds * lateForwardFactor), softwareVersion: undefined, isAnswered: false, isRetryDenied: false }
     listener.attempt = attempt
     state.forecasts.forwarded(region, request.service, workMilliseconds)
     state.recordForwardedParts(region, request.head.parts)
--- a/packages/gateway/src/attempts.ts
+++ b/packages/gateway/src/attempts.ts
@@ -19,6 +19,8 @@
   readonly prediction: Prediction
   /** Predicted time to the first answer. */
   readonly predictedMilliseconds: number
+  /** Predicted time to the end of the answer. */
+  readonly wholeMilliseconds: number
   readonly sentAt: number
   readonly tokens: RequestTokens | undefined
   /** Monotonic time of its first answer; undefined until then. */
@@ -41,6 +43,8 @@
   readonly granted: number
   /** Predicted work that the request adds to the region. */
   readonly workMilliseconds: number
+  /** Predicted time to the end of the answer. */
+  readonly wholeMilliseconds: number
   readonly sentAt: number
   /** Monotonic time by which the answer was predicted to come, or by which it is on time if that is later. */
   readonly dueAt: number
@@ -57,19 +61,20 @@
   readonly call: UpstreamCall
   readonly upstream: UpstreamState
   readonly prediction: Prediction
+  readonly wholeMilliseconds: number
   readonly sentAt: number
   /** Undefined if the request names no tokens, or produces only the rest of its output. */
   readonly tokens: RequestTokens | undefined
 }
 
 /** Counts the request as running at the upstream. */
-export const startLocalAttempt = ({ call, upstream, prediction, sentAt, tokens }: LocalAttemptOptions): LocalAttempt => {
+export const startLocalAttempt = ({ call, upstream, prediction, wholeMilliseconds, sentAt, tokens }: LocalAttemptOptions): LocalAttempt => {
   upstream.ownInFlight += 1
   upstream.ownPendingTokens += prediction.unreadTokens
   upstream.recordSend(prediction.unreadTokens)
   upstream.performance.service.recordSend(tokens)
   return {
-    kind: 'local', call, upstream, prediction, predictedMilliseconds: prediction.milliseconds, sentAt, tokens, answeredAt: undefined, wasPaused: false, pendingTokens: prediction.unreadTokens, isAnswered: false, isRetryDenied: false
+    kind: 'local', call, upstream, prediction, predictedMilliseconds: prediction.milliseconds, wholeMilliseconds, sentAt, tokens, answeredAt: undefined, wasPaused: false, pendingTokens: prediction.unreadTokens, isAnswered: false, isRetryDenied: false
   }
 }
 
@@ -90,8 +95,10 @@
   if (!isTaken) attempt.wasPaused = true
 }
 
-/** Records the time of a complete output, unless its caller read it slowly. */
-export const recordEnd = (attempt: Attempt, now: number): void => {
+/** Records the time of a complete answer, and that of its output unless its caller read it slowly. */
+export const recordEnd = (attempt: Attempt, route: Route, { clock, answerDurations }: GatewayState): void => {
+  const now = clock.monotonic()
+  answerDurations.record(route, attempt.wholeMilliseconds, now - attempt.sentAt)
   if (attempt.kind !== 'local' || attempt.answeredAt === undefined || attempt.wasPaused) return
   attempt.upstream.performance.recordOutput(attempt.tokens, now - attempt.answeredAt)
 }
--- a/packages/gateway/src/constants.ts
+++ b/packages/gateway/src/constants.ts
@@ -133,6 +133,8 @@
 export const leavingIdleCloseMilliseconds = 700
 /** Time from the stop signal until the VM stops listening; the callers' lists of VMs have expired by then. */
 export const leavingListenMilliseconds = 2_500
+/** Time after which a caller should take a request to another VM that this one refused since it stops. */
+export const leavingRetryMilliseconds = 50
 /** Part of the grace period that is reserved for the last answers to reach their callers. */
 export const leavingAnswerReserveMilliseconds = 800
 /** Part of that reserve in which the answers may still be sent; the rest is for the end of the process. */
--- a/packages/gateway/src/gatewayCallerServer.ts
+++ b/packages/gateway/src/gatewayCallerServer.ts
@@ -263,12 +263,13 @@
   private execute (response: ServerResponse, sink: CallerAnswerSink, { request, body, receivedAt, softwareVersion }: ChargedRequest): void {
     const { state } = this
     const { route, head } = request
+    const deadlineAt = receivedAt + Math.min(head.deadlineMilliseconds ?? Infinity, route.timeoutMilliseconds)
     startExecution(response, {
       state,
       request,
       body,
       softwareVersion,
-      deadlineAt: receivedAt + Math.min(head.deadlineMilliseconds ?? Infinity, route.timeoutMilliseconds),
+      deadlineAt,
       firstAnswerDueAt: receivedAt + route.objectiveMilliseconds - state.attemptAges.waitedMilliseconds(route.name, head.deadlineMilliseconds),
       mayForward: true,
       attemptsLeft: route.maximumAttempts,
--- a/packages/gateway/src/gatewayProcess.ts
+++ b/packages/gateway/src/gatewayProcess.ts
@@ -3,7 +3,7 @@
  * the timers. The daemon package has another Gateway, that of cuminvaled.
  */
 
-import { listEntries } from '@cuminvale/serving'
+import { StopPlan, listEntries } from '@cuminvale/serving'
 import { discardBody } from './discardBody.js'
 import { GatewayCallerServer } from './gatewayCallerServer.js'
 import { ExchangeServer } from './exchangeServer.js'
@@ -62,7 +62,7 @@
       processorCapacity: settings.processorCapacity
     }
     this.state = new GatewayState({ ...options, self: this.self, metrics: this.metrics })
-    this.requestLog = new RequestLog(clock, log, this.metrics, () => this.state.stopSignalledAt)
+    this.requestLog = new RequestLog(clock, log, this.metrics, () => this.state.stopPlan?.signalledAt)
     const forwards = new ForwardServer(this.state, this.requestLog)
     this.linkServer = new ExchangeServer({ headersTimeout: linkHeadTimeoutMilliseconds, connectionsCheckingInterval: headerCheckIntervalMilliseconds }, (request, response) => {
       if (request.url === forwardPath) return forwards.handle(request, response)
@@ -157,22 +157,24 @@
     const { state } = this
     const { log, clock, settings } = this.options
     state.isLeaving = true
+    const signalledAt = clock.monotonic()
+    const plan = new StopPlan({ signalledAt, graceMilliseconds: settings.bounds.leavingGraceMilliseconds, reserveMilliseconds: leavingAnswerReserveMilliseconds })
+    state.stopPlan = plan
+    const delayUntil = async (time: number): Promise<void> => await delay(Math.max(0, time - clock.monotonic()))
     log.info('leaving', { underWay: state.executions.size })
     this.links.tick({ isUrgent: true })
-    const startedAt = state.stopSignalledAt = clock.monotonic()
-    const stopWaitingAt = startedAt + settings.bounds.leavingGraceMilliseconds - leavingAnswerReserveMilliseconds
-    await delay(leavingIdleCloseMilliseconds)
+    await delayUntil(plan.signalledAt + leavingIdleCloseMilliseconds)
     await this.callerServer.closeIdle()
-    await delay(leavingListenMilliseconds - leavingIdleCloseMilliseconds)
+    await delayUntil(plan.signalledAt + leavingListenMilliseconds)
     await this.callerServer.stopListening()
-    while (this.isBusy && clock.monotonic() < stopWaitingAt) {
+    while (this.isBusy && clock.monotonic() < plan.endsAt) {
       await delay(checkIntervalMilliseconds)
       await this.callerServer.closeIdle()
     }
     const abandoned = state.executions.size
     state.executions.close()
-    log.info('left', { abandoned, ...this.requestLog.stopCounts, total: Math.round(clock.monotonic() - startedAt) })
-    while (this.isBusy && clock.monotonic() < stopWaitingAt + leavingSendMilliseconds) await delay(checkIntervalMilliseconds)
+    log.info('left', { abandoned, ...this.requestLog.stopCounts, total: Math.round(clock.monotonic() - signalledAt) })
+    while (this.isBusy && clock.monotonic() < plan.endsAt + leavingSendMilliseconds) await delay(checkIntervalMilliseconds)
     this.links.leave()
     await delay(checkIntervalMilliseconds)
   }
--- a/packages/gateway/src/gatewayState.ts
+++ b/packages/gateway/src/gatewayState.ts
@@ -5,7 +5,7 @@
  */
 
 import { RefusalReason, rendezvousScore } from '@cuminvale/common'
-import { AttemptAges, ForwardResult, PeerTable, PlacementChooser, PredictionErrors, PublishedRecords, RegionForecasts, RegionUsage, RetryBudget, RoomAllocator, ServingConfiguration, SoftwareVersionHistory, TeamRateLimiter, UpstreamTable, UpstreamParts, brittleShare, coldSendsPerSecond, describePosition, eraOf, predictWait, sendShare } from '@cuminvale/serving'
+import { AnswerDurations, AttemptAges, ForwardResult, PeerTable, PlacementChooser, PredictionErrors, PublishedRecords, RegionForecasts, RegionUsage, RetryBudget, RoomAllocator, ServingConfiguration, SoftwareVersionHistory, TeamRateLimiter, UpstreamTable, UpstreamParts, brittleShare, coldSendsPerSecond, describePosition, eraOf, predictWait, sendShare } from '@cuminvale/serving'
 import { removeForwardedWork } from './attempts.js'
 import { CrashDetector, probeRefusal } from './crashDetector.js'
 import { Executions } from './executions.js'
@@ -18,7 +18,7 @@
 import { interRegionRoundTripMilliseconds, regionRoundTripMilliseconds, hubReportIntervalMilliseconds, tickIntervalMilliseconds, peerDiscoveryMilliseconds, reportingMilliseconds, requestSilenceTimeoutMilliseconds } from './constants.js'
 import type { Clock, FailureDomainId, Random, Refusal, RegionId, UpstreamId, VmId } from '@cuminvale/common'
 import type { Log } from '@cuminvale/logs'
-import type { AnnouncedUpstream, InFlightLoad, PeerIdentity, PromptPart, PromptPartId, NeighbourReports, Quarantine, ServiceForecast, ServiceName, Service, SoftwareVersion, UpstreamState } from '@cuminvale/serving'
+import type { AnnouncedUpstream, InFlightLoad, PeerIdentity, PromptPart, PromptPartId, NeighbourReports, Quarantine, ServiceForecast, ServiceName, Service, SoftwareVersion, StopPlan, UpstreamState } from '@cuminvale/serving'
 import type { Attempt, ForwardAttempt, LocalAttempt } from './attempts.js'
 import type { GatewayMetrics } from './gatewayMetrics.js'
 import type { OriginLinks } from './streamOriginExchange.js'
@@ -73,13 +73,14 @@
   readonly streamOrigins: StreamOriginExchange
   readonly softwareVersions: SoftwareVersionHistory
   readonly attemptAges = new AttemptAges()
+  readonly answerDurations = new AnswerDurations()
   readonly predictionErrors = new PredictionErrors()
   readonly forwardPools = new ForwardPools()
   readonly executions: Executions
   configuration: ServingConfiguration | undefined
   isLeaving = false
-  /** Monotonic time of the stop signal; undefined before it. */
-  stopSignalledAt: number | undefined
+  /** Undefined before the stop signal. */
+  stopPlan: StopPlan | undefined
   /** Whether the VMs of the region report to hubs instead of to each other. */
   usesHubs = false
   /** Milliseconds since the published records were last known to be complete. */
@@ -335,6 +336,7 @@
   /** Records that a VM refused a forward. Only refusals for lack of capacity say something of its region. */
   recordForwardRefusal (attempt: ForwardAttempt, service: ServiceName, { reason }: Refusal): void {
     if (reason === RefusalReason.UpstreamsUnreached) this.reach.recordRefusal(attempt.vm)
+    if (reason === RefusalReason.Draining) this.peers.recordStopping(attempt.vm)
     if (reason === RefusalReason.NoUpstream) this.recordForwardResult(attempt, service, ForwardResult.Refused)
   }
 
--- a/packages/gateway/src/requestExecution.ts
+++ b/packages/gateway/src/requestExecution.ts
@@ -6,7 +6,7 @@
  */
 
 import { RefusalReason, refuse } from '@cuminvale/common'
-import { PlacementKind, RequestKind } from '@cuminvale/serving'
+import { PlacementKind, RefusalCause, RequestKind } from '@cuminvale/serving'
 import { AnswerRelay } from './answerRelay.js'
 import { CallFailureKind } from './errors.js'
 import { AnswerFailureKind } from './answerSink.js'
@@ -19,7 +19,7 @@
 import { TargetExclusions } from './targetExclusions.js'
 import { declineFailureWeight, heldRetryMilliseconds, maximumAttemptsNotRun, minimumRetryMilliseconds, misdirectedStatus, silenceFailureWeight } from './constants.js'
 import type { Refusal } from '@cuminvale/common'
-import type { AdmittedRequest, PeerStanding, Placement, RefusalCause, SoftwareVersion } from '@cuminvale/serving'
+import type { AdmittedRequest, PeerStanding, Placement, SoftwareVersion } from '@cuminvale/serving'
 import type { AnswerFraming } from './answerFraming.js'
 import type { AnswerSink } from './answerSink.js'
 import type { AttemptStarterOptions } from './attemptStarter.js'
@@ -198,7 +198,7 @@
     }
     this.relay.end()
     this.outcome = 'answered'
-    if (this.status < 300) recordEnd(attempt, this.now)
+    if (this.status < 300) recordEnd(attempt, this.request.route, this.options.state)
     this.options.state.crashDetector.recordCompletion(this.request, this.options.body, { status: this.status })
     this.finish(false)
     return true
@@ -253,11 +253,10 @@
     if (crashRefusal !== undefined) return this.refuseOrFail(crashRefusal)
     const placement = this.starter.chooseTarget(this.excluded, this.version.required)
     if (placement.kind !== PlacementKind.Refuse) return this.sendByPlacement(placement)
-    if (lastRefusal === undefined && !placement.isPaused && this.peerWait.startOrContinue(this.now)) return
-    const { reason, retryAfterMilliseconds, isPaused, cause } = placement
-    this.refusalCause = cause
-    const refusalReason = this.options.state.refusalReason(this.request.service, { isForwarded: !this.options.mayForward })
-    this.refuseOrFail(lastRefusal !== undefined && !isPaused ? lastRefusal : refuse(refusalReason, reason, { retryAfterMilliseconds }))
+    const isStopping = placement.cause === RefusalCause.Stop
+    if (lastRefusal === undefined && !placement.isPaused && !isStopping && this.peerWait.startOrContinue(this.now)) return
+    this.refusalCause = placement.cause
+    this.refuseOrFail(this.starter.refusalOf(placement, lastRefusal))
   }
 
   private sendByPlacement (placement: Exclude<Placement, { kind: 'refuse' }>): void {
--- a/packages/gateway/src/targetExclusions.ts
+++ b/packages/gateway/src/targetExclusions.ts
@@ -33,7 +33,7 @@
 
   /** Excludes a VM that refused a forward, or all of its region if others there would refuse it too. */
   addRefusing (attempt: ForwardAttempt, { reason }: Refusal): void {
-    if (reason === RefusalReason.UpstreamsUnreached) this.addVm(attempt)
+    if (reason === RefusalReason.UpstreamsUnreached || reason === RefusalReason.Draining) this.addVm(attempt)
     else this.add(attempt)
   }
 
--- a/packages/serving/src/peerTable.ts
+++ b/packages/serving/src/peerTable.ts
@@ -198,6 +198,13 @@
     return this.peers.get(linkAddress)?.identity.incarnation === incarnation
   }
 
+  /** Records that a VM refused a request since it stops; reports that name it as ready are older. */
+  recordStopping (vm: VmId): void {
+    for (const peer of this.peers.values()) {
+      if (peer.identity.vm === vm) peer.isReady = false
+    }
+  }
+
   /** Whether a VM takes new requests, as far as it or others have said. */
   standingOf (vm: VmId): PeerStanding {
     for (const { identity, isReady } of this.peers.values()) {
--- a/packages/serving/src/roomAllocator.ts
+++ b/packages/serving/src/roomAllocator.ts
@@ -21,7 +21,9 @@
   /** The queueing delay is over the limit for any request of its kind. */
   Wait: 'wait',
   /** The predicted time is longer than the remaining time. */
-  Deadline: 'deadline'
+  Deadline: 'deadline',
+  /** This VM stops before the answer would end. */
+  Stop: 'stop'
 } as const
 export type RefusalCause = typeof RefusalCause[keyof typeof RefusalCause]
 
--- /dev/null
+++ b/packages/serving/src/stopPlan.test.ts
@@ -0,0 +1,52 @@
+import { SeededRandom, toRouteName } from '@cuminvale/common'
+import { describe, expect, it } from 'vitest'
+import { AnswerDurations } from './answerDurations.js'
+import { StopPlan } from './stopPlan.js'
+
+const plan = new StopPlan({ signalledAt: 1_000, graceMilliseconds: 8_000, reserveMilliseconds: 800 })
+
+describe('StopPlan', () => {
+  it('serves what ends before the requests under way are ended, by the bound of its duration or by its deadline', () => {
+    expect(plan.endsAt).toBe(8_200)
+    expect(plan.serves({ now: 5_000, deadlineAt: 20_000, boundMilliseconds: 3_200 })).toBe(true)
+    expect(plan.serves({ now: 5_000, deadlineAt: 20_000, boundMilliseconds: 3_201 })).toBe(false)
+    expect(plan.serves({ now: 5_000, deadlineAt: 8_200, boundMilliseconds: Infinity })).toBe(true)
+    expect(plan.serves({ now: 5_000, deadlineAt: 8_201, boundMilliseconds: Infinity })).toBe(false)
+  })
+})
+
+describe('AnswerDurations', () => {
+  const stream = { name: toRouteName('streams'), kind: 'stream', objectiveMilliseconds: 500 } as const
+  const order = { name: toRouteName('orders'), kind: 'order', objectiveMilliseconds: 500 } as const
+
+  it('knows nothing of a stream without answers, and expects other requests within a multiple of their objective', () => {
+    const durations = new AnswerDurations()
+    expect(durations.boundMilliseconds(stream, 100)).toBe(Infinity)
+    expect(durations.boundMilliseconds(order, 100)).toBe(2_000)
+    durations.record(order, 100, 4_500)
+    expect(durations.boundMilliseconds(order, 100)).toBeCloseTo(4_500)
+    expect(durations.boundMilliseconds(stream, 100)).toBe(Infinity)
+  })
+
+  it.each([0.3, 0.8])('is exceeded by about one answer in a hundred (spread %f)', (spread) => {
+    const random = new SeededRandom(7)
+    const durations = new AnswerDurations()
+    let exceeded = 0
+    for (let answer = 0; answer < 20_000; answer += 1) {
+      const predicted = 100 + random.next() * 2_000
+      const normal = Math.sqrt(-2 * Math.log(1 - random.next())) * Math.cos(2 * Math.PI * random.next())
+      const observed = predicted * Math.exp(0.5 + spread * normal)
+      if (answer >= 2_000 && observed > durations.boundMilliseconds(stream, predicted)) exceeded += 1
+      durations.record(stream, predicted, observed)
+    }
+    expect(exceeded / 18_000).toBeGreaterThan(0.005)
+    expect(exceeded / 18_000).toBeLessThan(0.02)
+  })
+
+  it('follows a service that has become slower within some tens of answers', () => {
+    const durations = new AnswerDurations()
+    for (let answer = 0; answer < 200; answer += 1) durations.record(stream, 100, 200)
+    for (let answer = 0; answer < 30; answer += 1) durations.record(stream, 100, 1_600)
+    expect(durations.boundMilliseconds(stream, 100)).toBeGreaterThan(1_600)
+  })
+})
