Run no request behind an answer that the stop may cut

Callers that send a second request before the first answer has ended could lose its answer at a VM that stops: the second one was run, and its answer waited for the first, which the end of the grace cut. The outcome of an order was then unknown.

Cause: only the request's own duration was compared with the grace.

Change: the caller server remembers the last request of each connection; while its answer is not sent, its deadline must be in time too.

Evidence: stopWork.test.ts, "behind another one that may outlast the grace", and a case of stopPlan.test.ts. The test came with the fix, not before it. A deadline is the only bound that is known of the first answer, so some requests are refused that would have been answered.

--- a/packages/gateway/src/attemptStarter.ts
+++ b/packages/gateway/src/attemptStarter.ts
@@ -35,6 +35,8 @@
   /** Monotonic time until which the first answer meets the route's objective. */
   readonly firstAnswerDueAt: number
   readonly mayForward: boolean
+  /** Monotonic time by which the answers before it on its connection have ended; undefined if there are none. */
+  readonly precedingEndsAt?: number | undefined
   readonly handler: AttemptHandler
   /** Called with each attempt before it is sent, since its call may fail at once. */
   readonly onStarted: (attempt: Attempt) => void
@@ -95,9 +97,9 @@
 
   /** Whether this VM is still there when the answer of a placed request ends. */
   private endsInTime (placement: TargetPlacement, now: number): boolean {
-    const { state: { stopPlan, answerDurations }, request: { route }, deadlineAt } = this.options
+    const { state: { stopPlan, answerDurations }, request: { route }, deadlineAt, precedingEndsAt } = this.options
     if (stopPlan === undefined) return true
-    return stopPlan.serves({ now, deadlineAt, boundMilliseconds: answerDurations.boundMilliseconds(route, this.wholeMilliseconds(placement)) })
+    return stopPlan.serves({ now, deadlineAt, boundMilliseconds: answerDurations.boundMilliseconds(route, this.wholeMilliseconds(placement)), precedingEndsAt })
   }
 
   /** Predicted time from the send to the end of the answer. */
--- a/packages/gateway/src/gatewayCallerServer.ts
+++ b/packages/gateway/src/gatewayCallerServer.ts
@@ -20,6 +20,7 @@
 import type { AdmittedRequest, RequestHead, SoftwareVersion } from '@cuminvale/serving'
 import type { GatewayMetrics } from './gatewayMetrics.js'
 import type { IncomingMessage, ServerResponse } from 'node:http'
+import type { Socket } from 'node:net'
 import type { AnswerSink } from './answerSink.js'
 import type { RequestLog } from './requestLog.js'
 import type { GatewayState } from './gatewayState.js'
@@ -88,6 +89,8 @@
 export class GatewayCallerServer {
   private readonly server: ExchangeServer
   private readonly intake: RequestIntake
+  /** The last request that was started on each connection. */
+  private readonly lastStarted = new WeakMap<Socket, { readonly response: ServerResponse, readonly deadlineAt: number }>()
   /** Whether limits of a configuration are in force, rather than those of Node. */
   private hasLimits = false
 
@@ -264,12 +267,17 @@
     const { state } = this
     const { route, head } = request
     const deadlineAt = receivedAt + Math.min(head.deadlineMilliseconds ?? Infinity, route.timeoutMilliseconds)
+    const { socket } = response.req
+    const preceding = this.lastStarted.get(socket)
+    const precedingEndsAt = preceding?.response.writableFinished === false ? preceding.deadlineAt : undefined
+    this.lastStarted.set(socket, { response, deadlineAt: Math.max(deadlineAt, precedingEndsAt ?? -Infinity) })
     startExecution(response, {
       state,
       request,
       body,
       softwareVersion,
       deadlineAt,
+      precedingEndsAt,
       firstAnswerDueAt: receivedAt + route.objectiveMilliseconds - state.attemptAges.waitedMilliseconds(route.name, head.deadlineMilliseconds),
       mayForward: true,
       attemptsLeft: route.maximumAttempts,
--- a/packages/gateway/src/stopWork.test.ts
+++ b/packages/gateway/src/stopWork.test.ts
@@ -68,6 +68,19 @@
     expect(pathsOf(vm).filter((path) => /4800|5500/.test(path))).toEqual([])
   })
 
+  // Guards against a run whose answer can't be sent, as the one before it on the connection is cut.
+  it('does not run a request behind another one that may outlast the grace', async () => {
+    const vm = await start()
+    const caller = openKeptCaller(vm.port)
+    caller.send('/streams/8000', 'first')
+    await wait(300)
+    const stopped = stopLikeProcess(vm)
+    await wait(1_000)
+    caller.send('/orders/100', 'behind', 2_000)
+    await stopped
+    expect(pathsOf(vm)).toEqual(['/streams/8000'])
+  })
+
   // Guards against an answer that is cut a second time, after its caller could have taken it elsewhere.
   it('does not send it again after its upstream has broken off', async () => {
     const breaksOff: UpstreamScript = (request, response) => {
--- a/packages/serving/src/stopPlan.test.ts
+++ b/packages/serving/src/stopPlan.test.ts
@@ -13,6 +13,11 @@
     expect(plan.serves({ now: 5_000, deadlineAt: 8_200, boundMilliseconds: Infinity })).toBe(true)
     expect(plan.serves({ now: 5_000, deadlineAt: 8_201, boundMilliseconds: Infinity })).toBe(false)
   })
+
+  // Guards against a run whose answer waits for an earlier one on its connection, which the stop cuts.
+  it('serves nothing behind an answer that may be cut', () => {
+    expect(plan.serves({ now: 5_000, deadlineAt: 20_000, boundMilliseconds: 10, precedingEndsAt: 8_300 })).toBe(false)
+  })
 })
 
 describe('AnswerDurations', () => {
--- a/packages/serving/src/stopPlan.ts
+++ b/packages/serving/src/stopPlan.ts
@@ -19,6 +19,8 @@
   readonly deadlineAt: number
   /** Time within which such requests end; Infinity if that isn't known. */
   readonly boundMilliseconds: number
+  /** Monotonic time by which the answers before it on its connection have ended. */
+  readonly precedingEndsAt?: number | undefined
 }
 
 export class StopPlan {
@@ -32,7 +34,7 @@
   }
 
   /** Whether a request ends in time if it is sent now. */
-  serves ({ now, deadlineAt, boundMilliseconds }: PlannedRequest): boolean {
-    return Math.min(deadlineAt, now + boundMilliseconds) <= this.endsAt
+  serves ({ now, deadlineAt, boundMilliseconds, precedingEndsAt = -Infinity }: PlannedRequest): boolean {
+    return Math.max(precedingEndsAt, Math.min(deadlineAt, now + boundMilliseconds)) <= this.endsAt
   }
 }
