Count the grace from the sending of the stop signal

With a grace of 3.3 s or less it also listened until after the time at which it ends all requests.

Change: timers of the loop run before signals are read, so a late tick shows for how long the signal may have waited. That is subtracted, 1 s at most: a longer standstill is a suspension, at whose end the signal may have come. Steps of the stop are due at times since the signal. The VM listens for at most 0.8 of the time until requests end. `leaving` logs the time as `waited`.

Evidence: stopWork.test.ts, "may have waited": with a loop that is blocked for 0.7 s the signal is dated within 0.3 s before it was due. The test came with the fix.

--- a/packages/gateway/src/constants.ts
+++ b/packages/gateway/src/constants.ts
@@ -131,10 +131,12 @@
 export const linkBacklog = 1_024
 /** Time from the stop signal until idle connections are closed; callers have learnt by then that this VM is leaving. */
 export const leavingIdleCloseMilliseconds = 700
-/** Time from the stop signal until the VM stops listening; the callers' lists of VMs have expired by then. */
+/** Longest time from the stop signal until the VM stops listening; the callers' lists of VMs have expired by then. */
 export const leavingListenMilliseconds = 2_500
 /** Time after which a caller should take a request to another VM that this one refused since it stops. */
 export const leavingRetryMilliseconds = 50
+/** Longest time for which the stop signal is taken to have waited for a busy event loop; after a longer standstill, the VM was suspended, and the signal may have come at its end. */
+export const maximumSignalDelayMilliseconds = 1_000
 /** Part of the grace period that is reserved for the last answers to reach their callers. */
 export const leavingAnswerReserveMilliseconds = 800
 /** Part of that reserve in which the answers may still be sent; the rest is for the end of the process. */
--- a/packages/gateway/src/gatewayProcess.ts
+++ b/packages/gateway/src/gatewayProcess.ts
@@ -14,7 +14,7 @@
 import { RequestLog } from './requestLog.js'
 import { GatewayState } from './gatewayState.js'
 import { forwardPath } from './forwardCall.js'
-import { checkIntervalMilliseconds, headerCheckIntervalMilliseconds, leavingIdleCloseMilliseconds, leavingListenMilliseconds, leavingAnswerReserveMilliseconds, leavingSendMilliseconds, linkHeadTimeoutMilliseconds, linkBacklog, maximumEndpointBodyBytes, tickIntervalMilliseconds } from './constants.js'
+import { checkIntervalMilliseconds, headerCheckIntervalMilliseconds, leavingIdleCloseMilliseconds, leavingListenMilliseconds, leavingAnswerReserveMilliseconds, leavingSendMilliseconds, maximumSignalDelayMilliseconds, linkHeadTimeoutMilliseconds, linkBacklog, maximumEndpointBodyBytes, tickIntervalMilliseconds } from './constants.js'
 import type { Clock, IncarnationId, Random, RegionId } from '@cuminvale/common'
 import type { Log } from '@cuminvale/logs'
 import type { PeerIdentity } from '@cuminvale/serving'
@@ -47,11 +47,15 @@
   private readonly recordPoller: RecordPoller
   private readonly timers: NodeJS.Timeout[] = []
   private tickCount = 0
+  /** Monotonic time of the last tick, and how late it was. */
+  private tickedAt: number
+  private tickLateness = 0
   private left: Promise<void> | undefined
 
   constructor (private readonly options: GatewayProcessOptions) {
     const { settings, advertised, incarnation, clock, log } = options
     const { vm, region, failureDomain, host } = settings
+    this.tickedAt = clock.monotonic()
     this.self = {
       vm,
       incarnation,
@@ -94,6 +98,7 @@
     await this.callerServer.listen(settings.host, settings.callerPort)
     this.links.tick()
     this.recordPoller.tick()
+    this.tickedAt = this.options.clock.monotonic()
     this.timers.push(setInterval(() => this.onTick(), tickIntervalMilliseconds))
     this.options.log.info('started', { region: settings.region, domain: settings.failureDomain, seeds: settings.seeds.join() })
   }
@@ -157,15 +162,16 @@
     const { state } = this
     const { log, clock, settings } = this.options
     state.isLeaving = true
-    const signalledAt = clock.monotonic()
+    const waited = this.signalDelayMilliseconds
+    const signalledAt = clock.monotonic() - waited
     const plan = new StopPlan({ signalledAt, graceMilliseconds: settings.bounds.leavingGraceMilliseconds, reserveMilliseconds: leavingAnswerReserveMilliseconds })
     state.stopPlan = plan
     const delayUntil = async (time: number): Promise<void> => await delay(Math.max(0, time - clock.monotonic()))
-    log.info('leaving', { underWay: state.executions.size })
+    log.info('leaving', { underWay: state.executions.size, waited: Math.round(waited) })
     this.links.tick({ isUrgent: true })
-    await delayUntil(plan.signalledAt + leavingIdleCloseMilliseconds)
+    await delayUntil(plan.listensUntil(leavingIdleCloseMilliseconds))
     await this.callerServer.closeIdle()
-    await delayUntil(plan.signalledAt + leavingListenMilliseconds)
+    await delayUntil(plan.listensUntil(leavingListenMilliseconds))
     await this.callerServer.stopListening()
     while (this.isBusy && clock.monotonic() < plan.endsAt) {
       await delay(checkIntervalMilliseconds)
@@ -179,6 +185,14 @@
     await delay(checkIntervalMilliseconds)
   }
 
+  /** Upper bound of the time for which the stop signal may have waited for the event loop, in which timers come before it. */
+  private get signalDelayMilliseconds (): number {
+    const sinceTick = this.options.clock.monotonic() - this.tickedAt
+    const lateness = sinceTick < checkIntervalMilliseconds ? this.tickLateness : sinceTick - tickIntervalMilliseconds
+    // The loop may have stood still since the tick before.
+    return lateness <= checkIntervalMilliseconds ? 0 : Math.min(maximumSignalDelayMilliseconds, lateness + tickIntervalMilliseconds)
+  }
+
   /** Whether a request is expected, is being read, is under way, or waits for its answer to be sent. */
   private get isBusy (): boolean {
     return this.callerServer.awaitedCount > 0 || this.state.executions.size > 0 || this.callerServer.exchangeCount > 0 || this.linkServer.exchangeCount > 0
@@ -204,6 +218,9 @@
   }
 
   private onTick (): void {
+    const now = this.options.clock.monotonic()
+    this.tickLateness = now - this.tickedAt - tickIntervalMilliseconds
+    this.tickedAt = now
     if (this.state.records.removeLapsed()) this.adoptRecords()
     this.state.observeVersions()
     this.links.tick()
--- a/packages/gateway/src/stopWork.test.ts
+++ b/packages/gateway/src/stopWork.test.ts
@@ -1,3 +1,4 @@
+import { runtimeClock } from '@cuminvale/common'
 import { afterAll, describe, expect, it } from 'vitest'
 import { callGateway, sealedHead, startUpstream, testHeaders, testRoute, testSettings, wait } from './testSupport.js'
 import { answersAfterPath, openKeptCaller, reportSouth, startStopGateway, stopLikeProcess } from './stopTestSupport.js'
@@ -178,4 +179,16 @@
     expect(await answered).toMatchObject({ status: 200, body: 'done' })
     expect(caller.seen.text.match(/HTTP\/1.1 \d+/g)).toHaveLength(2)
   })
+
+  // Guards against a grace that is counted from the handling of a signal, which waits while the loop is busy.
+  it('counts the time for which the signal may have waited', async () => {
+    const vm = await start({ settings })
+    await wait(300)
+    const stopped = new Promise<void>((resolve) => setTimeout(() => { resolve(vm.gateway.leave()) }, 0))
+    const signalledAt = runtimeClock.monotonic()
+    block(700)
+    await stopped
+    expect(vm.gateway.state.stopPlan?.signalledAt).toBeLessThanOrEqual(signalledAt + 10)
+    expect(vm.gateway.state.stopPlan?.signalledAt).toBeGreaterThan(signalledAt - 300)
+  })
 })
--- a/packages/serving/src/stopPlan.test.ts
+++ b/packages/serving/src/stopPlan.test.ts
@@ -18,6 +18,12 @@
   it('serves nothing behind an answer that may be cut', () => {
     expect(plan.serves({ now: 5_000, deadlineAt: 20_000, boundMilliseconds: 10, precedingEndsAt: 8_300 })).toBe(false)
   })
+
+  // Guards against a VM that still listens when its grace is over, where that is short.
+  it('stops listening before the requests are ended', () => {
+    expect(plan.listensUntil(2_500)).toBe(3_500)
+    expect(new StopPlan({ signalledAt: 0, graceMilliseconds: 1_800, reserveMilliseconds: 800 }).listensUntil(2_500)).toBe(800)
+  })
 })
 
 describe('AnswerDurations', () => {
--- a/packages/serving/src/stopPlan.ts
+++ b/packages/serving/src/stopPlan.ts
@@ -23,6 +23,9 @@
   readonly precedingEndsAt?: number | undefined
 }
 
+/** Part of the time until requests are ended for which new connections are accepted at most. */
+const maximumListenShare = 0.8
+
 export class StopPlan {
   readonly signalledAt: number
   /** Monotonic time at which the requests under way are ended. */
@@ -37,4 +40,9 @@
   serves ({ now, deadlineAt, boundMilliseconds, precedingEndsAt = -Infinity }: PlannedRequest): boolean {
     return Math.max(precedingEndsAt, Math.min(deadlineAt, now + boundMilliseconds)) <= this.endsAt
   }
+
+  /** Monotonic time until which new connections are accepted, for callers whose lists still name this VM. */
+  listensUntil (milliseconds: number): number {
+    return this.signalledAt + Math.min(milliseconds, (this.endsAt - this.signalledAt) * maximumListenShare)
+  }
 }
