--- a/packages/gateway/src/gatewayProcess.ts
+++ b/packages/gateway/src/gatewayProcess.ts
@@ -3,7 +3,7 @@
  * the timers. The daemon package has another Gateway, that of cuminvaled.
  */
 
-import { listEntries } from '@cuminvale/serving'
+import { StopPlan, listEntries } from '@cuminvale/serving'
 import { describeError } from './errors.js'
 import { discardBody } from './discardBody.js'
 import { GatewayCallerServer } from './gatewayCallerServer.js'
@@ -15,7 +15,7 @@
 import { RequestLog } from './requestLog.js'
 import { GatewayState } from './gatewayState.js'
 import { forwardPath } from './forwardCall.js'
-import { checkIntervalMilliseconds, headerCheckIntervalMilliseconds, leavingIdleCloseMilliseconds, leavingListenMilliseconds, leavingAnswerReserveMilliseconds, leavingCloseMilliseconds, leavingSendMilliseconds, linkHeadTimeoutMilliseconds, linkBacklog, maximumEndpointBodyBytes, tickIntervalMilliseconds } from './constants.js'
+import { checkIntervalMilliseconds, headerCheckIntervalMilliseconds, leavingIdleCloseMilliseconds, leavingListenMilliseconds, leavingAnswerReserveMilliseconds, leavingCloseMilliseconds, leavingSendMilliseconds, maximumSignalDelayMilliseconds, linkHeadTimeoutMilliseconds, linkBacklog, maximumEndpointBodyBytes, tickIntervalMilliseconds } from './constants.js'
 import type { Clock, IncarnationId, Random, RegionId } from '@cuminvale/common'
 import type { Log } from '@cuminvale/logs'
 import type { PeerIdentity } from '@cuminvale/serving'
@@ -48,12 +48,16 @@
   private readonly recordPoller: RecordPoller
   private readonly timers: NodeJS.Timeout[] = []
   private tickCount = 0
+  /** Monotonic time of the last tick, and how late it was. */
+  private tickedAt: number
+  private tickLateness = 0
   private left: Promise<void> | undefined
   private readonly failedLeaveSteps = new Set<string>()
 
   constructor (private readonly options: GatewayProcessOptions) {
     const { settings, advertised, incarnation, clock, log } = options
     const { vm, region, failureDomain, host } = settings
+    this.tickedAt = clock.monotonic()
     this.self = {
       vm,
       incarnation,
@@ -64,7 +68,7 @@
       processorCapacity: settings.processorCapacity
     }
     this.state = new GatewayState({ ...options, self: this.self, metrics: this.metrics })
-    this.requestLog = new RequestLog(clock, log, this.metrics, () => this.state.stopSignalledAt)
+    this.requestLog = new RequestLog(clock, log, this.metrics, () => this.state.stopPlan?.signalledAt)
     const forwards = new ForwardServer(this.state, this.requestLog)
     this.linkServer = new ExchangeServer({ headersTimeout: linkHeadTimeoutMilliseconds, connectionsCheckingInterval: headerCheckIntervalMilliseconds }, (request, response) => {
       if (request.url === forwardPath) return forwards.handle(request, response)
@@ -96,6 +100,7 @@
     await this.callerServer.listen(settings.host, settings.callerPort)
     this.links.tick()
     this.recordPoller.tick()
+    this.tickedAt = this.options.clock.monotonic()
     this.timers.push(setInterval(() => this.onTick(), tickIntervalMilliseconds))
     this.options.log.info('started', { region: settings.region, domain: settings.failureDomain, seeds: settings.seeds.join() })
   }
@@ -164,23 +169,26 @@
   private async shutDown (): Promise<void> {
     const { state } = this
     const { log, clock, settings } = this.options
-    const startedAt = state.stopSignalledAt = clock.monotonic()
     state.isLeaving = true
-    log.info('leaving', { underWay: state.executions.size })
+    const waited = this.signalDelayMilliseconds
+    const signalledAt = clock.monotonic() - waited
+    const plan = new StopPlan({ signalledAt, graceMilliseconds: settings.bounds.leavingGraceMilliseconds, reserveMilliseconds: leavingAnswerReserveMilliseconds })
+    state.stopPlan = plan
+    const delayUntil = async (time: number): Promise<void> => await delay(Math.max(0, time - clock.monotonic()))
+    log.info('leaving', { underWay: state.executions.size, waited: Math.round(waited) })
     await this.runLeaveStep('announce', () => this.links.tick({ isUrgent: true }))
-    const stopWaitingAt = startedAt + settings.bounds.leavingGraceMilliseconds - leavingAnswerReserveMilliseconds
-    await delay(leavingIdleCloseMilliseconds)
+    await delayUntil(plan.listensUntil(leavingIdleCloseMilliseconds))
     await this.closeIdleCallers()
-    await delay(leavingListenMilliseconds - leavingIdleCloseMilliseconds)
+    await delayUntil(plan.listensUntil(leavingListenMilliseconds))
     await this.runLeaveStep('stop-listening', async () => await this.callerServer.stopListening())
-    while (this.isBusy && clock.monotonic() < stopWaitingAt) {
+    while (this.isBusy && clock.monotonic() < plan.endsAt) {
       await delay(checkIntervalMilliseconds)
       await this.closeIdleCallers()
     }
     const abandoned = state.executions.size
     await this.runLeaveStep('end-requests', () => state.executions.close())
-    log.info('left', { abandoned, ...this.requestLog.stopCounts, total: Math.round(clock.monotonic() - startedAt) })
-    const sendUntil = stopWaitingAt + leavingSendMilliseconds
+    log.info('left', { abandoned, ...this.requestLog.stopCounts, total: Math.round(clock.monotonic() - signalledAt) })
+    const sendUntil = plan.endsAt + leavingSendMilliseconds
     while (this.isBusy && clock.monotonic() < sendUntil) await delay(checkIntervalMilliseconds)
     const closeUntil = Math.min(clock.monotonic() + leavingCloseMilliseconds, sendUntil)
     while (this.callerServer.halfClosedCount > 0 && clock.monotonic() < closeUntil) await delay(checkIntervalMilliseconds)
@@ -204,6 +212,14 @@
     }
   }
 
+  /** Upper bound of the time for which the stop signal may have waited for the event loop, in which timers come before it. */
+  private get signalDelayMilliseconds (): number {
+    const sinceTick = this.options.clock.monotonic() - this.tickedAt
+    const lateness = sinceTick < checkIntervalMilliseconds ? this.tickLateness : sinceTick - tickIntervalMilliseconds
+    // The loop may have stood still since the tick before.
+    return lateness <= checkIntervalMilliseconds ? 0 : Math.min(maximumSignalDelayMilliseconds, lateness + tickIntervalMilliseconds)
+  }
+
   /** Whether a request is expected, is being read, is under way, or waits for its answer to be sent. */
   private get isBusy (): boolean {
     return this.callerServer.awaitedCount > 0 || this.state.executions.size > 0 || this.callerServer.exchangeCount > 0 || this.linkServer.exchangeCount > 0
@@ -229,6 +245,9 @@
   }
 
   private onTick (): void {
+    const now = this.options.clock.monotonic()
+    this.tickLateness = now - this.tickedAt - tickIntervalMilliseconds
+    this.tickedAt = now
     if (this.state.records.removeLapsed()) this.adoptRecords()
     this.state.observeVersions()
     this.links.tick()
--- a/packages/gateway/src/upstreamLimit.test.ts
+++ b/packages/gateway/src/upstreamLimit.test.ts
@@ -1,7 +1,6 @@
-import { createServer } from 'node:http'
 import { toVmId } from '@cuminvale/common'
 import { describe, it } from 'vitest'
-import { callGateway, freePort, listen, sealedHead, silentLog, startTestGateway, startUpstream, testDocument, testHeaders, testRoute } from './testSupport.js'
+import { callGateway, freePort, sealedHead, silentLog, startTestGateway, startUpstream, testDocument, testHeaders, testRoute } from './testSupport.js'
 import type { CallerAnswer, ScriptedUpstream, TestGateway } from './testSupport.js'
 
 const limitPerSecond = 5
