Compare only the routing of a stream's own path when its version is concluded

Change: the routings of the last ten minutes are kept, and the path of the stream is looked up in each that may still matter. If it went to another service, nothing is concluded until such streams have ended, as before; if the time of its route was longer, that is the time looked back. Other paths don't matter: a stream is taken up on the path that it began on.

--- a/packages/gateway/src/findTakenUpStream.ts
+++ b/packages/gateway/src/findTakenUpStream.ts
@@ -5,9 +5,8 @@
  * lasts; it is never guessed.
  */
 
-import { maximumRecordAgeMilliseconds, streamKeyOf } from '@cuminvale/serving'
+import { maximumRecordAgeMilliseconds, streamKeyOf, streamLifetimeMilliseconds } from '@cuminvale/serving'
 import { originLookupMilliseconds } from './constants.js'
-import { streamLifetimeMilliseconds } from './continuesStream.js'
 import type { AdmittedRequest, StreamOrigin } from '@cuminvale/serving'
 import type { GatewayState } from './gatewayState.js'
 
@@ -21,9 +20,9 @@
   return isServed ? origin : undefined
 }
 
-const conclude = (state: GatewayState, { route, service }: AdmittedRequest): StreamOrigin | undefined => {
+const conclude = (state: GatewayState, { head, route, service }: AdmittedRequest): StreamOrigin | undefined => {
   if (route.targets.length !== 1 || !isInTouch(state)) return undefined
-  const softwareVersion = state.softwareVersions.provenVersion(service, streamLifetimeMilliseconds(route))
+  const softwareVersion = state.softwareVersions.provenVersion({ host: head.host, path: head.path, service }, streamLifetimeMilliseconds(route))
   return softwareVersion === undefined ? undefined : { service, softwareVersion }
 }
 
--- a/packages/gateway/src/gatewayState.ts
+++ b/packages/gateway/src/gatewayState.ts
@@ -207,7 +207,7 @@
       metrics.version.set(document.version)
       log.info('configuration-adopted', { version: document.version, routes: document.routes.length, teams: document.teams.length, at })
     }
-    this.streamOrigins.announceVersions(this.softwareVersions.sync(view.upstreams, this.configuration?.document.routes))
+    this.streamOrigins.announceVersions(this.softwareVersions.sync(view.upstreams, this.configuration?.routes))
     const { added, removed, leaving } = this.upstreams.sync(view.upstreams, view.evacuated)
     if (added.length + removed.length + leaving.length === 0) return
     for (const id of removed) this.longParts.forget(id)
--- a/packages/gateway/src/streamVersion.ts
+++ b/packages/gateway/src/streamVersion.ts
@@ -5,8 +5,7 @@
  * unknown, and the stream can't go on at another one.
  */
 
-import { streamKeyOf, versionLagMilliseconds } from '@cuminvale/serving'
-import { streamLifetimeMilliseconds } from './continuesStream.js'
+import { streamKeyOf, streamLifetimeMilliseconds } from '@cuminvale/serving'
 import type { AdmittedRequest, SoftwareVersion } from '@cuminvale/serving'
 import type { AnswerRelay } from './answerRelay.js'
 import type { Attempt } from './attempts.js'
@@ -53,14 +52,14 @@
 
   /** Called when data of an attempt's answer was passed on. */
   dataPassedOn (attempt: Attempt): void {
-    const { state, request: { team, service, route, attempt: attemptId }, isOfCaller, relay } = this.options
+    const { state, request: { team, service, route, head, attempt: attemptId }, isOfCaller, relay } = this.options
     if (this.fixed !== undefined || !relay.hasStreamEvents) return
     const softwareVersion = this.of(attempt)
     this.fixed = { softwareVersion }
     // Another VM took a forwarded request from its caller, and tells of it.
     if (!isOfCaller || softwareVersion === undefined) return
     // While there is one version only, all VMs conclude it, unless the route goes to several services.
-    const isConcluded = route.targets.length === 1 && state.softwareVersions.soleVersion(service, streamLifetimeMilliseconds(route) + versionLagMilliseconds) === softwareVersion
+    const isConcluded = route.targets.length === 1 && state.softwareVersions.concludedVersion({ host: head.host, path: head.path, service }, streamLifetimeMilliseconds(route)) === softwareVersion
     state.streamOrigins.recordBegin(streamKeyOf(team?.id, attemptId), { service, softwareVersion }, { isTold: !isConcluded })
   }
 }
--- a/packages/serving/src/servingConfiguration.ts
+++ b/packages/serving/src/servingConfiguration.ts
@@ -11,7 +11,7 @@
 
 export class ServingConfiguration {
   readonly version: number
-  private readonly routes: RouteTable
+  readonly routes: RouteTable
   private readonly teamsByKey = new Map<string, ServedTeam>()
   private readonly services = new Map<ServiceName, Service>()
   private readonly routePriorities = new Map<RouteName, number>()
--- a/packages/serving/src/softwareVersionHistory.test.ts
+++ b/packages/serving/src/softwareVersionHistory.test.ts
@@ -1,10 +1,11 @@
 import { SeededRandom } from '@cuminvale/common'
 import { describe, expect, it } from 'vitest'
-import { SoftwareVersionHistory, versionLagMilliseconds } from './softwareVersionHistory.js'
+import { SoftwareVersionHistory } from './softwareVersionHistory.js'
 import { ManualClock, announced, engine } from './testSupport.js'
 import type { SoftwareVersion } from './types.js'
 
 const lifetimeMilliseconds = 12_000
+const stream = { host: 'a.example', path: '/', service: engine }
 const stepMilliseconds = 250
 const expiryMilliseconds = 120_000
 
@@ -52,7 +53,7 @@
     this.vms.forEach((vm, index) => this.stepVm(vm, index))
     this.streams = this.streams.filter(({ startedAt }) => this.now - startedAt <= lifetimeMilliseconds)
     for (const { history } of this.vms.filter(({ isUp }) => isUp)) {
-      const version = history.provenVersion(engine, lifetimeMilliseconds)
+      const version = history.provenVersion(stream, lifetimeMilliseconds)
       if (version === undefined) this.unknown += 1
       else this.concluded += 1
       if (version !== undefined && this.streams.some((stream) => !stream.isTold && stream.version !== version)) this.joined += 1
@@ -93,7 +94,7 @@
     const silences = [...vm.heardAt.values()].filter((at) => this.now - at > 1_300)
     vm.history.observe({ recordAgeMilliseconds: this.now - vm.viewAt, silentSince: silences.length === 0 ? undefined : Math.min(...silences) })
     const version = vm.view[Math.floor(this.random.next() * vm.view.length)]
-    if (version !== undefined) this.streams.push({ version, startedAt: this.now, isTold: vm.history.soleVersion(engine, lifetimeMilliseconds + versionLagMilliseconds) !== version })
+    if (version !== undefined) this.streams.push({ version, startedAt: this.now, isTold: vm.history.concludedVersion(stream, lifetimeMilliseconds) !== version })
   }
 
   private hear (vm: ModelVm, index: number): void {
@@ -132,7 +133,7 @@
       clock.advance(200)
       history.observe({ recordAgeMilliseconds: 0, silentSince: undefined })
     }
-    return history.provenVersion(engine, lifetimeMilliseconds)
+    return history.provenVersion(stream, lifetimeMilliseconds)
   }
 
   // Guards against records that seem fresh, since messages from before a suspension are read after it.
@@ -142,12 +143,12 @@
     history.sync([announced('a')])
     expect(proven(clock, history)).toBe('v1')
     clock.advance(5_001)
-    expect(history.provenVersion(engine, lifetimeMilliseconds)).toBeUndefined()
+    expect(history.provenVersion(stream, lifetimeMilliseconds)).toBeUndefined()
     expect(history.observe({ recordAgeMilliseconds: 0, silentSince: undefined })).toBe(false)
-    expect(history.provenVersion(engine, lifetimeMilliseconds)).toBeUndefined()
+    expect(history.provenVersion(stream, lifetimeMilliseconds)).toBeUndefined()
     expect(proven(clock, history)).toBe('v1')
     history.interrupt()
-    expect(history.provenVersion(engine, lifetimeMilliseconds)).toBeUndefined()
+    expect(history.provenVersion(stream, lifetimeMilliseconds)).toBeUndefined()
     expect(proven(clock, history)).toBe('v1')
   })
 })
--- a/packages/serving/src/softwareVersionHistory.ts
+++ b/packages/serving/src/softwareVersionHistory.ts
@@ -6,8 +6,11 @@
  * VM that it didn't hear may have known another version.
  */
 
+import { RoutingHistory } from './routingHistory.js'
 import type { Clock } from '@cuminvale/common'
-import type { AnnouncedUpstream, Route, ServiceName, SoftwareVersion } from './types.js'
+import type { RouteTable } from './routeTable.js'
+import type { RoutedStream } from './routingHistory.js'
+import type { AnnouncedUpstream, ServiceName, SoftwareVersion } from './types.js'
 
 /** Time for which versions that are announced no longer are remembered. */
 const memoryMilliseconds = 600_000
@@ -40,6 +43,7 @@
 export class SoftwareVersionHistory {
   /** Monotonic times at which each version was last announced; Infinity while it is. */
   private readonly lastAnnouncedAt = new Map<ServiceName, Map<SoftwareVersion, number>>()
+  private readonly routing = new RoutingHistory(versionLagMilliseconds, memoryMilliseconds)
   /** Time since which the announcements and the routing are known. */
   private knownSince = Infinity
   /** Time since which the records were never old and this VM never paused. */
@@ -47,7 +51,6 @@
   private observedAt: number
   private clockLead: number
   private suspectUntil = -Infinity
-  private routing: string | undefined
   private silences: Silence[] = []
 
   constructor (private readonly clock: Clock) {
@@ -56,12 +59,11 @@
   }
 
   /** Applies the announcements and the routing. Returns the versions that are announced and were not before. */
-  sync (announced: readonly AnnouncedUpstream[], routes: readonly Route[] = []): readonly AnnouncedVersion[] {
+  sync (announced: readonly AnnouncedUpstream[], routing?: RouteTable): readonly AnnouncedVersion[] {
     const added: AnnouncedVersion[] = []
     const now = this.clock.monotonic()
-    const routing = JSON.stringify(routes.map(({ host, pathPrefix, kind, isResumable, timeoutMilliseconds, targets }) => [host, pathPrefix, kind, isResumable, timeoutMilliseconds, targets.map(({ service }) => service)]))
-    if (routing !== this.routing) this.knownSince = now
-    this.routing = routing
+    if (this.knownSince === Infinity) this.knownSince = now
+    this.routing.sync(routing, now)
     const previous = new Map([...this.lastAnnouncedAt].map(([service, versions]) => [service, new Map(versions)]))
     for (const versions of this.lastAnnouncedAt.values()) {
       for (const [version, at] of versions) {
@@ -116,17 +118,24 @@
     return recent.length === 1 ? recent[0]?.[0] : undefined
   }
 
+  /** The version that all VMs will conclude for a stream that begins now; undefined if there is none. */
+  concludedVersion (stream: RoutedStream, lifetimeMilliseconds: number): SoftwareVersion | undefined {
+    const longest = this.routing.longestLifetime(stream, lifetimeMilliseconds, this.clock.monotonic())
+    return longest === undefined ? undefined : this.soleVersion(stream.service, longest + versionLagMilliseconds)
+  }
+
   /**
-   * The version at which all streams of a service began that go on. Other VMs
+   * The version at which all streams on a path began that go on. Other VMs
    * learn of a version with the delay of their records; one that is not heard
    * may still serve a version that it knew when it was last heard.
    */
-  provenVersion (service: ServiceName, lifetimeMilliseconds: number): SoftwareVersion | undefined {
+  provenVersion (stream: RoutedStream, lifetimeMilliseconds: number): SoftwareVersion | undefined {
     const now = this.clock.monotonic()
-    if (!this.isCurrent || this.hasClockJumped || now < this.suspectUntil) return undefined
-    const silentSince = this.silences.filter(({ until }) => until >= now - lifetimeMilliseconds).map(({ since }) => since)
-    const provenSince = Math.min(now, ...silentSince) - lifetimeMilliseconds - versionLagMilliseconds
-    return this.completeSince > provenSince ? undefined : this.soleVersion(service, now - provenSince)
+    const longest = this.routing.longestLifetime(stream, lifetimeMilliseconds, now)
+    if (longest === undefined || !this.isCurrent || this.hasClockJumped || now < this.suspectUntil) return undefined
+    const silentSince = this.silences.filter(({ until }) => until >= now - longest).map(({ since }) => since)
+    const provenSince = Math.min(now, ...silentSince) - longest - versionLagMilliseconds
+    return this.completeSince > provenSince ? undefined : this.soleVersion(stream.service, now - provenSince)
   }
 
   /** The time of day stands for the clock of the machine, since the steady clock of a suspended VM stands still. */
