--- a/packages/gateway/src/gatewayProcess.ts
+++ b/packages/gateway/src/gatewayProcess.ts
@@ -189,7 +189,9 @@
     await this.runLeaveStep('end-requests', () => state.executions.close())
     log.info('left', { abandoned, ...this.requestLog.stopCounts, total: Math.round(clock.monotonic() - signalledAt) })
     const sendUntil = plan.endsAt + leavingSendMilliseconds
-    while (this.isBusy && clock.monotonic() < sendUntil) await delay(checkIntervalMilliseconds)
+    // Once at least: requests that were read last still wait for their refusal.
+    do await delay(checkIntervalMilliseconds)
+    while (this.isBusy && clock.monotonic() < sendUntil)
     const closeUntil = Math.min(clock.monotonic() + leavingCloseMilliseconds, sendUntil)
     while (this.callerServer.halfClosedCount > 0 && clock.monotonic() < closeUntil) await delay(checkIntervalMilliseconds)
     await this.runLeaveStep('cut-unsent', () => this.callerServer.cutUnsent())
