Name the attempt in the first frame of a forwarded answer

What callers saw: 503, "not run", for an order that another VM has run, if that VM's earlier refusal stands once more where its answer is expected. Cause: frames were bound to their request by the connection alone. Evidence: malformedForwards.test.ts, "the next forward on the connection", which failed with 503 (502 is expected). Change: the frame that confirms receipt names the attempt; another one makes the answer malformed, and the request fails as one that may have run. VMs of an earlier version send that frame without content, which is accepted, and don't read its content. After: it passes; forwarding, forwardFrames, endlessForwards, leaving and streamVersions pass unchanged. Each forwarded answer is longer by its attempt's id. Copies by VMs of an earlier version are not told.

--- a/packages/gateway/src/answerFrames.ts
+++ b/packages/gateway/src/answerFrames.ts
@@ -8,6 +8,7 @@
 import { AnswerFailureKind } from './answerSink.js'
 import { FrameKind, decodePackedContent } from './forwardFrames.js'
 import type { Refusal } from '@cuminvale/common'
+import type { AttemptId } from '@cuminvale/serving'
 import type { Frame, ForwardedFailure, ForwardedHead } from './forwardFrames.js'
 
 export type AnswerFrame =
@@ -20,19 +21,27 @@
 
 const failureKinds: readonly unknown[] = Object.values(AnswerFailureKind)
 
-/** Undefined for a frame that is malformed or out of turn. */
-export const readAnswerFrame = (frame: Frame, { isAnswered }: { readonly isAnswered: boolean }): AnswerFrame | undefined => {
+export interface ExpectedAnswer {
+  /** Attempt of the request that was forwarded. */
+  readonly attempt: AttemptId | undefined
+  /** Whether the head of its answer was read. */
+  readonly isAnswered: boolean
+}
+
+/** Undefined for a frame that is malformed, out of turn, or of the answer to another request. */
+export const readAnswerFrame = (frame: Frame, expected: ExpectedAnswer): AnswerFrame | undefined => {
   try {
-    return readFrame(frame, isAnswered)
+    return readFrame(frame, expected)
   } catch {
     return undefined
   }
 }
 
-const readFrame = (frame: Frame, isAnswered: boolean): AnswerFrame | undefined => {
+const readFrame = (frame: Frame, { attempt, isAnswered }: ExpectedAnswer): AnswerFrame | undefined => {
   switch (frame.kind) {
     case FrameKind.Received:
-      return { kind: FrameKind.Received }
+      // VMs of an earlier version name no attempt.
+      return frame.content.length === 0 || frame.content.toString() === attempt ? { kind: FrameKind.Received } : undefined
     case FrameKind.Data:
     case FrameKind.End:
       return isAnswered ? { kind: frame.kind } : undefined
--- a/packages/gateway/src/forwardCall.ts
+++ b/packages/gateway/src/forwardCall.ts
@@ -12,7 +12,7 @@
 import { DetachedCalls } from './detachedCalls.js'
 import { detachedRunTimeoutMilliseconds, discardedAnswerTimeoutMilliseconds, forwardReceiptTimeoutMilliseconds, maximumDiscardedAnswerBytes } from './constants.js'
 import type { Clock, Refusal } from '@cuminvale/common'
-import type { AdmittedRequest, SoftwareVersion } from '@cuminvale/serving'
+import type { AdmittedRequest, AttemptId, SoftwareVersion } from '@cuminvale/serving'
 import type { Dispatcher, Pool } from 'undici'
 import type { Frame, ForwardedHead } from './forwardFrames.js'
 import type { DetachOptions } from './upstreamCall.js'
@@ -61,6 +61,7 @@
   private isReceiptConfirmed = false
   private isAborted = false
   private sentAt = 0
+  private attempt: AttemptId | undefined
 
   constructor (private readonly options: ForwardCallOptions) {
     this.timeLimits = new DetachedCalls(options.clock)
@@ -68,6 +69,7 @@
 
   send ({ request, body, remainingMilliseconds, onTimeMilliseconds, attemptsLeft, resumeAfter, softwareVersion }: ForwardOptions): void {
     this.sentAt = this.options.clock.monotonic()
+    this.attempt = request.attempt
     const envelope = { request, remainingMilliseconds, onTimeMilliseconds, attemptsLeft, resumeAfter, softwareVersion }
     this.options.pool.dispatch({ method: 'POST', path: forwardPath, body: encodeForward(envelope, body) }, this)
   }
@@ -149,7 +151,7 @@
 
   /** Fails the request on a frame that can't be read, or doesn't belong here; undici would close the connection on an exception, and the listener might wait for ever. */
   private handleFrame (frame: Frame): boolean {
-    const answer = readAnswerFrame(frame, { isAnswered: this.isAnswered })
+    const answer = readAnswerFrame(frame, { attempt: this.attempt, isAnswered: this.isAnswered })
     const { listener } = this.options
     switch (answer?.kind) {
       case FrameKind.Received:
--- a/packages/gateway/src/forwardServer.ts
+++ b/packages/gateway/src/forwardServer.ts
@@ -86,7 +86,7 @@
     const { envelope, body } = decodeForward(message)
     const { state } = this
     response.writeHead(200)
-    response.write(encodeFrame(FrameKind.Received))
+    response.write(encodeFrame(FrameKind.Received, Buffer.from(envelope.request.attempt)))
     const yieldsToMoreUrgent = state.configuration?.yieldsToMoreUrgent(envelope.request.route, envelope.request.service) ?? false
     const request = { ...envelope.request, yieldsToMoreUrgent }
     const sink = new ForwardAnswerSink(response)
--- a/packages/gateway/src/malformedForwards.test.ts
+++ b/packages/gateway/src/malformedForwards.test.ts
@@ -107,7 +107,7 @@
 
 describe('a refusal of another VM that is written once more', () => {
   // Guards against an order that is refused though the VM it was forwarded to has run it.
-  it.fails('is not taken for the answer to the next forward on the connection', async () => {
+  it('is not taken for the answer to the next forward on the connection', async () => {
     running = await startTestGateway(testDocument([testRoute()]), [])
     const answerTo = (attempt: string, ...frames: readonly Buffer[]): Buffer => {
       const body = Buffer.concat([encodeFrame(FrameKind.Received, Buffer.from(attempt)), ...frames])
