--- a/packages/daemon/src/upstreamClient.test.ts
+++ b/packages/daemon/src/upstreamClient.test.ts
@@ -58,6 +58,19 @@
     expect(servedPaths.filter((path) => path === '/order')).toHaveLength(1)
   })
 
+  // Guards against an earlier answer, written once more on a kept connection, that counts as the outcome of an order.
+  it('reads no earlier answer as that of an order', async () => {
+    const earlier = new WeakMap<Socket, string>()
+    server.removeAllListeners('request')
+    server.on('request', ({ socket, url = '' }) => {
+      const answer = `HTTP/1.1 200 OK\r\ncontent-length: ${url.length}\r\n\r\n${url}`
+      socket.write((earlier.get(socket) ?? '') + answer)
+      earlier.set(socket, answer)
+    })
+    expect(await exchange('/warm', false)).toBe('/warm')
+    expect([await exchange('/first', true), await exchange('/second', true)]).toEqual(['/first', '/second'])
+  })
+
   it('reports "not sent" only if no connection was established', async () => {
     server.removeAllListeners('request')
     server.on('request', (incoming) => incoming.socket.destroy())
