--- a/packages/gateway/src/malformedForwards.test.ts
+++ b/packages/gateway/src/malformedForwards.test.ts
@@ -116,6 +116,7 @@
     const refused = frame(FrameKind.Refused, { reason: 'no-upstream', outcome: 'not-run', detail: 'full' })
     let forwards = 0
     await startPeer(running, (request) => {
+      if (request.url !== forwardPath) return
       forwards += 1
       if (forwards > 1) request.socket.write(answerTo('a1', refused))
       request.socket.write(forwards > 1 ? answerTo('a2', frame(FrameKind.Head, head), data, end) : answerTo('a1', refused))
