Wait in the tests of the stop for what they need, and not for a time

On a machine with a load of 10 to 18 on 8 cores, three of the new tests failed now and then: a request that was meant to be sent before the signal was read after it, an upstream without an answer for 1.2 s counted as silent, and the end of the grace was assumed at a time of its own although it is counted from the signal. They wait for the head of the stream, and for StopPlan.endsAt, now.

--- a/packages/gateway/src/stopLog.test.ts
+++ b/packages/gateway/src/stopLog.test.ts
@@ -17,14 +17,15 @@
 }
 
 const orders = testRoute({ timeoutMilliseconds: 9_000, objectiveMilliseconds: 100 })
-const shortGrace = { bounds: { ...testSettings.bounds, leavingGraceMilliseconds: 3_600 } }
+const streams = testRoute({ pathPrefix: '/streams/', kind: 'stream', timeoutMilliseconds: 9_000 })
+const shortGrace = { bounds: { ...testSettings.bounds, leavingGraceMilliseconds: 5_000 } }
 
 // Guards against cut requests of which no log tells when, after the stop signal, they were read, who sent them on, and whether the other VM stopped too (docs/incidents/lost2.md).
 describe.concurrent('the log and the metrics of a VM that stops', () => {
   it('tell when a request was received, which one was cut, and how many there were', async () => {
-    const vm = await start({ routes: [orders], settings: shortGrace })
+    const vm = await start({ routes: [orders, streams], settings: shortGrace })
     const before = openKeptCaller(vm.port)
-    before.send('/orders/9000', 'before')
+    before.send('/streams/9000', 'before')
     // More than the signal is taken to have waited on a busy machine.
     await wait(1_100)
     const stopped = stopLikeProcess(vm)
@@ -35,7 +36,7 @@
     expect(lineOf('before')).toMatchObject({ outcome: 'abandoned', sinceStop: expect.toSatisfy((value: number) => value < 0) as number })
     expect(lineOf('after')).toMatchObject({ outcome: 'answered', sinceStop: expect.toSatisfy((value: number) => value >= 150) as number })
     expect(vm.lines.find(({ event }) => event === 'left')?.fields).toMatchObject({ abandoned: 1, received: 1, refused: 0, cut: 1 })
-    expect(await vm.gateway.metricsText()).toContain('cuminvale_gateway_stop_cuts_total{kind="order"} 1')
+    expect(await vm.gateway.metricsText()).toContain('cuminvale_gateway_stop_cuts_total{kind="stream"} 1')
   })
 
   it('name the VM that forwarded a request, and whether the VM of a broken forward was known to stop', async () => {
--- a/packages/gateway/src/stopWork.test.ts
+++ b/packages/gateway/src/stopWork.test.ts
@@ -1,7 +1,7 @@
 import { runtimeClock } from '@cuminvale/common'
 import { afterAll, describe, expect, it } from 'vitest'
 import { callGateway, sealedHead, startUpstream, testHeaders, testRoute, testSettings, wait } from './testSupport.js'
-import { answersAfterPath, openKeptCaller, reportSouth, startStopGateway, stopLikeProcess } from './stopTestSupport.js'
+import { openKeptCaller, reportSouth, startStopGateway, stopLikeProcess } from './stopTestSupport.js'
 import type { UpstreamScript } from './testSupport.js'
 import type { KeptCaller, StopGateway, StopGatewayOptions } from './stopTestSupport.js'
 
@@ -34,7 +34,11 @@
 }
 
 /** Keeps a VM from ending early, as it has nothing to do. */
-const keepBusy = (vm: StopGateway): void => openKeptCaller(vm.port).send('/streams/6900', 'busy')
+const keepBusy = async (vm: StopGateway): Promise<void> => {
+  const caller = openKeptCaller(vm.port)
+  caller.send('/streams/6900', 'busy')
+  while (!caller.seen.text.includes('data: first')) await wait(10)
+}
 
 /** How the last request on each connection ended; "refused" means not run, with a time to return, and a connection that closes. */
 const endings = (callers: readonly KeptCaller[]): readonly string[] => callers.map(({ seen: { text } }) => {
@@ -105,8 +109,7 @@
     const south = await start({ vm: 'vm-2', regionName: 'south' })
     const north = await start({ upstreams: [] })
     cleanups.push(reportSouth(north, [south]))
-    keepBusy(south)
-    await wait(100)
+    await keepBusy(south)
     const stopped = [stopLikeProcess(south)]
     await wait(1_000)
     stopped.push(stopLikeProcess(north))
@@ -126,8 +129,7 @@
     const staying = await start({ vm: 'vm-3', regionName: 'south' })
     const north = await start({ upstreams: [] })
     cleanups.push(reportSouth(north, [leaving, staying]))
-    keepBusy(leaving)
-    await wait(100)
+    await keepBusy(leaving)
     const stopped = stopLikeProcess(leaving)
     await wait(3_500)
     const answers = Array.from({ length: 4 }, async (_, index) => await callGateway({ port: north.port, path: '/streams/4600', attempt: `a${index}`, headers: { 'x-deadline': '5000' } }))
@@ -140,7 +142,7 @@
   it('still serves a request that ends within the grace on a kept connection: an order, a safe request, a stream of a route whose streams are short', async () => {
     const vm = await start({ routes: routes.map((route) => ({ ...route, objectiveMilliseconds: 400 })) })
     const callers = ['/orders/300', '/reads/300', '/streams/resumable/300'].map((next) => sendAfterStream(vm, 4_200, next))
-    for (let sent = 0; sent < 20; sent += 1) await callGateway({ port: vm.port, path: '/streams/resumable/10', attempt: `b${sent}` })
+    for (let sent = 0; sent < 40; sent += 1) await callGateway({ port: vm.port, path: '/streams/resumable/10', attempt: `b${sent}` })
     await stopLikeProcess(vm)
     expect(endings(callers)).toEqual(callers.map(() => expect.stringMatching(/served|unread/) as string))
     expect(pathsOf(vm)).toContain('/streams/resumable/300')
@@ -158,22 +160,26 @@
   const settings = { bounds: { ...testSettings.bounds, leavingGraceMilliseconds: graceMilliseconds } }
 
   it('passes on the answers that wait in its sockets, and answers the requests that wait there', async () => {
-    let answer = (): void => { /* set by the request */ }
+    const held: Array<() => void> = []
     const vm = await start({
       settings,
-      script: (request, response, body) => {
-        if (request.url === '/orders/held') answer = () => response.writeHead(200, sealedHead(request)).end('done')
-        else answersAfterPath(request, response, body)
+      script: (request, response) => {
+        const isStream = request.url === '/streams/held'
+        if (isStream) response.writeHead(200, { ...sealedHead(request), 'content-type': 'text/event-stream' }).write('id: 1\ndata: first\n\n')
+        held.push(() => isStream ? response.end() : response.writeHead(200, sealedHead(request)).end('done'))
       }
     })
-    const answered = callGateway({ port: vm.port, path: '/orders/held' })
     const caller = openKeptCaller(vm.port)
-    caller.send('/streams/2750', 'first')
-    await wait(50)
+    caller.send('/streams/held', 'first')
+    while (!caller.seen.text.includes('data: first')) await wait(10)
+    const answered = callGateway({ port: vm.port, path: '/orders/held' })
+    while (held.length < 2) await wait(10)
     const stopped = stopLikeProcess(vm)
+    await wait((vm.gateway.state.stopPlan?.endsAt ?? 0) - 100 - runtimeClock.monotonic())
+    held[0]?.()
     await caller.ended(1)
     caller.send('/orders/1', 'next', 5_000)
-    answer()
+    held[1]?.()
     block(1_000)
     await stopped
     expect(await answered).toMatchObject({ status: 200, body: 'done' })
