--- a/packages/serving/src/answerDurations.ts
+++ b/packages/serving/src/answerDurations.ts
@@ -10,9 +10,11 @@
 type DurationRoute = Pick<Route, 'name' | 'kind' | 'objectiveMilliseconds'>
 
 /** Answers of a route from which on the quantile is used. */
-const settledAnswers = 20
+const settledAnswers = 40
 /** Share of the answers that may take longer than the estimate. */
-const exceededShare = 0.01
+const exceededShare = 0.005
+/** Factor for the error of the estimate itself, which few answers determine. */
+const estimateAllowance = 1.1
 /** Step of the logarithm of the ratio by an answer that took longer. */
 const stepSize = 0.3
 /** Multiple of the objective within which a request whose route has had few answers is expected to end, unless it is a stream: the objective of a stream is the time to its first event. */
@@ -42,7 +44,7 @@
   /** Time within which nearly all requests of a route end that were predicted to take a time; Infinity if that isn't known. */
   boundMilliseconds ({ name, kind, objectiveMilliseconds }: DurationRoute, predictedMilliseconds: number): number {
     const known = this.ratios.get(name)
-    const seenMilliseconds = known === undefined ? 0 : Math.max(1, predictedMilliseconds) * Math.exp(known.logRatio)
+    const seenMilliseconds = known === undefined ? 0 : Math.max(1, predictedMilliseconds) * Math.exp(known.logRatio) * estimateAllowance
     if (known !== undefined && known.answers >= settledAnswers) return seenMilliseconds
     return kind === RequestKind.Stream ? Infinity : Math.max(seenMilliseconds, objectiveMilliseconds * unseenObjectives)
   }
