--- a/packages/gateway/src/gatewayCallerServer.ts
+++ b/packages/gateway/src/gatewayCallerServer.ts
@@ -69,17 +69,11 @@
   }
 
   abort (): void {
-<<<<<<< HEAD
     this.cutAnswers.record(this.response)
-    // Without chunks, a caller of HTTP/1.0 takes an orderly close for the end of the answer.
-    if (this.response.chunkedEncoding) this.response.destroy()
-    else this.response.socket?.resetAndDestroy()
-=======
     const { chunkedEncoding, socket } = this.response
     // Without chunks, a caller of HTTP/1.0 takes an orderly close for the end of the answer. One that waits for an earlier answer has no socket, and sends nothing.
     if (chunkedEncoding || socket === null) this.response.destroy()
     else socket.resetAndDestroy()
->>>>>>> broken
   }
 
   private close (status: number, headers: string[], text: string): void {
