--- a/packages/gateway/src/constants.ts
+++ b/packages/gateway/src/constants.ts
@@ -122,6 +122,8 @@
 export const discardedBodyTimeoutMilliseconds = 3_000
 /** Time in which the caller of a connection that was refused unread must close it. */
 export const refusedConnectionTimeoutMilliseconds = 1_000
+/** Time from the last answer in which a caller must close a connection whose close was announced; what it sends meanwhile is discarded. */
+export const halfClosedTimeoutMilliseconds = 3_000
 /**
  * Connections of callers that may wait to be accepted. Libuv accepts one in each turn of the event loop, some 250 a second on a busy VM, so that 64 wait
  * for a quarter of a second. With 1024, callers had left before their connections were accepted. Those beyond it give up after a second and use another VM.
@@ -131,12 +133,18 @@
 export const linkBacklog = 1_024
 /** Time from the stop signal until idle connections are closed; callers have learnt by then that this VM is leaving. */
 export const leavingIdleCloseMilliseconds = 700
-/** Time from the stop signal until the VM stops listening; the callers' lists of VMs have expired by then. */
+/** Longest time from the stop signal until the VM stops listening; the callers' lists of VMs have expired by then. */
 export const leavingListenMilliseconds = 2_500
+/** Time after which a caller should take a request to another VM that this one refused since it stops. */
+export const leavingRetryMilliseconds = 50
+/** Longest time for which the stop signal is taken to have waited for a busy event loop; after a longer standstill, the VM was suspended, and the signal may have come at its end. */
+export const maximumSignalDelayMilliseconds = 1_000
 /** Part of the grace period that is reserved for the last answers to reach their callers. */
 export const leavingAnswerReserveMilliseconds = 800
 /** Part of that reserve in which the answers may still be sent; the rest is for the end of the process. */
 export const leavingSendMilliseconds = 400
+/** Time for which the end of the process waits for callers to close connections whose answers were sent. */
+export const leavingCloseMilliseconds = 1_000
 /** Time after the start in which a VM may not have heard of the others yet; links are up within two round trips between regions. */
 export const peerDiscoveryMilliseconds = 1_500
 /** Longest time that a request waits for the first messages of other VMs. */
@@ -181,3 +189,5 @@
 export const declineFailureWeight = 0.5
 /** HTTP 421: another upstream has taken over the address. */
 export const misdirectedStatus = 421
+/** HTTP 503: the upstream can't take the request. */
+export const refusedStatus = 503
--- a/packages/gateway/src/eventBoundaryBuffer.ts
+++ b/packages/gateway/src/eventBoundaryBuffer.ts
@@ -3,11 +3,12 @@
  * of the last complete event, so that a broken stream can be resumed after it.
  */
 
+import { ContinuedEvents, endWithId, lastIdIn } from './continuedEvents.js'
+
 const lineFeed = 10
 const carriageReturn = 13
 /** Bytes of a blank line and the line ending before it that an earlier chunk may hold. */
 const maximumBoundaryBytes = 4
-const idFieldPattern = /^id: ?(.*)$/gm
 const idFieldStarts = ['\nid:', '\rid:'] as const
 const completeCommentsPattern = /^(?:(?::[^\r\n]*)?(?:\r?\n|\r(?!$)))*$/
 const maximumEventBytes = 1_048_576
@@ -19,7 +20,37 @@
   private heldBytes = 0
   /** The newest complete events among which one has an id, as they were returned. */
   private lastEventsWithId: Buffer | undefined
+  /** The newest complete events, as they were returned. */
+  private lastEvents: Buffer | undefined
   private hasEvents = false
+  /** Checks the events of an answer that continues the stream; undefined during the first one. */
+  private continuation: ContinuedEvents | undefined
+  private hasForeignEvents = false
+  private hasEventsOfAnswer = false
+  private hasLostEvent = false
+
+  /** Whether what has come does not continue the stream; it is not returned then. */
+  get isDiscontinuous (): boolean {
+    return this.hasForeignEvents
+  }
+
+  /** Begins with another answer, whose events must come after the one with the id; undefined if there is none. */
+  continueAfter (id: string | undefined): void {
+    this.discardPartialEvent()
+    this.continuation = new ContinuedEvents(id)
+    this.hasForeignEvents = false
+    this.hasEventsOfAnswer = false
+  }
+
+  /** Whether the answer under way has brought a complete event. */
+  get hasAnswerEvents (): boolean {
+    return this.hasEventsOfAnswer
+  }
+
+  /** Whether an event that an earlier answer had begun has not come yet. */
+  get owesEvent (): boolean {
+    return this.hasLostEvent
+  }
 
   /** Adds a chunk; returns the buffered bytes up to the last event boundary, or undefined if there is none. */
   push (chunk: Buffer): Buffer | undefined {
@@ -29,8 +60,11 @@
     if (end === 0) return undefined
     this.hold(buffer.subarray(end))
     const completeEvents = buffer.subarray(0, end)
-    this.hasEvents ||= !hasOnlyComments(completeEvents)
-    if (hasIdField(completeEvents)) this.lastEventsWithId = completeEvents
+    if (this.continuation?.accept(completeEvents) === false) this.hasForeignEvents = true
+    if (this.hasForeignEvents) return undefined
+    this.recordEvents(completeEvents)
+    if (hasIdField(completeEvents)) this.lastEventsWithId = this.lastEvents = completeEvents
+    else if (!hasOnlyComments(completeEvents)) this.lastEvents = completeEvents
     return completeEvents
   }
 
@@ -61,13 +95,24 @@
 
   /** Discards a partial event before the stream is resumed on another upstream. */
   discardPartialEvent (): void {
+    this.hasLostEvent ||= this.isInsideEvent
     this.hold(emptyBuffer)
   }
 
   /** Id of the last complete event that has one. */
   get lastEventId (): string | undefined {
-    const text = this.lastEventsWithId?.toString('latin1').replaceAll(/\r\n|\r/g, '\n') ?? ''
-    return [...text.matchAll(idFieldPattern)].at(-1)?.[1]?.trim()
+    return lastIdIn(this.lastEventsWithId?.toString('latin1') ?? '')
+  }
+
+  private recordEvents (completeEvents: Buffer): void {
+    if (this.hasEventsOfAnswer || hasOnlyComments(completeEvents)) return
+    this.hasEvents = this.hasEventsOfAnswer = true
+    this.hasLostEvent = false
+  }
+
+  /** Whether the stream can be resumed after this id. */
+  get endsWithId (): boolean {
+    return this.lastEvents !== undefined && endWithId(this.lastEvents)
   }
 
   /** Replaces the held bytes by a buffer, which is not written to. */
--- a/packages/gateway/src/exchangeServer.ts
+++ b/packages/gateway/src/exchangeServer.ts
@@ -6,9 +6,9 @@
  */
 
 import { Server, STATUS_CODES } from 'node:http'
-import { maximumDiscardedBodyBytes, refusedConnectionTimeoutMilliseconds } from './constants.js'
+import { Socket } from 'node:net'
+import { halfClosedTimeoutMilliseconds, maximumDiscardedBodyBytes, refusedConnectionTimeoutMilliseconds } from './constants.js'
 import type { IncomingMessage, RequestListener, ServerOptions, ServerResponse } from 'node:http'
-import type { Socket } from 'node:net'
 
 /** As Node's: a request that was sent within the promised time still finds the connection open. */
 const idleTimeoutMarginMilliseconds = 1_000
@@ -26,6 +26,8 @@
   isClosing: boolean
   /** Whether nothing more can be read, so that the connection closes after the answers to the requests that were read. */
   isUnreadable: boolean
+  /** Whether its last answer and the end of its side were sent, and it waits for the caller to close the other side. */
+  isHalfClosed: boolean
 }
 
 /** Statuses by the code of the error that ended the reading, as Node's; any other error means a malformed request. */
@@ -44,7 +46,7 @@
     super(options)
     this.on('connection', (socket: Socket) => {
       this.acceptedCount += 1
-      this.openConnections.set(socket, { exchanges: new Set(), openedAt: performance.now(), bytesReadAtEnd: undefined, isClosing: false, isUnreadable: false })
+      this.openConnections.set(socket, { exchanges: new Set(), openedAt: performance.now(), bytesReadAtEnd: undefined, isClosing: false, isUnreadable: false, isHalfClosed: false })
       socket.once('close', () => this.onClose(socket))
     })
     if (refuseConnection !== undefined) this.screenConnections(refuseConnection)
@@ -67,15 +69,29 @@
 
   get exchangeCount (): number {
     let count = 0
-    for (const { exchanges } of this.openConnections.values()) count += exchanges.size
+    for (const { exchanges, isHalfClosed } of this.openConnections.values()) count += isHalfClosed ? 0 : exchanges.size
     return count
   }
 
   /** Connections on which a part of a request was read, and new ones whose first request may be on its way. */
   get awaitedCount (): number {
     const newSince = performance.now() - firstRequestMilliseconds
-    return [...this.openConnections].filter(([socket, { exchanges, openedAt, bytesReadAtEnd }]) =>
-      exchanges.size === 0 && socket.bytesRead !== bytesReadAtEnd && (socket.bytesRead > 0 || openedAt >= newSince)).length
+    return [...this.openConnections].filter(([socket, { exchanges, openedAt, bytesReadAtEnd, isHalfClosed }]) =>
+      exchanges.size === 0 && !isHalfClosed && socket.bytesRead !== bytesReadAtEnd && (socket.bytesRead > 0 || openedAt >= newSince)).length
+  }
+
+  get connectionCount (): number {
+    return this.openConnections.size
+  }
+
+  /** Answers that were not handed to the operating system, on connections that can still send them. */
+  get unsentAnswers (): readonly ServerResponse[] {
+    return [...this.openConnections.values()].flatMap(({ exchanges, isHalfClosed }) => isHalfClosed ? [] : [...exchanges].filter(({ writableFinished }) => !writableFinished))
+  }
+
+  /** Connections whose answers were sent, and whose callers haven't closed them yet. */
+  get halfClosedCount (): number {
+    return [...this.openConnections.values()].filter(({ isHalfClosed }) => isHalfClosed).length
   }
 
   /** Resolves once no connection waits to be accepted, or after a time. The event loop accepts only one or a few each time that it polls. */
@@ -89,20 +105,24 @@
 
   /** Closes the connections that have had an exchange and are in none; Node calls this too when the server stops listening. */
   override closeIdleConnections (): void {
-    for (const [socket, { exchanges, bytesReadAtEnd }] of this.openConnections) {
-      if (exchanges.size === 0 && socket.bytesRead === bytesReadAtEnd) socket.destroy()
+    for (const [socket, { exchanges, bytesReadAtEnd, isHalfClosed }] of this.openConnections) {
+      if (exchanges.size === 0 && !isHalfClosed && socket.bytesRead === bytesReadAtEnd) socket.destroy()
     }
   }
 
   /**
    * Whether the answer may announce that its connection closes, which is so if no
    * later request was read there. Requests that come after that are ignored:
-   * their answers could not be sent (RFC 9112, section 9.6).
+   * their answers could not be sent. Once the answer was sent, only this side of
+   * the connection is closed (RFC 9112, section 9.6).
    */
   announceClose (response: ServerResponse): boolean {
     const connection = this.openConnections.get(response.req.socket)
     if (connection === undefined || [...connection.exchanges].at(-1) !== response) return false
     connection.isClosing = true
+    const { socket } = response.req
+    // Node calls this after the answer.
+    socket.destroySoon = () => halfClose(socket, connection, halfClosedTimeoutMilliseconds)
     return true
   }
 
@@ -129,21 +149,32 @@
     const hasAnswer = [...connection?.exchanges ?? []].some(({ headersSent }) => headersSent)
     const status = statusByReadError[code] ?? malformedStatus
     if (socket.writable && !hasAnswer) socket.write(`HTTP/1.1 ${status} ${STATUS_CODES[status] ?? ''}\r\nConnection: close\r\n\r\n`)
-    socket.destroy()
+    closeUnreadable(socket, connection)
   }
 
   /** False if the request is to be ignored. */
   private beginExchange (request: IncomingMessage, response: ServerResponse): boolean {
     const { socket } = request
     const connection = this.openConnections.get(socket)
-    if (connection === undefined || connection.isClosing) return false
+    if (connection === undefined || connection.isClosing) {
+      // An unread body would stop the reading of the connection.
+      request.resume()
+      return false
+    }
     connection.exchanges.add(response)
+    if (!response.shouldKeepAlive && hasBody(request)) {
+      // Node calls this after the answer, which may be a refusal that comes before the end of the body.
+      socket.destroySoon = () => {
+        if (request.complete) Socket.prototype.destroySoon.call(socket)
+        else halfClose(socket, connection, halfClosedTimeoutMilliseconds)
+      }
+    }
     let partsUnderWay = 2
     const endPart = (): void => {
       partsUnderWay -= 1
       if (partsUnderWay > 0) return
       connection.exchanges.delete(response)
-      if (connection.isUnreadable && !hasReadRequest(connection)) socket.destroy()
+      if (connection.isUnreadable && !hasReadRequest(connection)) closeUnreadable(socket, connection)
     }
     request.once('close', () => {
       connection.bytesReadAtEnd = socket.bytesRead
@@ -156,13 +187,41 @@
   }
 }
 
-/** Sends the answer and its end. What the caller sends is discarded until its end, since closing with unread data would reset the connection, and the caller could lose the answer. */
+/** Sends the answer and its end. */
 const refuseUnread = (socket: Socket, answer: string): void => {
-  const timer = setTimeout(() => socket.destroy(), refusedConnectionTimeoutMilliseconds)
   socket.on('error', () => { /* 'close' follows */ })
+  socket.write(answer)
+  discardUntilClosed(socket, refusedConnectionTimeoutMilliseconds)
+}
+
+/** Closes a connection on which nothing more can be read, visibly incomplete if an answer is under way. */
+const closeUnreadable = (socket: Socket, connection: Connection | undefined): void => {
+  if (connection === undefined || connection.exchanges.size > 0 || !socket.writable) socket.destroy()
+  else halfClose(socket, connection, refusedConnectionTimeoutMilliseconds)
+}
+
+/** Ends this side of a connection after its last answer. */
+const halfClose = (socket: Socket, connection: Connection, timeoutMilliseconds: number): void => {
+  if (connection.isHalfClosed) return
+  connection.isClosing = true
+  connection.isHalfClosed = true
+  // Ends the parsing of requests.
+  socket.removeAllListeners('data')
+  discardUntilClosed(socket, timeoutMilliseconds)
+}
+
+/**
+ * Ends this side of a connection. What the caller sends is discarded until its
+ * end, within a time and a number of bytes: closing with unread data would reset
+ * the connection, and the caller could lose the answer.
+ */
+const discardUntilClosed = (socket: Socket, timeoutMilliseconds: number): void => {
+  const maximumBytes = socket.bytesRead + maximumDiscardedBodyBytes
+  const timer = setTimeout(() => socket.destroy(), timeoutMilliseconds)
   socket.on('close', () => clearTimeout(timer))
-  socket.on('data', () => { if (socket.bytesRead > maximumDiscardedBodyBytes) socket.destroy() })
-  socket.end(answer)
+  socket.on('data', () => { if (socket.bytesRead > maximumBytes) socket.destroy() })
+  socket.resume()
+  socket.end()
 }
 
 /** Resolves after the event loop has accepted and read what waited in the kernel. */
@@ -171,6 +230,8 @@
   setImmediate(() => setImmediate(resolve))
 })
 
+const hasBody = ({ headers }: IncomingMessage): boolean => headers['content-length'] !== undefined || headers['transfer-encoding'] !== undefined
+
 const hasReadRequest = ({ exchanges }: Connection): boolean => [...exchanges].some(({ req }) => req.complete)
 
 /** Node starts the idle time of a connection with the current limit, although the answer's head has promised that of its own time. */
--- a/packages/gateway/src/gatewayMetrics.ts
+++ b/packages/gateway/src/gatewayMetrics.ts
@@ -20,6 +20,20 @@
     registers: [this.registry]
   })
 
+  readonly stopRefusals = new Counter({
+    name: 'cuminvale_gateway_stop_refusals_total',
+    help: 'Requests refused without being run because this VM stops, by kind of route',
+    labelNames: ['kind'],
+    registers: [this.registry]
+  })
+
+  readonly stopCuts = new Counter({
+    name: 'cuminvale_gateway_stop_cuts_total',
+    help: 'Requests under way that were ended because this VM stops, by kind of route',
+    labelNames: ['kind'],
+    registers: [this.registry]
+  })
+
   readonly answerEnds = new Counter({
     name: 'cuminvale_gateway_answer_ends_total',
     help: 'Answers of upstreams and other VMs that ended as complete, by what marked their end, and whether an event was left incomplete there',
@@ -112,6 +126,12 @@
     registers: [this.registry]
   })
 
+  readonly unreadableRecords = new Counter({
+    name: 'cuminvale_gateway_unreadable_records_total',
+    help: 'Revisions of published records that could not be used, and items of their source that name no record',
+    registers: [this.registry]
+  })
+
   readonly firstAnswerSeconds = new Histogram({
     name: 'cuminvale_gateway_first_answer_seconds',
     help: 'Time from the head of a request to the head of its answer',
--- a/packages/gateway/src/gatewayProcess.ts
+++ b/packages/gateway/src/gatewayProcess.ts
@@ -3,7 +3,8 @@
  * the timers. The daemon package has another Gateway, that of cuminvaled.
  */
 
-import { listEntries } from '@cuminvale/serving'
+import { StopPlan, listEntries } from '@cuminvale/serving'
+import { describeError } from './errors.js'
 import { discardBody } from './discardBody.js'
 import { GatewayCallerServer } from './gatewayCallerServer.js'
 import { ExchangeServer } from './exchangeServer.js'
@@ -14,7 +15,7 @@
 import { RequestLog } from './requestLog.js'
 import { GatewayState } from './gatewayState.js'
 import { forwardPath } from './forwardCall.js'
-import { checkIntervalMilliseconds, headerCheckIntervalMilliseconds, leavingIdleCloseMilliseconds, leavingListenMilliseconds, leavingAnswerReserveMilliseconds, leavingSendMilliseconds, linkHeadTimeoutMilliseconds, linkBacklog, maximumEndpointBodyBytes, tickIntervalMilliseconds } from './constants.js'
+import { checkIntervalMilliseconds, headerCheckIntervalMilliseconds, leavingIdleCloseMilliseconds, leavingListenMilliseconds, leavingAnswerReserveMilliseconds, leavingCloseMilliseconds, leavingSendMilliseconds, maximumSignalDelayMilliseconds, linkHeadTimeoutMilliseconds, linkBacklog, maximumEndpointBodyBytes, tickIntervalMilliseconds } from './constants.js'
 import type { Clock, IncarnationId, Random, RegionId } from '@cuminvale/common'
 import type { Log } from '@cuminvale/logs'
 import type { PeerIdentity } from '@cuminvale/serving'
@@ -40,17 +41,23 @@
   readonly state: GatewayState
   private readonly metrics = new GatewayMetrics()
   private readonly self: PeerIdentity
+  private readonly requestLog: RequestLog
   private readonly linkServer: ExchangeServer
   private readonly callerServer: GatewayCallerServer
   private readonly links: GatewayPeerLinks
   private readonly recordPoller: RecordPoller
   private readonly timers: NodeJS.Timeout[] = []
   private tickCount = 0
+  /** Monotonic time of the last tick, and how late it was. */
+  private tickedAt: number
+  private tickLateness = 0
   private left: Promise<void> | undefined
+  private readonly failedLeaveSteps = new Set<string>()
 
   constructor (private readonly options: GatewayProcessOptions) {
     const { settings, advertised, incarnation, clock, log } = options
     const { vm, region, failureDomain, host } = settings
+    this.tickedAt = clock.monotonic()
     this.self = {
       vm,
       incarnation,
@@ -61,15 +68,15 @@
       processorCapacity: settings.processorCapacity
     }
     this.state = new GatewayState({ ...options, self: this.self, metrics: this.metrics })
-    const requestLog = new RequestLog(clock, log, this.metrics)
-    const forwards = new ForwardServer(this.state, requestLog)
+    this.requestLog = new RequestLog(clock, log, this.metrics, () => this.state.stopPlan?.signalledAt)
+    const forwards = new ForwardServer(this.state, this.requestLog)
     this.linkServer = new ExchangeServer({ headersTimeout: linkHeadTimeoutMilliseconds, connectionsCheckingInterval: headerCheckIntervalMilliseconds }, (request, response) => {
       if (request.url === forwardPath) return forwards.handle(request, response)
       discardBody(request, maximumEndpointBodyBytes)
       response.writeHead(404).end()
     })
     this.linkServer.keepAliveTimeout = 0
-    this.callerServer = new GatewayCallerServer(this.state, requestLog, this.metrics)
+    this.callerServer = new GatewayCallerServer(this.state, this.requestLog, this.metrics)
     this.links = new GatewayPeerLinks({
       state: this.state, self: this.self, server: this.linkServer, isSourceLost: () => this.recordPoller.isSourceLost || this.state.configuration === undefined, onRecordsAdopted: () => this.adoptRecords(), onSuspension: () => this.onSuspension()
     })
@@ -93,6 +100,7 @@
     await this.callerServer.listen(settings.host, settings.callerPort)
     this.links.tick()
     this.recordPoller.tick()
+    this.tickedAt = this.options.clock.monotonic()
     this.timers.push(setInterval(() => this.onTick(), tickIntervalMilliseconds))
     this.options.log.info('started', { region: settings.region, domain: settings.failureDomain, seeds: settings.seeds.join() })
   }
@@ -137,6 +145,12 @@
     await this.left
   }
 
+  /** What the stop has left: connections of callers and forwards that are open, and answers that were cut. */
+  get remainder (): { readonly connections: number, readonly forwards: number, readonly answersCut: number } {
+    const { connectionCount, cutAnswerCount } = this.callerServer
+    return { connections: connectionCount, forwards: this.linkServer.exchangeCount, answersCut: cutAnswerCount }
+  }
+
   close (): void {
     this.timers.forEach((timer) => clearInterval(timer))
     this.state.executions.close()
@@ -156,25 +170,58 @@
     const { state } = this
     const { log, clock, settings } = this.options
     state.isLeaving = true
-    log.info('leaving', { underWay: state.executions.size })
-    this.links.tick({ isUrgent: true })
-    const startedAt = clock.monotonic()
-    const stopWaitingAt = startedAt + settings.bounds.leavingGraceMilliseconds - leavingAnswerReserveMilliseconds
-    await delay(leavingIdleCloseMilliseconds)
-    await this.callerServer.closeIdle()
-    await delay(leavingListenMilliseconds - leavingIdleCloseMilliseconds)
-    await this.callerServer.stopListening()
-    while (this.isBusy && clock.monotonic() < stopWaitingAt) {
+    const waited = this.signalDelayMilliseconds
+    const signalledAt = clock.monotonic() - waited
+    const plan = new StopPlan({ signalledAt, graceMilliseconds: settings.bounds.leavingGraceMilliseconds, reserveMilliseconds: leavingAnswerReserveMilliseconds })
+    state.stopPlan = plan
+    const delayUntil = async (time: number): Promise<void> => await delay(Math.max(0, time - clock.monotonic()))
+    log.info('leaving', { underWay: state.executions.size, waited: Math.round(waited) })
+    await this.runLeaveStep('announce', () => this.links.tick({ isUrgent: true }))
+    await delayUntil(plan.listensUntil(leavingIdleCloseMilliseconds))
+    await this.closeIdleCallers()
+    await delayUntil(plan.listensUntil(leavingListenMilliseconds))
+    await this.runLeaveStep('stop-listening', async () => await this.callerServer.stopListening())
+    while (this.isBusy && clock.monotonic() < plan.endsAt) {
       await delay(checkIntervalMilliseconds)
-      await this.callerServer.closeIdle()
+      await this.closeIdleCallers()
     }
-    log.info('left', { abandoned: state.executions.size })
-    state.executions.close()
-    while (this.isBusy && clock.monotonic() < stopWaitingAt + leavingSendMilliseconds) await delay(checkIntervalMilliseconds)
-    this.links.leave()
+    const abandoned = state.executions.size
+    await this.runLeaveStep('end-requests', () => state.executions.close())
+    log.info('left', { abandoned, ...this.requestLog.stopCounts, total: Math.round(clock.monotonic() - signalledAt) })
+    const sendUntil = plan.endsAt + leavingSendMilliseconds
+    // Once at least: requests that were read last still wait for their refusal.
+    do await delay(checkIntervalMilliseconds)
+    while (this.isBusy && clock.monotonic() < sendUntil)
+    const closeUntil = Math.min(clock.monotonic() + leavingCloseMilliseconds, sendUntil)
+    while (this.callerServer.halfClosedCount > 0 && clock.monotonic() < closeUntil) await delay(checkIntervalMilliseconds)
+    await this.runLeaveStep('cut-unsent', () => this.callerServer.cutUnsent())
+    await this.runLeaveStep('end-links', () => this.links.leave())
     await delay(checkIntervalMilliseconds)
   }
 
+  private async closeIdleCallers (): Promise<void> {
+    await this.runLeaveStep('close-idle', async () => await this.callerServer.closeIdle())
+  }
+
+  /** Runs a step of the stop. If it throws, the other steps follow all the same, since requests may be under way. */
+  private async runLeaveStep (name: string, step: () => void | Promise<void>): Promise<void> {
+    try {
+      await step()
+    } catch (error) {
+      // A step that is repeated may throw each time.
+      if (!this.failedLeaveSteps.has(name)) this.options.log.error('leave-step-failed', { step: name, detail: describeError(error) })
+      this.failedLeaveSteps.add(name)
+    }
+  }
+
+  /** Upper bound of the time for which the stop signal may have waited for the event loop, in which timers come before it. */
+  private get signalDelayMilliseconds (): number {
+    const sinceTick = this.options.clock.monotonic() - this.tickedAt
+    const lateness = sinceTick < checkIntervalMilliseconds ? this.tickLateness : sinceTick - tickIntervalMilliseconds
+    // The loop may have stood still since the tick before.
+    return lateness <= checkIntervalMilliseconds ? 0 : Math.min(maximumSignalDelayMilliseconds, lateness + tickIntervalMilliseconds)
+  }
+
   /** Whether a request is expected, is being read, is under way, or waits for its answer to be sent. */
   private get isBusy (): boolean {
     return this.callerServer.awaitedCount > 0 || this.state.executions.size > 0 || this.callerServer.exchangeCount > 0 || this.linkServer.exchangeCount > 0
@@ -200,6 +247,9 @@
   }
 
   private onTick (): void {
+    const now = this.options.clock.monotonic()
+    this.tickLateness = now - this.tickedAt - tickIntervalMilliseconds
+    this.tickedAt = now
     if (this.state.records.removeLapsed()) this.adoptRecords()
     this.state.observeVersions()
     this.links.tick()
--- a/packages/gateway/src/requestExecution.ts
+++ b/packages/gateway/src/requestExecution.ts
@@ -6,7 +6,7 @@
  */
 
 import { RefusalReason, refuse } from '@cuminvale/common'
-import { PlacementKind, RequestKind } from '@cuminvale/serving'
+import { PlacementKind, RefusalCause, RequestKind } from '@cuminvale/serving'
 import { AnswerRelay } from './answerRelay.js'
 import { CallFailureKind } from './errors.js'
 import { AnswerFailureKind } from './answerSink.js'
@@ -19,24 +19,16 @@
 import { TargetExclusions } from './targetExclusions.js'
 import { declineFailureWeight, heldRetryMilliseconds, maximumAttemptsNotRun, minimumRetryMilliseconds, misdirectedStatus, silenceFailureWeight } from './constants.js'
 import type { Refusal } from '@cuminvale/common'
-import type { AdmittedRequest, Placement, RefusalCause, SoftwareVersion } from '@cuminvale/serving'
+import type { AdmittedRequest, PeerStanding, Placement, SoftwareVersion } from '@cuminvale/serving'
 import type { AnswerFraming } from './answerFraming.js'
 import type { AnswerSink } from './answerSink.js'
+import type { AttemptStarterOptions } from './attemptStarter.js'
 import type { AttemptHandler } from './attemptListeners.js'
 import type { Attempt, ForwardAttempt, LocalAttempt } from './attempts.js'
 import type { CallFailure } from './errors.js'
 import type { ForwardedHead } from './forwardFrames.js'
-import type { GatewayState } from './gatewayState.js'
-
-export interface RequestExecutionOptions {
-  readonly state: GatewayState
-  readonly request: AdmittedRequest
-  readonly body: Buffer | null
-  /** Monotonic time of the deadline, at which the request fails. */
-  readonly deadlineAt: number
-  /** Monotonic time until which the first answer meets the route's objective. */
-  readonly firstAnswerDueAt: number
-  readonly mayForward: boolean
+
+export interface RequestExecutionOptions extends Omit<AttemptStarterOptions, 'handler' | 'onStarted'> {
   /** Number of sends to upstreams that the request has left. */
   readonly attemptsLeft: number
   /** Id of the event after which a stream is resumed; undefined for a new one. */
@@ -61,6 +53,10 @@
   /** Prompt tokens that the upstream was predicted to read; undefined if the request went to no upstream of this region. */
   unreadTokens: number | undefined
   retryAfterMilliseconds: number | undefined
+  /** Why the request was refused, or ended before its time by this VM; undefined otherwise. */
+  endReason: RefusalReason | undefined
+  /** Whether the VM of the last forward that broke was known to stop; undefined if none broke. */
+  brokenForwardPeer: PeerStanding | undefined
   /** Why the last placement found no target while upstreams took work; undefined if it found one. */
   refusalCause: RefusalCause | undefined
   /** What marked the end of the answer; undefined if none was complete. */
@@ -88,8 +84,8 @@
   constructor (private readonly options: RequestExecutionOptions) {
     this.attemptsLeft = options.attemptsLeft
     const { sink, request, resumeAfter, state } = options
-    const isResumed = resumeAfter !== undefined || headerValue(request.head.headers, 'last-event-id') !== undefined
-    this.relay = new AnswerRelay({ sink, route: request.route, isResumed })
+    const takenUpAfter = headerValue(request.head.headers, 'last-event-id')
+    this.relay = new AnswerRelay({ sink, route: request.route, resumeAfter, takenUpAfter, holdsHead: options.mayForward })
     this.version = new StreamVersion({ state, request, relay: this.relay, isOfCaller: options.mayForward, softwareVersion: options.softwareVersion })
     this.attempts = new RequestAttempts({ forecasts: state.forecasts, service: request.service })
     this.peerWait = new PeerWait(options)
@@ -124,6 +120,7 @@
     if (this.isOver) return
     if (!this.attempts.mayBeRunning) return this.refuse(refusal)
     this.outcome = 'abandoned'
+    this.endReason = refusal.reason
     this.detail = refusal.detail
     this.relay.fail(AnswerFailureKind.UpstreamBroke, this.detail)
     this.finish(true)
@@ -157,7 +154,8 @@
   onHead (attempt: LocalAttempt, status: number, rawHeaders: Readonly<Record<string, string | string[] | undefined>>): void {
     const { state } = this.options
     const answer = state.codec.decodeAnswer(status, rawHeaders)
-    if (!attempt.call.isAnswerOf(this.request.attempt, answer.attempt, { needsName: status >= 200 && status < 300 })) return this.handleBrokenAttempt(attempt, 'the answer names another attempt')
+    const flaw = attempt.call.flawOf(answer, this.request, attempt.upstream.naming)
+    if (flaw !== undefined) return this.handleBrokenAttempt(attempt, flaw)
     recordLocalAnswer(attempt, this.now)
     if (answer.load !== undefined) attempt.upstream.recordReportedLoad(answer.load)
     state.recordRequests(attempt.upstream, answer, { isMisdirected: status === misdirectedStatus })
@@ -185,9 +183,9 @@
     }
     this.version.dataPassedOn(attempt)
     if (!isTaken) this.isWaitingForCaller = true
-    if (!this.relay.exceedsEventLimit) return isTaken
-    this.handleBrokenAttempt(attempt, 'an event is over a megabyte')
-    return true
+    const flaw = this.relay.flawInData
+    if (flaw !== undefined) this.handleBrokenAttempt(attempt, flaw)
+    return isTaken || flaw !== undefined
   }
 
   onEnd (attempt: Attempt, framing: AnswerFraming): boolean {
@@ -201,7 +199,7 @@
     }
     this.relay.end()
     this.outcome = 'answered'
-    if (this.status < 300) recordEnd(attempt, this.now)
+    if (this.status < 300) recordEnd(attempt, this.request.route, this.options.state)
     this.options.state.crashDetector.recordCompletion(this.request, this.options.body, { status: this.status })
     this.finish(false)
     return true
@@ -256,11 +254,10 @@
     if (crashRefusal !== undefined) return this.refuseOrFail(crashRefusal)
     const placement = this.starter.chooseTarget(this.excluded, this.version.required)
     if (placement.kind !== PlacementKind.Refuse) return this.sendByPlacement(placement)
-    if (lastRefusal === undefined && !placement.isPaused && this.peerWait.startOrContinue(this.now)) return
-    const { reason, retryAfterMilliseconds, isPaused, cause } = placement
-    this.refusalCause = cause
-    const refusalReason = this.options.state.refusalReason(this.request.service, { isForwarded: !this.options.mayForward })
-    this.refuseOrFail(lastRefusal !== undefined && !isPaused ? lastRefusal : refuse(refusalReason, reason, { retryAfterMilliseconds }))
+    const isStopping = placement.cause === RefusalCause.Stop
+    if (lastRefusal === undefined && !placement.isPaused && !isStopping && this.peerWait.startOrContinue(this.now)) return
+    this.refusalCause = placement.cause
+    this.refuseOrFail(this.starter.refusalOf(placement, lastRefusal))
   }
 
   private sendByPlacement (placement: Exclude<Placement, { kind: 'refuse' }>): void {
@@ -301,24 +298,23 @@
 
   /** Passes on the head of an answer; its attempt has then replaced those that are silent. */
   private relayHead (attempt: Attempt, status: number, headers: readonly string[]): void {
+    if (!this.relay.canTake(status, headers)) return this.handleUnusableResumption(attempt, status)
     this.reinstate(attempt)
     this.firstAnswerAt ??= this.now
-    if (!this.relay.canTake(status, headers)) return this.handleUnusableResumption(attempt, status)
-    this.attempts.abortSilent()
+    this.attempts.answer(attempt)
     // What an earlier attempt has sent of an event or a body is no part of this answer.
     this.relay.discardUnsent()
     this.relay.head(status, headers, this.version.of(attempt))
     this.version.headPassedOn(attempt)
   }
 
+  /** Handles an answer that can't continue the stream like one that says that the upstream failed; other upstreams may go on. */
   private handleUnusableResumption (attempt: Attempt, status: number): void {
+    const detail = `status ${status} on resume`
     attempt.call.abort()
-    this.attempts.end(attempt)
-    this.detail = `status ${status} on resume`
-    if (this.returnToSilentAttempt()) return
-    this.options.sink.abort()
-    this.outcome = 'broken-off'
-    this.finish(true)
+    if (this.handleFailedAnswer(attempt, detail)) return
+    this.detail = detail
+    this.failRequest(AnswerFailureKind.UpstreamBroke)
   }
 
   /** Handles an answer that says that the upstream failed; false if it is to be passed on. */
@@ -374,7 +370,9 @@
   /** Aborts an attempt that failed after it was sent. Retries the request if possible and fails it otherwise; it may have run. */
   private handleBrokenAttempt (attempt: Attempt, detail: string): void {
     attempt.call.abort()
+    if (attempt.kind === 'forward') this.brokenForwardPeer = this.options.state.peers.standingOf(attempt.vm)
     this.attempts.mayHaveRun = true
+    if (this.attempts.isAnswering(attempt)) this.relay.discardUnsent()
     if (attempt.kind === 'local') {
       this.options.state.connectionBroke(attempt.upstream, attempt.sentAt)
       this.options.state.crashDetector.recordBrokenConnection(this.request, this.options.body, attempt.upstream.announced)
@@ -467,6 +465,7 @@
 
   private refuse (refusal: Refusal): void {
     this.outcome = 'refused'
+    this.endReason = refusal.reason
     this.detail = refusal.detail
     this.retryAfterMilliseconds = refusal.retryAfterMilliseconds
     this.options.sink.refuse(refusal)
--- a/packages/gateway/src/types.ts
+++ b/packages/gateway/src/types.ts
@@ -55,6 +55,8 @@
   readonly isSealed: boolean
   /** Whether the upstream states that it has not run the request. */
   readonly isDeclined: boolean
+  /** Whether callers take the status as a promise that the request has not run. */
+  readonly promisesNotRun: boolean
   readonly load: ReportedLoad | undefined
   /** Whether the upstream says that it leaves. */
   readonly isLeaving: boolean
@@ -88,12 +90,16 @@
   readonly records: readonly PublishedRecord[]
   /** Position up to which the records are complete. */
   readonly at: number
+  /** Items of the source that name no record, and were left out. */
+  readonly skipped?: number
 }
 
 export interface RecordChanges {
   readonly changes: readonly RecordChange[]
   /** Position up to which the changes are complete. */
   readonly at: number
+  /** Changes that name no record, and were left out. */
+  readonly skipped?: number
 }
 
 /** Reads the published records. */
