--- a/packages/gateway/src/brokenStreams.test.ts
+++ b/packages/gateway/src/brokenStreams.test.ts
@@ -1,8 +1,9 @@
 import { randomUUID } from 'node:crypto'
 import { describe, expect, it } from 'vitest'
+import { runtimeClock } from '@cuminvale/common'
 import { streamKeyOf } from '@cuminvale/serving'
 import { polled } from './exchangeServer.js'
-import { callGateway, service, startTestGateway, startUpstream, testDocument, testHeaders, testRoute, wait } from './testSupport.js'
+import { callGateway, service, silentLog, startTestGateway, startUpstream, testDocument, testHeaders, testRoute, testSettings, wait } from './testSupport.js'
 import type { Socket } from 'node:net'
 import type { AttemptId, Route, SoftwareVersion } from '@cuminvale/serving'
 import type { CallerAnswer, UpstreamScript } from './testSupport.js'
@@ -57,10 +58,12 @@
   readonly answers: readonly Answer[]
   readonly route?: Route
   readonly headers?: Record<string, string>
+  /** Retries that the budget allows. */
+  readonly retryMargin?: number
 }
 
 /** Sends a request by way of a VM to three upstreams. */
-const callWith = async ({ answers, route = resumableStream, headers = {} }: BrokenCall): Promise<CallerAnswer & { readonly sends: number, readonly ejected: number }> => {
+const callWith = async ({ answers, route = resumableStream, headers = {}, retryMargin = 500 }: BrokenCall): Promise<CallerAnswer & { readonly sends: number, readonly ejected: number }> => {
   let sends = 0
   const attempt = randomUUID()
   const script: UpstreamScript = (request) => {
@@ -74,7 +77,7 @@
     else raw.startsAfter.then(sendRaw, sendRaw)
   }
   const upstreams = await Promise.all(['u0', 'u1', 'u2'].map(async (name) => await startUpstream(name, script)))
-  const gateway = await startTestGateway(testDocument([route]), upstreams)
+  const gateway = await startTestGateway(testDocument([route]), upstreams, silentLog, runtimeClock, { bounds: { ...testSettings.bounds, retryRatio: 0, retryMargin } })
   gateway.gateway.state.streamOrigins.recordBegin(streamKeyOf(undefined, 'a0' as AttemptId), { service, softwareVersion: 'v1' as SoftwareVersion })
   const answer = await callGateway({ port: gateway.port, path: '/orders/7', attempt, headers: { [testHeaders.deadline]: '3000', ...headers } })
   const ejected = [...gateway.gateway.state.upstreams.all].filter(({ isEjected }) => isEjected).length
@@ -168,6 +171,11 @@
     expect(await inexactCalls([{ framing }, goesOn], bodies)).toEqual([])
   })
 
+  it('is visibly incomplete if the budget allows no retry', async () => {
+    const answer = await callWith({ answers: [{ body: eventsText(1, 2), finish: resets }, goesOn], retryMargin: 0 })
+    expect(answer).toMatchObject({ status: 200, isWhole: false, body: eventsText(1, 2), sends: 1 })
+  })
+
   it('is whole if only its end was missing, and the next answer has nothing but that', async () => {
     expect(await callWith({ answers: [{ body: wholeStream, finish: resets }, goesOn] })).toMatchObject({ status: 200, isWhole: true, body: wholeStream })
   })
@@ -207,6 +215,21 @@
   })
 })
 
+describe.concurrent('a stream whose upstream is silent', () => {
+  const silent: RawAnswer = { body: eventsText(1, 2), finish: (socket) => { setTimeout(() => socket.write(encodeBody(eventsText(3, eventsPerStream), 'chunks', false)), 1_900) } }
+
+  // Guards against an error of the upstream in its place that ends the stream, or is joined to it.
+  it.each([...errors.slice(0, -1), ...otherKinds])('goes on there if the one in its place answers with %s', async (_case, answer) => {
+    const called = await callWith({ answers: [silent, answer] })
+    expect(called).toMatchObject({ status: 200, isWhole: true, body: wholeStream })
+    expect(called.sends).toBeGreaterThan(1)
+  })
+
+  it.each(foreignEvents)('is exact or visibly incomplete if the next events %s', async (_case, answer) => {
+    expect(isExact(await callWith({ answers: [silent, answer] }))).toBe(true)
+  })
+})
+
 describe.concurrent('a stream that its caller takes up', () => {
   const headers = { [testHeaders.resumes]: 'a0', 'last-event-id': '2' }
 
