--- a/packages/gateway/src/eventBoundaryBuffer.ts
+++ b/packages/gateway/src/eventBoundaryBuffer.ts
@@ -1,6 +1,7 @@
 /**
  * Splits a stream of server-sent events at event boundaries. Remembers the id
- * of the last complete event, so that a broken stream can be resumed after it.
+ * of the last complete event, so that a broken stream can be resumed after it,
+ * and holds back what does not continue a resumed one.
  */
 
 import { ContinuedEvents, endWithId, lastIdIn } from './continuedEvents.js'
@@ -26,7 +27,9 @@
   /** Checks the events of an answer that continues the stream; undefined during the first one. */
   private continuation: ContinuedEvents | undefined
   private hasForeignEvents = false
+  /** Whether the answer under way has brought a complete event. */
   private hasEventsOfAnswer = false
+  /** Whether an event that an earlier answer had begun has not come yet. */
   private hasLostEvent = false
 
   /** Whether what has come does not continue the stream; it is not returned then. */
@@ -42,12 +45,10 @@
     this.hasEventsOfAnswer = false
   }
 
-  /** Whether the answer under way has brought a complete event. */
   get hasAnswerEvents (): boolean {
     return this.hasEventsOfAnswer
   }
 
-  /** Whether an event that an earlier answer had begun has not come yet. */
   get owesEvent (): boolean {
     return this.hasLostEvent
   }
@@ -104,17 +105,17 @@
     return lastIdIn(this.lastEventsWithId?.toString('latin1') ?? '')
   }
 
+  /** Whether the stream can be resumed after this id. */
+  get endsWithId (): boolean {
+    return this.lastEvents !== undefined && endWithId(this.lastEvents)
+  }
+
   private recordEvents (completeEvents: Buffer): void {
     if (this.hasEventsOfAnswer || hasOnlyComments(completeEvents)) return
     this.hasEvents = this.hasEventsOfAnswer = true
     this.hasLostEvent = false
   }
 
-  /** Whether the stream can be resumed after this id. */
-  get endsWithId (): boolean {
-    return this.lastEvents !== undefined && endWithId(this.lastEvents)
-  }
-
   /** Replaces the held bytes by a buffer, which is not written to. */
   private hold (buffer: Buffer): void {
     this.storage = buffer
