Name the version of the message format on links and forwards

A reader of an older format leaves out further values of an envelope and unknown kinds of frames of a sender that names a newer one; without the header they are refused as before.

--- a/packages/gateway/src/forwardCall.ts
+++ b/packages/gateway/src/forwardCall.ts
@@ -7,12 +7,14 @@
 import { AnswerFraming } from './answerFraming.js'
 import { CallFailure, CallFailureKind } from './errors.js'
 import { AnswerFailureKind } from './answerSink.js'
-import { FrameKind, FrameDecoder, encodeForward } from './forwardFrames.js'
+import { FrameKind, FrameDecoder, encodeForward, isKnownFrame } from './forwardFrames.js'
+import { formatHeader, messageFormat, readFormat } from './messageFormat.js'
 import { readAnswerFrame } from './answerFrames.js'
 import { DetachedCalls } from './detachedCalls.js'
 import { detachedRunTimeoutMilliseconds, discardedAnswerTimeoutMilliseconds, forwardReceiptTimeoutMilliseconds, maximumDiscardedAnswerBytes } from './constants.js'
 import type { Clock, Refusal, VmId } from '@cuminvale/common'
 import type { AdmittedRequest, AttemptId, SoftwareVersion } from '@cuminvale/serving'
+import type { IncomingHttpHeaders } from 'node:http'
 import type { Dispatcher, Pool } from 'undici'
 import type { Frame, ForwardedHead } from './forwardFrames.js'
 import type { DetachOptions } from './upstreamCall.js'
@@ -65,6 +67,8 @@
   private isAborted = false
   private sentAt = 0
   private attempt: AttemptId | undefined
+  /** Message format of the VM that answers. */
+  private answerFormat: number = messageFormat
 
   constructor (private readonly options: ForwardCallOptions) {
     this.timeLimits = new DetachedCalls(options.clock)
@@ -74,7 +78,7 @@
     this.sentAt = this.options.clock.monotonic()
     this.attempt = request.attempt
     const envelope = { request, remainingMilliseconds, onTimeMilliseconds, attemptsLeft, resumeAfter, softwareVersion }
-    this.options.pool.dispatch({ method: 'POST', path: forwardPath, headers: [forwardingVmHeader, this.options.sender], body: encodeForward(envelope, body) }, this)
+    this.options.pool.dispatch({ method: 'POST', path: forwardPath, headers: [forwardingVmHeader, this.options.sender, formatHeader, String(messageFormat)], body: encodeForward(envelope, body) }, this)
   }
 
   abort (): void {
@@ -108,8 +112,9 @@
     if (this.isAborted) controller.abort(new CallFailure(CallFailureKind.Broken, 'forwarded call aborted'))
   }
 
-  onResponseStart (): void {
+  onResponseStart (_controller: Dispatcher.DispatchController, _status: number, headers: IncomingHttpHeaders): void {
     this.isReceiptConfirmed = true
+    this.answerFormat = readFormat(headers[formatHeader])
   }
 
   onResponseData (controller: Dispatcher.DispatchController, chunk: Buffer): void {
@@ -156,6 +161,8 @@
   private handleFrame (frame: Frame): boolean {
     const answer = readAnswerFrame(frame, { attempt: this.attempt, isAnswered: this.isAnswered })
     const { listener } = this.options
+    // A frame of a newer build that means nothing here; those that are known still tell how the answer ends.
+    if (this.answerFormat > messageFormat && !isKnownFrame(frame)) return true
     switch (answer?.kind) {
       case FrameKind.Received:
         return true
--- a/packages/gateway/src/forwardFrames.ts
+++ b/packages/gateway/src/forwardFrames.ts
@@ -5,6 +5,7 @@
  */
 
 import { pack, unpack } from 'msgpackr'
+import { messageFormat } from './messageFormat.js'
 import type { AnswerFailureKind } from './answerSink.js'
 import type { Refusal, RegionId, RouteName, TeamId } from '@cuminvale/common'
 import type { AdmittedRequest, AttemptId, PromptPartId, RequestKind, ServiceName, SoftwareVersion } from '@cuminvale/serving'
@@ -43,6 +44,10 @@
   readonly content: Buffer
 }
 
+const frameKinds: readonly number[] = Object.values(FrameKind)
+
+export const isKnownFrame = ({ kind }: Frame): boolean => frameKinds.includes(kind)
+
 const frameHeaderBytes = 5
 const maximumFrameBytes = 16_777_216
 
@@ -106,8 +111,11 @@
 /** With the software version that a stream must go on at. */
 const longEnvelopeRowLength = 24
 
-const decodeEnvelope = (row: EnvelopeRow): ForwardEnvelope => {
-  if (row.length !== envelopeRowLength && row.length !== longEnvelopeRowLength) throw new RangeError(`forwarded request has ${row.length} values, expected ${envelopeRowLength} or ${longEnvelopeRowLength}`)
+const decodeEnvelope = (row: EnvelopeRow, format: number): ForwardEnvelope => {
+  const isKnownLength = row.length === envelopeRowLength || row.length === longEnvelopeRowLength
+  // The further values of a newer build come last and mean nothing here.
+  const isNewer: boolean = row.length > longEnvelopeRowLength && format > messageFormat
+  if (!isKnownLength && !isNewer) throw new RangeError(`forwarded request has ${row.length} values, expected ${envelopeRowLength} or ${longEnvelopeRowLength}`)
   const [
     attempt, method, path, headers, prompt, output, parts, name, kind, isResumable, objectiveMilliseconds, timeoutMilliseconds, maximumAttempts,
     service, teamId, priority, regions, isRepeatable, configurationVersion, remainingMilliseconds, onTimeMilliseconds, attemptsLeft, resumeAfter, softwareVersion
@@ -158,10 +166,11 @@
   return body === null ? Buffer.concat([length, packed]) : Buffer.concat([length, packed, body])
 }
 
-export const decodeForward = (message: Buffer): { readonly envelope: ForwardEnvelope, readonly body: Buffer | null } => {
+/** The format is that of the sender. */
+export const decodeForward = (message: Buffer, format = messageFormat): { readonly envelope: ForwardEnvelope, readonly body: Buffer | null } => {
   if (message.length < 4) throw new RangeError('forwarded request is shorter than its length field')
   const envelopeEnd = 4 + message.readUInt32BE(0)
   if (envelopeEnd > message.length) throw new RangeError(`envelope of the forwarded request ends at byte ${envelopeEnd}, but the message has only ${message.length} bytes`)
-  const envelope = decodeEnvelope(unpack(message.subarray(4, envelopeEnd)) as EnvelopeRow)
+  const envelope = decodeEnvelope(unpack(message.subarray(4, envelopeEnd)) as EnvelopeRow, format)
   return { envelope, body: envelopeEnd === message.length ? null : message.subarray(envelopeEnd) }
 }
--- a/packages/gateway/src/forwardServer.ts
+++ b/packages/gateway/src/forwardServer.ts
@@ -10,6 +10,7 @@
 import { startExecution } from './startExecution.js'
 import { forwardingVmHeader } from './forwardCall.js'
 import { continuesStream } from './continuesStream.js'
+import { formatHeader, messageFormat, readFormat } from './messageFormat.js'
 import { FrameKind, encodeFrame, encodePackedFrame, decodeForward } from './forwardFrames.js'
 import type { Refusal } from '@cuminvale/common'
 import type { IncomingMessage, ServerResponse } from 'node:http'
@@ -21,6 +22,13 @@
 /** Characters of another VM's name that are logged. */
 const maximumLoggedNameLength = 64
 
+interface ForwardOrigin {
+  /** VM that forwards, for the log; undefined for builds that don't name it. */
+  readonly vm: string | undefined
+  /** Its message format. */
+  readonly format: number
+}
+
 class ForwardAnswerSink implements AnswerSink {
   constructor (private readonly response: ServerResponse) {}
 
@@ -71,27 +79,28 @@
   handle (request: IncomingMessage, response: ServerResponse): void {
     response.on('error', () => { /* 'close' follows and ends the execution */ })
     const sender = request.headers[forwardingVmHeader]
-    const senderName = typeof sender === 'string' ? sender.slice(0, maximumLoggedNameLength) : undefined
-    readBody(request).then((message) => this.runOrRefuse(message, response, senderName)).catch((error: Error) => {
+    const origin = { vm: typeof sender === 'string' ? sender.slice(0, maximumLoggedNameLength) : undefined, format: readFormat(request.headers[formatHeader]) }
+    this.state.recordPeerFormat('forward', origin.format)
+    readBody(request).then((message) => this.runOrRefuse(message, response, origin)).catch((error: Error) => {
       this.state.log.warn('forward-unreadable', { detail: error.message })
       response.destroy()
     })
   }
 
   /** Refuses a request that a fault keeps from its execution; until then it was not sent. */
-  private runOrRefuse (message: Buffer, response: ServerResponse, sender: string | undefined): void {
+  private runOrRefuse (message: Buffer, response: ServerResponse, origin: ForwardOrigin): void {
     try {
-      this.run(message, response, sender)
+      this.run(message, response, origin)
     } catch (error) {
       this.state.log.error('request-error', { detail: describeError(error) })
       new ForwardAnswerSink(response).refuse(refuse(RefusalReason.NotReady, 'a fault of the other VM'))
     }
   }
 
-  private run (message: Buffer, response: ServerResponse, sender: string | undefined): void {
-    const { envelope, body } = decodeForward(message)
+  private run (message: Buffer, response: ServerResponse, { vm: sender, format }: ForwardOrigin): void {
+    const { envelope, body } = decodeForward(message, format)
     const { state } = this
-    response.writeHead(200)
+    response.writeHead(200, { [formatHeader]: messageFormat })
     response.write(encodeFrame(FrameKind.Received, Buffer.from(envelope.request.attempt)))
     const yieldsToMoreUrgent = state.configuration?.yieldsToMoreUrgent(envelope.request.route, envelope.request.service) ?? false
     const request = { ...envelope.request, yieldsToMoreUrgent }
--- a/packages/gateway/src/gatewayMetrics.ts
+++ b/packages/gateway/src/gatewayMetrics.ts
@@ -162,6 +162,13 @@
     name: 'cuminvale_gateway_store_era', help: 'Era of the store of which the records are known', registers: [this.registry]
   })
 
+  readonly peerFormats = new Counter({
+    name: 'cuminvale_gateway_peer_formats_total',
+    help: 'Links and forwards of other VMs, by the version of their message format compared to the own one',
+    labelNames: ['source', 'format'],
+    registers: [this.registry]
+  })
+
   readonly peers = new Gauge({
     name: 'cuminvale_gateway_peers_heard', help: 'Other VMs heard lately', registers: [this.registry]
   })
--- a/packages/gateway/src/gatewayPeerLinks.ts
+++ b/packages/gateway/src/gatewayPeerLinks.ts
@@ -437,7 +437,7 @@
   private handleHello (message: HelloMessage, { accepted, send }: MessageOrigin): void {
     if (accepted !== undefined) {
       const isNew = accepted.identity === undefined
-      if (isNew) this.options.state.log.info('peer-heard', { peer: message.identity.vm, incarnation: message.identity.incarnation })
+      if (isNew) this.introductions.recordNewPeer(message)
       if (isNew) this.evidenceExchange.sendAll(send)
       accepted.identity = message.identity
     }
--- a/packages/gateway/src/gatewayState.ts
+++ b/packages/gateway/src/gatewayState.ts
@@ -9,6 +9,7 @@
 import { removeForwardedWork } from './attempts.js'
 import { CrashDetector, probeRefusal } from './crashDetector.js'
 import { Executions } from './executions.js'
+import { compareFormat } from './messageFormat.js'
 import { ForwardPools } from './forwardPools.js'
 import { LimitExchange } from './limitExchange.js'
 import { NeighbourLoads } from './neighbourLoads.js'
@@ -334,6 +335,11 @@
     this.options.metrics.forwards.inc({ region, result })
   }
 
+  /** Counts a link or a forward that another VM has begun. */
+  recordPeerFormat (source: 'link' | 'forward', format: number): void {
+    this.options.metrics.peerFormats.inc({ source, format: compareFormat(format) })
+  }
+
   /** Records that a VM refused a forward. Only refusals for lack of capacity say something of its region. */
   recordForwardRefusal (attempt: ForwardAttempt, service: ServiceName, { reason }: Refusal): void {
     if (reason === RefusalReason.UpstreamsUnreached) this.reach.recordRefusal(attempt.vm)
--- a/packages/gateway/src/introductions.ts
+++ b/packages/gateway/src/introductions.ts
@@ -6,6 +6,7 @@
 import { unpackPerformance } from '@cuminvale/serving'
 import { packMember, unpackMember } from './memberListSchedule.js'
 import { packMessage } from './linkMessages.js'
+import { messageFormat, readFormat } from './messageFormat.js'
 import type { PeerIdentity } from '@cuminvale/serving'
 import type { HelloMessage, RegionMembers } from './linkMessages.js'
 import type { GatewayState } from './gatewayState.js'
@@ -51,6 +52,14 @@
     return known.length === 0 ? { serial: newSerial } : { message: this.pack({ known }), serial: newSerial }
   }
 
+  /** Logs and counts the first hello on a link that another VM dialled. */
+  recordNewPeer ({ identity: { vm, incarnation }, format: named }: HelloMessage): void {
+    const { state } = this.options
+    const format = readFormat(named)
+    state.recordPeerFormat('link', format)
+    state.log.info('peer-heard', { peer: vm, incarnation, format })
+  }
+
   /** Applies a hello of another VM, but for its knowledge of the records. */
   apply ({ identity, known, regions = [], domains = [], parts = [], regionParts = [], performance = [] }: HelloMessage): void {
     const { state, self } = this.options
@@ -72,7 +81,7 @@
 
   private pack (content: Pick<HelloMessage, 'known'> & Partial<HelloMessage>): Buffer {
     const { state, self } = this.options
-    return packMessage({ kind: 'hello', identity: self, at: state.records.at, isAsking: false, ...content })
+    return packMessage({ kind: 'hello', identity: self, format: messageFormat, at: state.records.at, isAsking: false, ...content })
   }
 
   private get heldParts (): Pick<HelloMessage, 'parts' | 'regionParts'> {
--- a/packages/gateway/src/linkMessageShapes.ts
+++ b/packages/gateway/src/linkMessageShapes.ts
@@ -39,6 +39,7 @@
 const shapes: Readonly<Record<LinkMessage['kind'], Check>> = {
   hello: fields({
     identity,
+    format: optional(isNumber),
     at: isNumber,
     known: listOf(identity),
     isAsking: isFlag,
--- a/packages/gateway/src/linkMessages.ts
+++ b/packages/gateway/src/linkMessages.ts
@@ -21,6 +21,8 @@
 export interface HelloMessage {
   readonly kind: 'hello'
   readonly identity: PeerIdentity
+  /** Version of the sender's message format; absent from builds of the first one. */
+  readonly format?: number
   /** Revision up to which the sender knows the published records. */
   readonly at: number
   /** VMs that the sender knows and has not yet named on this link. */
