Keep the durations of the routes that are in use

What callers saw: where a VM serves more than 1,024 routes, it refuses during its stop every stream of a busy route, and takes other requests for longer or shorter than they are. Cause: AnswerDurations dropped the route that was seen first, which is often the busiest. Change: the least recently used route is dropped. Before and after: stopPlan.test.ts, a route in use beside 1,030 others: no bound before, below 1 s after. Why it works: a route with requests is never the least recently used one while there are more than that many routes without.

--- a/packages/serving/src/answerDurations.ts
+++ b/packages/serving/src/answerDurations.ts
@@ -19,7 +19,7 @@
 const stepSize = 0.3
 /** Multiple of the objective within which a request whose route has had few answers is expected to end, unless it is predicted to take longer or is a stream: the objective of a stream is the time to its first event. */
 const unseenObjectives = 4
-/** Routes for which durations are kept; those of earlier configurations are dropped first. */
+/** Routes for which durations are kept; the least recently used one is dropped first. */
 const maximumRoutes = 1_024
 
 interface RouteRatio {
@@ -36,6 +36,9 @@
     const logRatio = Math.log(Math.max(1, observedMilliseconds) / Math.max(1, predictedMilliseconds))
     const known = this.ratios.get(name)
     if (known === undefined) return this.add(name, { answers: 1, logRatio })
+    // The map is in the order of use.
+    this.ratios.delete(name)
+    this.ratios.set(name, known)
     known.answers += 1
     if (known.answers <= settledAnswers) known.logRatio = Math.max(known.logRatio, logRatio)
     else known.logRatio += stepSize * (logRatio > known.logRatio ? 1 - exceededShare : -exceededShare)
--- a/packages/serving/src/stopPlan.test.ts
+++ b/packages/serving/src/stopPlan.test.ts
@@ -70,7 +70,7 @@
   })
 
   // Guards against routes in use that are forgotten for others, so that a VM that stops refuses all of their streams.
-  it.fails('keeps the routes that are in use', () => {
+  it('keeps the routes that are in use', () => {
     const durations = new AnswerDurations()
     for (let other = 0; other < 1_030; other += 1) {
       durations.record(stream, 100, 200)
