--- a/packages/gateway/src/brokenForwards.test.ts
+++ b/packages/gateway/src/brokenForwards.test.ts
@@ -3,6 +3,7 @@
 import { runtimeClock, toFailureDomainId, toIncarnationId, toRegionId, toVmId } from '@cuminvale/common'
 import { afterEach, describe, expect, it } from 'vitest'
 import { AnswerFailureKind } from './answerSink.js'
+import { forwardPath } from './forwardCall.js'
 import { FrameKind, decodeForward, encodeFrame, encodePackedFrame } from './forwardFrames.js'
 import { callGateway, domain, listen, region, sealedHead, service, silentLog, startTestGateway, startUpstream, testDocument, testHeaders, testRoute, wait } from './testSupport.js'
 import type { Server } from 'node:http'
@@ -62,6 +63,8 @@
 /** Starts a VM of another region that answers each forwarded request with the frames, given the event after which it is resumed. */
 const startPeer = async ({ gateway: { state } }: TestGateway, frames: (after: number) => readonly Buffer[]): Promise<void> => {
   const server = createServer((request, response) => {
+    // Other tests may call the port that the kernel gave it.
+    if (request.url !== forwardPath) return response.destroy()
     const chunks: Buffer[] = []
     request.on('data', (chunk: Buffer) => chunks.push(chunk))
     request.on('end', () => {
