Keep connections of a stopping VM open for a moment after an answer

Callers that send their next request a moment after a stream that began before the stop signal met the close of the connection: the request is neither run nor refused, and the caller of an order can't tell.

Change: during a stop a connection counts as idle 250 ms after its last answer, and the end of the process waits for that.

A request that crosses the later close is still lost (RFC 9112, section 9.3.1).

--- a/packages/gateway/src/constants.ts
+++ b/packages/gateway/src/constants.ts
@@ -133,6 +133,8 @@
 export const linkBacklog = 1_024
 /** Time from the stop signal until idle connections are closed; callers have learnt by then that this VM is leaving. */
 export const leavingIdleCloseMilliseconds = 700
+/** Time from the end of an answer until its connection is closed as idle. A request that crosses the close is neither run nor refused, so that its caller can't tell. */
+export const leavingNextRequestMilliseconds = 250
 /** Longest time from the stop signal until the VM stops listening; the callers' lists of VMs have expired by then. */
 export const leavingListenMilliseconds = 2_500
 /** Time after which a caller should take a request to another VM that this one refused since it stops. */
--- a/packages/gateway/src/exchangeServer.ts
+++ b/packages/gateway/src/exchangeServer.ts
@@ -22,6 +22,8 @@
   readonly openedAt: number
   /** Bytes read by the end of the last request; undefined before it. More bytes are the begin of another request. */
   bytesReadAtEnd: number | undefined
+  /** Time of the end of the last exchange. */
+  idleSince: number
   /** Whether an answer has announced that the connection closes after it. */
   isClosing: boolean
   /** Whether nothing more can be read, so that the connection closes after the answers to the requests that were read. */
@@ -37,6 +39,8 @@
 export class ExchangeServer extends Server {
   private readonly openConnections = new Map<Socket, Connection>()
   private acceptedCount = 0
+  /** Time from the end of an answer within which its connection doesn't count as idle, since the next request may be on its way. */
+  nextRequestMilliseconds = 0
 
   /**
    * With refuseConnection, a new connection for which it returns an answer gets
@@ -46,7 +50,7 @@
     super(options)
     this.on('connection', (socket: Socket) => {
       this.acceptedCount += 1
-      this.openConnections.set(socket, { exchanges: new Set(), openedAt: performance.now(), bytesReadAtEnd: undefined, isClosing: false, isUnreadable: false, isHalfClosed: false })
+      this.openConnections.set(socket, { exchanges: new Set(), openedAt: performance.now(), bytesReadAtEnd: undefined, idleSince: -Infinity, isClosing: false, isUnreadable: false, isHalfClosed: false })
       socket.once('close', () => this.onClose(socket))
     })
     if (refuseConnection !== undefined) this.screenConnections(refuseConnection)
@@ -73,11 +77,10 @@
     return count
   }
 
-  /** Connections on which a part of a request was read, and new ones whose first request may be on its way. */
+  /** Connections on which a part of a request was read, or on which the first or the next one may be on its way. */
   get awaitedCount (): number {
-    const newSince = performance.now() - firstRequestMilliseconds
-    return [...this.openConnections].filter(([socket, { exchanges, openedAt, bytesReadAtEnd, isHalfClosed }]) =>
-      exchanges.size === 0 && !isHalfClosed && socket.bytesRead !== bytesReadAtEnd && (socket.bytesRead > 0 || openedAt >= newSince)).length
+    const now = performance.now()
+    return [...this.openConnections].filter(([socket, connection]) => this.isAwaited(socket, connection, now)).length
   }
 
   get connectionCount (): number {
@@ -103,10 +106,12 @@
     }
   }
 
-  /** Closes the connections that have had an exchange and are in none; Node calls this too when the server stops listening. */
+  /** Closes the connections that have had an exchange, are in none and await none; Node calls this too when the server stops listening. */
   override closeIdleConnections (): void {
-    for (const [socket, { exchanges, bytesReadAtEnd, isHalfClosed }] of this.openConnections) {
-      if (exchanges.size === 0 && !isHalfClosed && socket.bytesRead === bytesReadAtEnd) socket.destroy()
+    const now = performance.now()
+    for (const [socket, connection] of this.openConnections) {
+      const { exchanges, bytesReadAtEnd, isHalfClosed } = connection
+      if (exchanges.size === 0 && !isHalfClosed && bytesReadAtEnd !== undefined && !this.isAwaited(socket, connection, now)) socket.destroy()
     }
   }
 
@@ -152,6 +157,12 @@
     closeUnreadable(socket, connection)
   }
 
+  private isAwaited (socket: Socket, { exchanges, openedAt, bytesReadAtEnd, idleSince, isHalfClosed }: Connection, now: number): boolean {
+    if (exchanges.size > 0 || isHalfClosed) return false
+    if (bytesReadAtEnd === undefined) return socket.bytesRead > 0 || now - openedAt <= firstRequestMilliseconds
+    return socket.bytesRead !== bytesReadAtEnd || now - idleSince < this.nextRequestMilliseconds
+  }
+
   /** False if the request is to be ignored. */
   private beginExchange (request: IncomingMessage, response: ServerResponse): boolean {
     const { socket } = request
@@ -174,6 +185,7 @@
       partsUnderWay -= 1
       if (partsUnderWay > 0) return
       connection.exchanges.delete(response)
+      connection.idleSince = performance.now()
       if (connection.isUnreadable && !hasReadRequest(connection)) closeUnreadable(socket, connection)
     }
     request.once('close', () => {
--- a/packages/gateway/src/gatewayCallerServer.ts
+++ b/packages/gateway/src/gatewayCallerServer.ts
@@ -16,7 +16,7 @@
 import { findTakenUpStream } from './findTakenUpStream.js'
 import { ReadRequest } from './readRequest.js'
 import { RequestIntake } from './requestIntake.js'
-import { checkIntervalMilliseconds, headerCheckIntervalMilliseconds, maximumDiscardedBodyBytes, callerBacklog, maximumRequestHeaderBytes, startingRateRetryMilliseconds, unknownOriginRetryMilliseconds } from './constants.js'
+import { checkIntervalMilliseconds, headerCheckIntervalMilliseconds, leavingNextRequestMilliseconds, maximumDiscardedBodyBytes, callerBacklog, maximumRequestHeaderBytes, startingRateRetryMilliseconds, unknownOriginRetryMilliseconds } from './constants.js'
 import type { Refusal } from '@cuminvale/common'
 import type { AdmittedRequest, RequestHead, SoftwareVersion } from '@cuminvale/serving'
 import type { GatewayMetrics } from './gatewayMetrics.js'
@@ -171,6 +171,11 @@
     }
   }
 
+  /** From now on, connections are closed only some time after their last answer. */
+  awaitNextRequests (): void {
+    this.server.nextRequestMilliseconds = leavingNextRequestMilliseconds
+  }
+
   /** Closes idle connections, after what waits on them was read. */
   async closeIdle (): Promise<void> {
     await polled()
--- a/packages/gateway/src/gatewayProcess.ts
+++ b/packages/gateway/src/gatewayProcess.ts
@@ -176,6 +176,7 @@
     state.stopPlan = plan
     const delayUntil = async (time: number): Promise<void> => await delay(Math.max(0, time - clock.monotonic()))
     log.info('leaving', { underWay: state.executions.size, waited: Math.round(waited) })
+    this.callerServer.awaitNextRequests()
     await this.runLeaveStep('announce', () => this.links.tick({ isUrgent: true }))
     await delayUntil(plan.listensUntil(leavingIdleCloseMilliseconds))
     await this.closeIdleCallers()
--- a/packages/gateway/src/leavingConnections.test.ts
+++ b/packages/gateway/src/leavingConnections.test.ts
@@ -78,3 +78,27 @@
     expect([half, fresh].map(({ text }) => text.slice(0, 12))).toEqual(['HTTP/1.1 200', 'HTTP/1.1 200'])
   })
 })
+
+// Guards against next requests that crossed the close of a kept connection, so that their callers could not tell whether they were read.
+describe('a VM that stops, after the answers of streams that began before', () => {
+  it('answers callers that send their next request a moment after the end of an answer which announced no close', async () => {
+    let streams = 0
+    const upstream = await startUpstream('u0', (incoming, response) => {
+      response.writeHead(200, { ...sealedHead(incoming), 'content-type': 'text/event-stream' }).write('data: one\n\n')
+      streams += 1
+      setTimeout(() => response.end('data: last\n\n'), 2_700 + streams * 34)
+    })
+    const gateway = await startTestGateway(testDocument([testRoute({ kind: 'stream' })]), [upstream])
+    gateways.push(gateway)
+    const callers = Array.from({ length: 6 }, () => open(gateway.port))
+    for (const caller of callers) {
+      caller.socket.write(request)
+      caller.socket.on('data', () => {
+        if (caller.text.endsWith('\r\n0\r\n\r\n')) setTimeout(() => caller.socket.write(request), 60)
+      })
+    }
+    while (!callers.every(({ text }) => text.includes('one'))) await wait(10)
+    await gateway.gateway.leave()
+    expect(callers.map(({ text }) => text.match(/HTTP\/1.1 \d+/g)?.length)).toEqual(callers.map(() => 2))
+  })
+})
