Count only time in which the stop signal may have waited

A VM whose event loop had stood still for a second just before its stop signal ended its requests a second earlier than its grace allows: within 50 ms of a late tick, the signal was taken to have waited as long as the tick.

Cause: signals that waited are read in the same turn of the loop as the late tick, and only those; the time since the tick says less.

Change: the lateness of a tick counts until the immediates of its turn.

--- a/packages/gateway/src/gatewayProcess.ts
+++ b/packages/gateway/src/gatewayProcess.ts
@@ -48,8 +48,9 @@
   private readonly recordPoller: RecordPoller
   private readonly timers: NodeJS.Timeout[] = []
   private tickCount = 0
-  /** Monotonic time of the last tick, and how late it was. */
+  /** Monotonic time of the last tick. */
   private tickedAt: number
+  /** How late the tick was that ran in this turn of the event loop. */
   private tickLateness = 0
   private left: Promise<void> | undefined
   private readonly failedLeaveSteps = new Set<string>()
@@ -217,8 +218,7 @@
 
   /** Upper bound of the time for which the stop signal may have waited for the event loop, in which timers come before it. */
   private get signalDelayMilliseconds (): number {
-    const sinceTick = this.options.clock.monotonic() - this.tickedAt
-    const lateness = sinceTick < checkIntervalMilliseconds ? this.tickLateness : sinceTick - tickIntervalMilliseconds
+    const lateness = Math.max(this.tickLateness, this.options.clock.monotonic() - this.tickedAt - tickIntervalMilliseconds)
     // The loop may have stood still since the tick before.
     return lateness <= checkIntervalMilliseconds ? 0 : Math.min(maximumSignalDelayMilliseconds, lateness + tickIntervalMilliseconds)
   }
@@ -251,6 +251,8 @@
     const now = this.options.clock.monotonic()
     this.tickLateness = now - this.tickedAt - tickIntervalMilliseconds
     this.tickedAt = now
+    // Signals that waited are read in this turn, before its immediates.
+    setImmediate(() => { this.tickLateness = 0 })
     if (this.state.records.removeLapsed()) this.adoptRecords()
     this.state.observeVersions()
     this.links.tick()
