Count only a standstill that the stop signal may have waited through

What callers saw: on a VM whose event loop had stood still just before its stop signal, requests under way were cut up to 1 s before the grace allows. Found by reading; not seen in a run of a fleet. Cause: for 50 ms after a late tick, a signal was taken to have waited for all of the standstill, also if it came after it. Evidence: the bundled process, kept busy for 1.5 s (trial): signals sent 15 and 30 ms after the end of the standstill were logged with waited=1000. Change: the lateness of a tick counts until the sockets have been polled once after it, as a signal that waited is read then. Before and after: in the same trial, 0 after the standstill, and 1000 as before for signals sent 300 and 1200 ms before its end. stopWork.test.ts, "counts no time before the signal", failed before. Why it works: libuv reads signals in the poll phase, which lies between the timers and the immediates of a turn. An immediate is scheduled only after a late tick.

--- a/packages/gateway/src/gatewayProcess.ts
+++ b/packages/gateway/src/gatewayProcess.ts
@@ -48,7 +48,7 @@
   private readonly recordPoller: RecordPoller
   private readonly timers: NodeJS.Timeout[] = []
   private tickCount = 0
-  /** Monotonic time of the last tick, and how late it was. */
+  /** Monotonic time of the last tick, and how late it was until signals were read after it. */
   private tickedAt: number
   private tickLateness = 0
   private left: Promise<void> | undefined
@@ -250,6 +250,8 @@
     const now = this.options.clock.monotonic()
     this.tickLateness = now - this.tickedAt - tickIntervalMilliseconds
     this.tickedAt = now
+    // The sockets are polled in between, and with them a signal that waited.
+    if (this.tickLateness > checkIntervalMilliseconds) setImmediate(() => { this.tickLateness = 0 })
     if (this.state.records.removeLapsed()) this.adoptRecords()
     this.state.observeVersions()
     this.links.tick()
--- a/packages/gateway/src/stopWork.test.ts
+++ b/packages/gateway/src/stopWork.test.ts
@@ -199,7 +199,7 @@
   })
 
   // Guards against requests that were cut up to 1 s before the end of the grace, since the loop had stood still before the signal came.
-  it.fails('counts no time before the signal', async () => {
+  it('counts no time before the signal', async () => {
     const vm = await start({ settings })
     await wait(300)
     block(1_000)
