--- a/packages/gateway/src/stopWork.test.ts
+++ b/packages/gateway/src/stopWork.test.ts
@@ -124,6 +124,18 @@
     expect(pathsOf(south)).toEqual(['/streams/6900'])
   })
 
+  // Guards against a forwarded stream that is cut by the stop of the VM that its caller is connected to (docs/incidents/lost2.md).
+  it('does not forward it to a VM that stays', async () => {
+    const south = await start({ vm: 'vm-2', regionName: 'south' })
+    const north = await start({ upstreams: [] })
+    cleanups.push(reportSouth(north, [south]))
+    const callers = ['/streams/4800', '/streams/resumable/4800', '/orders/4800'].map((next) => sendAfterStream(north, 4_200, next))
+    while (callers.some(({ seen }) => !seen.text.includes('data: first'))) await wait(10)
+    await stopLikeProcess(north)
+    expect(new Set(endings(callers).filter((ending) => ending !== 'unread'))).toEqual(new Set(['refused']))
+    expect(pathsOf(south)).toEqual(callers.map(() => '/streams/4300'))
+  })
+
   it('lets the VM that forwards it choose another VM of the region', async () => {
     const leaving = await start({ vm: 'vm-2', regionName: 'south' })
     const staying = await start({ vm: 'vm-3', regionName: 'south' })
@@ -138,6 +150,26 @@
     await stopped
   })
 
+  // Guards against a round trip for each forward to a VM whose stop is not reported yet.
+  it('is forwarded nothing more by a VM that it has refused', async () => {
+    const leaving = await start({ vm: 'vm-2', regionName: 'south' })
+    const staying = await start({ vm: 'vm-3', regionName: 'south' })
+    const north = await start({ upstreams: [] })
+    cleanups.push(reportSouth(north, [leaving, staying]))
+    await keepBusy(leaving)
+    const stopped = stopLikeProcess(leaving)
+    const refused = (): number => leaving.lines.filter(({ event, fields }) => event === 'request' && fields['outcome'] === 'refused').length
+    const forwardAll = async (attempt: string): Promise<void> => {
+      await Promise.all(Array.from({ length: 12 }, async (_, index) => await callGateway({ port: north.port, path: '/streams/100', attempt: `${attempt}${index}` })))
+    }
+    await forwardAll('a')
+    const refusedAtFirst = refused()
+    await forwardAll('b')
+    expect(refusedAtFirst).toBeGreaterThan(0)
+    expect(refused()).toBe(refusedAtFirst)
+    await stopped
+  })
+
   // Guards against a VM that refuses what it could still serve, as it doesn't know how long it takes.
   it('still serves a request that ends within the grace on a kept connection: an order, a safe request, a stream of a route whose streams are short', async () => {
     const vm = await start({ routes: routes.map((route) => ({ ...route, objectiveMilliseconds: 400 })) })
