--- a/packages/gateway/src/leavingAnswers.test.ts
+++ b/packages/gateway/src/leavingAnswers.test.ts
@@ -62,6 +62,18 @@
     expect(seen.text).toMatch(/^HTTP\/1.1 401 [^]*connection: close/i)
   })
 
+  // Guards against a connection that is closed without a byte, so that the caller of an order doesn't know that it was not run.
+  it.fails('is a refusal to a caller whose body has not come whole at the end of the grace', async () => {
+    const { gateway, port } = await start(() => { /* not reached */ }, {})
+    const { socket, seen } = open(port)
+    socket.write(head('a1', 100))
+    await wait(100)
+    await gateway.leave()
+    await wait(100)
+    expect(seen).toMatchObject({ error: undefined, isClosed: true })
+    expect(seen.text).toMatch(/^HTTP\/1.1 503 [^]*connection: close/i)
+  })
+
   interface LoggedGateway extends TestGateway {
     readonly cut: LogFields[]
   }
