--- a/packages/gateway/src/gatewayProcess.ts
+++ b/packages/gateway/src/gatewayProcess.ts
@@ -251,8 +251,8 @@
     const now = this.options.clock.monotonic()
     this.tickLateness = now - this.tickedAt - tickIntervalMilliseconds
     this.tickedAt = now
-    // Signals that waited are read in this turn, before its immediates.
-    setImmediate(() => { this.tickLateness = 0 })
+    // The sockets are polled in between, and with them a signal that waited.
+    if (this.tickLateness > checkIntervalMilliseconds) setImmediate(() => { this.tickLateness = 0 })
     if (this.state.records.removeLapsed()) this.adoptRecords()
     this.state.observeVersions()
     this.links.tick()
