Send one request on a new connection in the test of forwards of a stopping VM

Beside the whole suite at a load of 39, all three kept connections were closed as idle before their next request was read, so that the test had none to judge.

--- a/packages/gateway/src/stopWork.test.ts
+++ b/packages/gateway/src/stopWork.test.ts
@@ -131,8 +131,12 @@
     cleanups.push(reportSouth(north, [south]))
     const callers = ['/streams/4800', '/streams/resumable/4800', '/orders/4800'].map((next) => sendAfterStream(north, 4_200, next))
     while (callers.some(({ seen }) => !seen.text.includes('data: first'))) await wait(10)
-    await stopLikeProcess(north)
-    expect(new Set(endings(callers).filter((ending) => ending !== 'unread'))).toEqual(new Set(['refused']))
+    const stopped = stopLikeProcess(north)
+    await wait(2_000)
+    const fresh = openKeptCaller(north.port)
+    fresh.send('/streams/5500', 'late', 6_000)
+    await stopped
+    expect(new Set(endings([...callers, fresh]).filter((ending) => ending !== 'unread'))).toEqual(new Set(['refused']))
     expect(pathsOf(south)).toEqual(callers.map(() => '/streams/4300'))
   })
 
