--- a/packages/gateway/src/testSupport.ts
+++ b/packages/gateway/src/testSupport.ts
@@ -162,8 +162,9 @@
   })
 })
 
-/** Below the ports that the kernel gives to connections, which take them at any time. */
-const testPorts = { first: 12_000, count: 18_000 } as const
+const portsPerWorker = 1_000
+/** Below the ports that the kernel gives to connections, which take them at any time. Each worker of the test runner has its own, since a port is free until the test listens on it. */
+const testPorts = { first: 12_000 + portsPerWorker * (Number(process.env['VITEST_POOL_ID'] ?? 0) % 9), count: portsPerWorker } as const
 
 /** A port that is free, and that no connection takes. */
 export const freePort = async (): Promise<number> => {
