--- a/packages/gateway/src/testSupport.ts
+++ b/packages/gateway/src/testSupport.ts
@@ -166,10 +166,13 @@
 /** Below the ports that the kernel gives to connections, which take them at any time. Each worker of the test runner has its own, since a port is free until the test listens on it. */
 const testPorts = { first: 12_000 + portsPerWorker * (Number(process.env['VITEST_POOL_ID'] ?? 0) % 9), count: portsPerWorker } as const
 
-/** A port that is free, and that no connection takes. */
+let nextPortOffset = Math.floor(Math.random() * testPorts.count)
+
+/** A port that is free, that no connection takes, and that is not returned again soon: tests of one file may run at the same time. */
 export const freePort = async (): Promise<number> => {
   const server = createServer()
-  const port = testPorts.first + Math.floor(Math.random() * testPorts.count)
+  const port = testPorts.first + nextPortOffset
+  nextPortOffset = (nextPortOffset + 1) % testPorts.count
   const isFree = await new Promise<boolean>((resolve) => {
     server.once('error', () => resolve(false))
     server.listen({ host, port }, () => server.close(() => resolve(true)))
