Wait in two tests for what they need, and not for a time

malformedForwards, "ends, and the VM goes on": a request that its test aborts after 1.5 s may still wait to be accepted then, and its execution begins and ends later than 50 ms after that. The test waits until no execution is left, 2 s at most, and looks again at the end, as before.

stopWork, "passes on the answers that wait in its sockets": the upstream's answer was given 100 ms before the end of the grace, so that a busy machine gave it after the end, when the request is rightly failed. It is given 400 ms before, and the loop stands still for 1 s as before, until all times of the stop are over.

--- a/packages/gateway/src/malformedForwards.test.ts
+++ b/packages/gateway/src/malformedForwards.test.ts
@@ -1,10 +1,10 @@
 import { createServer } from 'node:http'
 import { pack } from 'msgpackr'
 import { toFailureDomainId, toIncarnationId, toRegionId, toVmId } from '@cuminvale/common'
-import { afterEach, beforeEach, describe, expect, it } from 'vitest'
+import { afterEach, beforeEach, describe, expect, it, vi } from 'vitest'
 import { forwardPath } from './forwardCall.js'
 import { FrameKind, encodeFrame } from './forwardFrames.js'
-import { callGateway, listen, sealedHead, service, startTestGateway, startUpstream, testDocument, testRoute, wait } from './testSupport.js'
+import { callGateway, listen, sealedHead, service, startTestGateway, startUpstream, testDocument, testRoute } from './testSupport.js'
 import type { IncomingMessage, Server } from 'node:http'
 import type { ScriptedUpstream, TestGateway } from './testSupport.js'
 
@@ -98,7 +98,8 @@
     const url = `http://127.0.0.1:${gateway.linkPort}${forwardPath}`
     const malformed = [Buffer.alloc(0), Buffer.alloc(3), Buffer.alloc(9, 255), ...row.flatMap((_value, index) => garbage.map((value) => envelope(row.with(index, value)))), ...garbage.map(envelope)]
     await Promise.all(malformed.map(async (body) => await fetch(url, { method: 'POST', body, signal: AbortSignal.timeout(1_500) }).then(async (response) => await response.arrayBuffer()).catch(() => undefined)))
-    await wait(50)
+    // A request that was aborted before the VM accepted its connection begins after that, and ends.
+    await vi.waitUntil(() => gateway.state.executions.size === 0, { timeout: 2_000, interval: 50 })
     expect(uncaught).toEqual([])
     expect((await callGateway({ port, path: '/orders/1', attempt: 'a9' })).status).toBe(200)
     expect(gateway.state.executions.size).toBe(0)
--- a/packages/gateway/src/stopWork.test.ts
+++ b/packages/gateway/src/stopWork.test.ts
@@ -211,7 +211,7 @@
     const answered = callGateway({ port: vm.port, path: '/orders/held' })
     while (held.length < 2) await wait(10)
     const stopped = stopLikeProcess(vm)
-    await wait((vm.gateway.state.stopPlan?.endsAt ?? 0) - 100 - runtimeClock.monotonic())
+    await wait((vm.gateway.state.stopPlan?.endsAt ?? 0) - 400 - runtimeClock.monotonic())
     held[0]?.()
     await caller.ended(1)
     caller.send('/orders/1', 'next', 5_000)
