Log when and why an upstream counts as cold, and what is sent to it

Cause: coldness was a bare time; neither its sign nor the sends of a second were logged. Change: UpstreamStart keeps the sign beside the time, upstream-cold and cold-sends are logged, two counters, and the age of the last answer with upstream-lost and upstream-died. What VMs send to cold upstreams and the signs of ends and starts leave GatewayState for UpstreamStarts and UpstreamSigns. No decision is changed.

--- a/packages/gateway/src/attemptStarter.ts
+++ b/packages/gateway/src/attemptStarter.ts
@@ -124,6 +124,7 @@
     const call = new UpstreamCall(state.connections, connection, listener)
     const attempt = startLocalAttempt({ call, upstream, prediction, wholeMilliseconds: this.wholeMilliseconds(placement), sentAt: now, tokens: resumeAfter === undefined ? head.tokens : undefined })
     listener.attempt = attempt
+    state.starts.countSend(upstream)
     state.recordSentParts(upstream, head.parts)
     onStarted(attempt)
     const headers = state.codec.upstreamHeaders({ request, upstream: announced.id, remainingMilliseconds: deadlineAt - now, resumeAfter })
--- a/packages/gateway/src/crashDetector.ts
+++ b/packages/gateway/src/crashDetector.ts
@@ -19,7 +19,7 @@
   /** Whether the upstream refuses a connection; called once after connections to it have broken. */
   readonly isRefusing: (upstream: AnnouncedUpstream) => Promise<boolean>
   /** Called with an upstream that has crashed, and the number of requests whose connections broke. */
-  readonly onCrash: (upstream: UpstreamId, requests: number) => void
+  readonly onCrash: (upstream: AnnouncedUpstream, requests: number) => void
   readonly onQuarantined?: (quarantine: Quarantine) => void
   readonly onReleased?: (quarantine: Quarantine) => void
   readonly onRefusal?: (kind: SuspectKind) => void
@@ -106,10 +106,10 @@
     const broken = this.broken.get(id)
     this.broken.delete(id)
     if (!isCrashed || broken === undefined) return
-    const { upstream: { service }, at, requests } = broken
-    this.options.onCrash(id, requests.length)
+    const { upstream, at, requests } = broken
+    this.options.onCrash(upstream, requests.length)
     this.observations += 1
-    this.evidence.recordCrash({ id: `${this.options.source} ${this.observations}`, upstream: id, service, at, requests })
+    this.evidence.recordCrash({ id: `${this.options.source} ${this.observations}`, upstream: id, service: upstream.service, at, requests })
     this.onNews()
   }
 }
--- a/packages/gateway/src/gatewayMetrics.ts
+++ b/packages/gateway/src/gatewayMetrics.ts
@@ -126,6 +126,14 @@
     registers: [this.registry]
   })
 
+  readonly coldUpstreams = new Counter({
+    name: 'cuminvale_gateway_cold_upstreams_total', help: 'Upstreams that began to count as cold, by the sign that said so', labelNames: ['sign'], registers: [this.registry]
+  })
+
+  readonly coldSends = new Counter({
+    name: 'cuminvale_gateway_cold_sends_total', help: 'Requests sent to upstreams that counted as cold', registers: [this.registry]
+  })
+
   readonly unreadableRecords = new Counter({
     name: 'cuminvale_gateway_unreadable_records_total',
     help: 'Revisions of published records that could not be used, and items of their source that name no record',
--- a/packages/gateway/src/gatewayProcess.ts
+++ b/packages/gateway/src/gatewayProcess.ts
@@ -261,6 +261,7 @@
     if (this.tickCount % ticksPerSweep !== 0) return
     this.state.connections.closeExpired()
     this.logUpstreamLoads()
+    this.state.starts.logSends()
   }
 
   /** Upstreams may have closed the idle connections in the meantime. */
--- a/packages/gateway/src/gatewayState.ts
+++ b/packages/gateway/src/gatewayState.ts
@@ -5,9 +5,9 @@
  */
 
 import { RefusalReason, rendezvousScore } from '@cuminvale/common'
-import { AnswerDurations, AttemptAges, ForwardResult, PeerTable, PlacementChooser, PredictionErrors, PublishedRecords, RegionForecasts, RegionUsage, RetryBudget, RoomAllocator, ServingConfiguration, SoftwareVersionHistory, TeamRateLimiter, UpstreamTable, UpstreamParts, brittleShare, coldSendsPerSecond, describePosition, eraOf, predictWait, sendShare } from '@cuminvale/serving'
+import { AnswerDurations, AttemptAges, ForwardResult, PeerTable, PlacementChooser, PredictionErrors, PublishedRecords, RegionForecasts, RegionUsage, RetryBudget, RoomAllocator, ServingConfiguration, SoftwareVersionHistory, TeamRateLimiter, UpstreamTable, UpstreamParts, brittleShare, describePosition, eraOf, predictWait, sendShare } from '@cuminvale/serving'
 import { removeForwardedWork } from './attempts.js'
-import { CrashDetector, probeRefusal } from './crashDetector.js'
+import { CrashDetector } from './crashDetector.js'
 import { Executions } from './executions.js'
 import { compareFormat } from './messageFormat.js'
 import { ForwardPools } from './forwardPools.js'
@@ -15,8 +15,10 @@
 import { NeighbourLoads } from './neighbourLoads.js'
 import { StreamOriginExchange } from './streamOriginExchange.js'
 import { UpstreamConnections } from './upstreamConnections.js'
+import { UpstreamSigns } from './upstreamSigns.js'
+import { UpstreamStarts } from './upstreamStarts.js'
 import { UpstreamReach, acceptsConnections } from './upstreamReach.js'
-import { interRegionRoundTripMilliseconds, regionRoundTripMilliseconds, hubReportIntervalMilliseconds, tickIntervalMilliseconds, peerDiscoveryMilliseconds, reportingMilliseconds, requestSilenceTimeoutMilliseconds } from './constants.js'
+import { interRegionRoundTripMilliseconds, regionRoundTripMilliseconds, hubReportIntervalMilliseconds, tickIntervalMilliseconds, peerDiscoveryMilliseconds, reportingMilliseconds } from './constants.js'
 import type { Clock, FailureDomainId, Random, Refusal, RegionId, UpstreamId, VmId } from '@cuminvale/common'
 import type { Log } from '@cuminvale/logs'
 import type { AnnouncedUpstream, InFlightLoad, PeerIdentity, PromptPart, PromptPartId, NeighbourReports, Quarantine, ServiceForecast, ServiceName, Service, SoftwareVersion, StopPlan, UpstreamState } from '@cuminvale/serving'
@@ -38,12 +40,6 @@
 
 /** Prompt parts shorter than this are not worth the traffic of a report to other VMs. */
 const minimumReportedPartTokens = 500
-/** Time without any answer from an upstream after which a connection that breaks may show an end long before. */
-const quietMilliseconds = 250
-/** Time since an answer in which an upstream counts as reached, though it takes no new connection. */
-const recentAnswerMilliseconds = 500
-/** Upstreams that are dialled to tell a crash of another one from a cut. */
-const maximumDialledUpstreams = 3
 /** VMs that may be running without being known yet. */
 const spareVmCount = 1
 
@@ -71,6 +67,8 @@
   readonly crashDetector: CrashDetector
   readonly limitExchange: LimitExchange
   readonly reach: UpstreamReach
+  readonly signs: UpstreamSigns
+  readonly starts: UpstreamStarts
   readonly streamOrigins: StreamOriginExchange
   readonly softwareVersions: SoftwareVersionHistory
   readonly attemptAges = new AttemptAges()
@@ -117,7 +115,19 @@
       sendSharing: {
         share: (upstream, perSecond) => this.sendShare(upstream, perSecond),
         onSent: (upstream) => this.limitExchange.recordSend(upstream)
-      }
+      },
+      onCold: (upstream) => this.starts.recordCold(upstream)
+    })
+    this.starts = new UpstreamStarts({
+      log: options.log,
+      metrics: options.metrics,
+      upstreams: this.upstreams,
+      findService,
+      vm: settings.vm,
+      bounds: settings.bounds,
+      neighbours: () => this.neighbourNames,
+      vmCount: () => this.maximumRegionVmCount,
+      isSettled: () => this.peers.isSettled
     })
     this.neighbourLoads = new NeighbourLoads(this.upstreams)
     this.limitExchange = new LimitExchange({
@@ -134,15 +144,17 @@
     this.forecasts = new RegionForecasts(clock, () => this.peers.neighbourCount, () => this.peers.isSettled ? this.peers.neighbourCount + 1 : this.peers.countIn(settings.region))
     this.longParts = new UpstreamParts(clock)
     this.peers = new PeerTable(clock, self)
+    const isHere = ({ failureDomain }: AnnouncedUpstream): boolean => settings.domainRegions.get(failureDomain) === settings.region
     this.reach = new UpstreamReach({
       clock,
       region: settings.region,
       upstreams: this.upstreams,
-      isHere: ({ failureDomain }) => settings.domainRegions.get(failureDomain) === settings.region,
+      isHere,
       neighbours: () => this.peers.heardPeers({ readyOnly: true }).filter(({ region }) => region === settings.region).map(({ vm }) => vm),
       accepts: acceptsConnections,
-      onReached: (upstream) => this.regained(upstream)
+      onReached: (upstream) => this.signs.regained(upstream)
     })
+    this.signs = new UpstreamSigns({ clock, log: options.log, upstreams: this.upstreams, reach: this.reach, isHere })
     this.rateLimiter = new TeamRateLimiter({ clock, heardShare: () => this.peers.heardShare() })
     const { bounds } = settings
     this.retries = new RetryBudget({
@@ -152,11 +164,8 @@
     this.crashDetector = new CrashDetector({
       clock,
       source: self.incarnation,
-      isRefusing: async (upstream) => await this.hasEnded(upstream),
-      onCrash: (upstream, requests) => {
-        options.log.warn('upstream-died', { upstream, requests })
-        this.upstreams.find(upstream)?.startDoubt.raise()
-      },
+      isRefusing: async (upstream) => await this.signs.hasEnded(upstream),
+      onCrash: (upstream, requests) => this.signs.died(upstream, requests),
       onQuarantined: (quarantine) => this.logQuarantine('suspect-quarantined', quarantine),
       onReleased: (quarantine) => this.logQuarantine('suspect-released', quarantine),
       onRefusal: (kind) => options.metrics.crashSuspectRefusals.inc({ kind })
@@ -173,7 +182,7 @@
       softwareVersionOf: (upstream) => this.softwareVersionOf(upstream),
       isReachedByNeighbours: (upstream) => this.reach.isReachedByNeighbours(upstream),
       reachableRegions: () => this.peers.readyRegions,
-      coldSendsPerSecond: (service, upstream) => this.coldSendsPerSecond(upstream, service.coldRequestsPerSecond * bounds.coldOverage + bounds.coldMargin),
+      coldSendsPerSecond: (service, upstream) => this.starts.sharePerSecond(service, upstream),
       brittleSharing: (upstream) => {
         const count = this.maximumRegionVmCount
         return { count, draw: rendezvousScore(upstream, settings.vm), partOf: (total) => brittleShare({ upstream, self: settings.vm, neighbours: this.neighbourNames, count, total }) }
@@ -299,23 +308,7 @@
   /** Records that this VM stood still: upstreams may have started anew meanwhile, and messages from before may arrive now. */
   recordStandstill (): void {
     this.softwareVersions.interrupt()
-    for (const { startDoubt } of this.upstreams.all) startDoubt.raise()
-  }
-
-  /** Records that a connection to an upstream broke during a request that was sent at the given time. */
-  connectionBroke (upstream: UpstreamState, sentAt: number): void {
-    upstream.failed()
-    // It may have ended before, and be back.
-    if (this.clock.monotonic() - Math.max(sentAt, upstream.lastAnswerAt) > quietMilliseconds) upstream.startDoubt.raise()
-  }
-
-  /** Ejects the upstream of an attempt if it answered nothing at all for too long, whatever becomes of the request. */
-  noticeSilence ({ upstream, sentAt, predictedMilliseconds }: LocalAttempt, now: number): void {
-    if (upstream.needsTrial || upstream.lastAnswerAt > sentAt || now - sentAt <= requestSilenceTimeoutMilliseconds + predictedMilliseconds) return
-    upstream.fellSilent()
-    this.reach.doubtOthers()
-    this.log.warn('upstream-silent', { upstream: upstream.announced.id, service: upstream.announced.service })
-    acceptsConnections(upstream.announced).then((isAccepted) => { if (!isAccepted) this.unreachable(upstream) }, () => { /* not decided */ })
+    this.signs.standstill()
   }
 
   /** Records the first answer to a forward. */
@@ -352,27 +345,6 @@
     return isForwarded && this.reach.isCutFrom(service) ? RefusalReason.UpstreamsUnreached : RefusalReason.NoUpstream
   }
 
-  /** Whether an upstream ended: it refuses connections, and not all others of the region are out of reach too, which would be a fault of this VM's own links. */
-  private async hasEnded (upstream: AnnouncedUpstream): Promise<boolean> {
-    if (!await probeRefusal(upstream)) return false
-    const others = [...this.upstreams.all].map(({ announced }) => announced)
-      .filter(({ id, failureDomain }) => id !== upstream.id && this.settings.domainRegions.get(failureDomain) === this.settings.region)
-    if (others.length === 0) return true
-    const accepted = await Promise.all(others.slice(0, maximumDialledUpstreams).map(async (other) => await acceptsConnections(other)))
-    return accepted.includes(true)
-  }
-
-  /** Records that no connection to an upstream could be made. */
-  unreachable (upstream: UpstreamState): void {
-    upstream.startDoubt.raise()
-    // As much as the failures that eject an upstream.
-    upstream.failed(3)
-    // One that answers on other connections takes no more of them for now.
-    if (this.clock.monotonic() - upstream.lastAnswerAt <= recentAnswerMilliseconds) return
-    if (upstream.unreachedSince === undefined) this.log.warn('upstream-lost', { upstream: upstream.announced.id, service: upstream.announced.service })
-    this.reach.recordUnreached(upstream)
-  }
-
   /** Records that an upstream said in an answer, to this VM or another, that it leaves. */
   saidToLeave (upstream: UpstreamState, heardFrom?: VmId): void {
     if (upstream.hasSaidToLeave) return
@@ -420,20 +392,6 @@
     this.log.info('upstream-paused', { upstream: upstream.announced.id, service: upstream.announced.service, milliseconds: Math.round(milliseconds) })
   }
 
-  /** Records an answer of an upstream to a request that was sent at the given time. */
-  recordReachable (upstream: UpstreamState, sentAt: number): void {
-    // A connection from before may have stayed open.
-    if (upstream.unreachedSince !== undefined && sentAt > upstream.unreachedSince) this.regained(upstream)
-  }
-
-  /** Records that an upstream is reached again. It may have restarted, and then counts as cold, unless other VMs of the region reached it all the time. */
-  private regained (upstream: UpstreamState): void {
-    const mayHaveEnded = this.reach.mayHaveEnded(upstream)
-    upstream.readmit()
-    if (mayHaveEnded) this.upstreams.markReturned(upstream)
-    this.log.info('upstream-regained', { upstream: upstream.announced.id, service: upstream.announced.service, mayHaveEnded })
-  }
-
   /** This VM's running requests and pending (unread) prompt tokens at each upstream, for the other VMs of the region. */
   ownLoads (): ReadonlyMap<UpstreamId, InFlightLoad> {
     const loads = new Map<UpstreamId, InFlightLoad>()
@@ -502,10 +460,6 @@
     return this.peers.known.filter(({ region }) => region === this.settings.region).map(({ vm }) => vm)
   }
 
-  private coldSendsPerSecond (upstream: UpstreamId, maximumPerSecond: number): number {
-    return coldSendsPerSecond({ upstream, self: this.settings.vm, neighbours: () => this.neighbourNames, count: this.maximumRegionVmCount, isSettled: this.peers.isSettled, maximumPerSecond })
-  }
-
   /** VMs of this region that may be running, with an allowance for those not yet known. */
   private get maximumRegionVmCount (): number {
     return this.peers.countIn(this.settings.region) + spareVmCount
--- a/packages/gateway/src/requestExecution.ts
+++ b/packages/gateway/src/requestExecution.ts
@@ -138,7 +138,7 @@
     if (this.isOver) return
     if (now >= this.options.deadlineAt) return this.handleDeadline()
     const attempt = this.attempts.current
-    if (attempt?.kind === 'local') this.options.state.noticeSilence(attempt, now)
+    if (attempt?.kind === 'local') this.options.state.signs.noticeSilence(attempt, now)
     if (this.heldRetryAt !== undefined) {
       if (now >= this.heldRetryAt) this.sendHeldRetry()
       return
@@ -168,7 +168,7 @@
       if (this.handleFailedAnswer(attempt, `status ${status}`)) return
     } else {
       attempt.upstream.succeeded()
-      state.recordReachable(attempt.upstream, attempt.sentAt)
+      state.signs.reachable(attempt.upstream, attempt.sentAt)
     }
     this.relayHead(attempt, status, answer.headers)
   }
@@ -357,7 +357,7 @@
     const wasSilent = this.attempts.isSilent(attempt)
     this.attempts.end(attempt)
     this.attemptsLeft += attempt.kind === 'local' ? 1 : attempt.granted
-    if (attempt.kind === 'local') this.options.state.unreachable(attempt.upstream)
+    if (attempt.kind === 'local') this.options.state.signs.unreachable(attempt.upstream)
     // A single VM that takes no connection may just have ended.
     if (this.excluded.addUnsent(attempt)) this.options.state.recordFailedForward(attempt, this.request.service)
     if (wasSilent) return
@@ -374,7 +374,7 @@
     this.attempts.mayHaveRun = true
     if (this.attempts.isAnswering(attempt)) this.relay.discardUnsent()
     if (attempt.kind === 'local') {
-      this.options.state.connectionBroke(attempt.upstream, attempt.sentAt)
+      this.options.state.signs.connectionBroke(attempt.upstream, attempt.sentAt)
       this.options.state.crashDetector.recordBrokenConnection(this.request, this.options.body, attempt.upstream.announced)
     }
     if (this.attempts.isSilent(attempt)) return this.attempts.end(attempt)
--- a/packages/gateway/src/silentUpstream.test.ts
+++ b/packages/gateway/src/silentUpstream.test.ts
@@ -226,7 +226,7 @@
     const offered = (): number | undefined => state.regionForecasts().get(service)?.upstreams
     for (const upstream of state.upstreams.all) upstream.failed(3)
     expect(offered()).toBe(2)
-    for (const upstream of state.upstreams.all) state.unreachable(upstream)
+    for (const upstream of state.upstreams.all) state.signs.unreachable(upstream)
     expect(offered()).toBe(0)
   })
 })
--- a/packages/serving/src/sendWindow.ts
+++ b/packages/serving/src/sendWindow.ts
@@ -19,6 +19,12 @@
     return this.sentAt.length + 1 <= maximumPerSecond
   }
 
+  /** Sends of the last second. */
+  get count (): number {
+    this.removeExpired()
+    return this.sentAt.length
+  }
+
   /** Records a send. */
   sent (): void {
     this.removeExpired()
--- a/packages/serving/src/upstreamState.ts
+++ b/packages/serving/src/upstreamState.ts
@@ -13,6 +13,7 @@
 import { SharedSendLimit } from './sharedSendLimit.js'
 import { StartDoubt } from './startDoubt.js'
 import { UpstreamPerformance } from './upstreamPerformance.js'
+import { UpstreamStart } from './upstreamStart.js'
 import type { Clock, UpstreamId } from '@cuminvale/common'
 import type { BrittleSharing } from './brittleGuard.js'
 import type { ServicePerformance } from './servicePerformance.js'
@@ -71,7 +72,6 @@
   neighbourLoad: InFlightLoad = { inFlight: 0, pendingTokens: 0 }
   /** What the upstream takes for its work, learned from its answers. */
   performance: UpstreamPerformance
-  coldUntil = 0
   lastAnswerAt = -Infinity
   /** Monotonic time of the last failure to connect to it from this VM; undefined once it was reached again. */
   unreachedSince: number | undefined
@@ -81,6 +81,7 @@
   isReplaced = false
   /** Whether an answer of the upstream said that it leaves. Nothing withdraws that; a new start has a state of its own. */
   hasSaidToLeave = false
+  readonly start: UpstreamStart
   /** Decides whether the upstream still is the start that was announced last. */
   readonly startDoubt: StartDoubt
   readonly brittle: BrittleGuard
@@ -102,6 +103,7 @@
 
   constructor (private readonly clock: Clock, public announced: AnnouncedUpstream, private readonly neighbourReports: NeighbourReports = noNeighbours, sharing: SendSharing = noSharing, servicePerformance?: ServicePerformance) {
     this.performance = new UpstreamPerformance(clock, servicePerformance)
+    this.start = new UpstreamStart(clock)
     this.startDoubt = new StartDoubt(clock)
     this.brittle = new BrittleGuard(clock)
     this.naming = new AnswerNaming(clock)
@@ -165,7 +167,12 @@
   }
 
   get isCold (): boolean {
-    return this.clock.monotonic() < this.coldUntil
+    return this.start.isCold
+  }
+
+  /** Whole milliseconds since its last answer; undefined before the first one. */
+  get answerAgeMilliseconds (): number | undefined {
+    return this.lastAnswerAt === -Infinity ? undefined : Math.round(this.clock.monotonic() - this.lastAnswerAt)
   }
 
   /** Whether the upstream failed often enough recently to be skipped while other upstreams are left. */
@@ -202,10 +209,6 @@
     this.sendLimit = earlier.sendLimit
   }
 
-  markCold (milliseconds: number): void {
-    if (milliseconds > 0) this.coldUntil = Math.max(this.coldUntil, this.clock.monotonic() + milliseconds)
-  }
-
   recordReportedLoad (load: ReportedLoad): void {
     this.load = { ...load, at: this.clock.monotonic(), ownInFlightAtReport: this.ownInFlight }
   }
--- a/packages/serving/src/upstreamTable.ts
+++ b/packages/serving/src/upstreamTable.ts
@@ -6,6 +6,7 @@
 
 import { millisecondsPerSecond } from '@cuminvale/common'
 import { ServicePerformance, packPerformance } from './servicePerformance.js'
+import { ColdSign } from './upstreamStart.js'
 import { UpstreamState } from './upstreamState.js'
 import type { Clock, FailureDomainId, RegionId, UpstreamId } from '@cuminvale/common'
 import type { PackedPerformance } from './servicePerformance.js'
@@ -18,6 +19,8 @@
   readonly findService: (service: ServiceName) => Service | undefined
   readonly neighbourReports?: NeighbourReports
   readonly sendSharing?: SendSharing
+  /** Called when an upstream counts as cold that was warm, or was cold by another sign. */
+  readonly onCold?: (upstream: UpstreamState) => void
 }
 
 export interface UpstreamTableChange {
@@ -156,7 +159,7 @@
 
   /** Treats an upstream that was unreachable and answers again as just started. */
   markReturned (upstream: UpstreamState): void {
-    upstream.markCold(this.coldMilliseconds(upstream.announced.service))
+    this.markCold(upstream, this.coldMilliseconds(upstream.announced.service), ColdSign.Returned)
     upstream.clearParts()
   }
 
@@ -167,7 +170,7 @@
     this.removedStates.delete(upstream.id)
     if (removed !== undefined && !isNewRun(removed.announced, upstream)) state.keepWishesOf(removed)
     this.applyAnnouncedCold(state, upstream.coldMilliseconds)
-    if (this.hasSynced) state.markCold(this.coldMilliseconds(upstream.service))
+    if (this.hasSynced) this.markCold(state, this.coldMilliseconds(upstream.service), ColdSign.Appeared)
   }
 
   private remove (id: UpstreamId): void {
@@ -188,19 +191,25 @@
   }
 
   private applyAnnouncedCold (upstream: UpstreamState, milliseconds: number): void {
-    if (milliseconds > 0) upstream.markCold(milliseconds + coldMarginMilliseconds)
+    if (milliseconds > 0) this.markCold(upstream, milliseconds + coldMarginMilliseconds, ColdSign.Announced)
   }
 
   private applyEvacuations (evacuated: ReadonlySet<FailureDomainId>): void {
     for (const upstream of this.beliefs.values()) {
       const domain = upstream.announced.failureDomain
       if (this.evacuated.has(domain) && !evacuated.has(domain)) {
-        upstream.markCold(this.coldMilliseconds(upstream.announced.service) + evacuationColdMarginMilliseconds)
+        this.markCold(upstream, this.coldMilliseconds(upstream.announced.service) + evacuationColdMarginMilliseconds, ColdSign.Evacuation)
       }
     }
     this.evacuated = evacuated
   }
 
+  private markCold (upstream: UpstreamState, milliseconds: number, sign: ColdSign): void {
+    const { start } = upstream
+    const earlierSign = start.isCold ? start.sign : undefined
+    if (start.markCold(milliseconds, sign) && sign !== earlierSign) this.options.onCold?.(upstream)
+  }
+
   private coldMilliseconds (name: ServiceName): number {
     const service = this.options.findService(name)
     return service === undefined || service.coldRequestsPerSecond <= 0 ? 0 : service.coldSeconds * millisecondsPerSecond
