Show with failing tests that a cold upstream is sent more than it takes

Callers saw nothing; an upstream that has just started gets the usual rate of requests, or its share twice. The window of sends, the requests under way and the cold time begin anew with a record (seven cases of the table).

--- a/packages/serving/src/upstreamTable.test.ts
+++ b/packages/serving/src/upstreamTable.test.ts
@@ -124,6 +124,63 @@
     expect(upstreams.find(toUpstreamId('a'))?.isCold).toBe(false)
   })
 
+  // Guards against a cold upstream that gets the share of this VM twice in a second, once for its connection and once for its record (FAILBACK).
+  it.fails.each([
+    ['names another start', 400, [announced('a', { startedAt: 2 })]],
+    ['names another address', 400, [announced('a', { port: 81 })]],
+    ['came back after it had lapsed', 0, [announced('a')]]
+  ])('keeps the sends of the last second when the record of an upstream %s', (_case, coldMilliseconds, records) => {
+    const share = 4.875
+    upstreams.sync([announced('a', { coldMilliseconds })], noEvacuations)
+    const before = upstreams.find(toUpstreamId('a'))
+    while (before?.sends.allows(share) === true) before.recordSend(1)
+    clock.advance(300)
+    if (coldMilliseconds === 0) upstreams.sync([], noEvacuations)
+    upstreams.sync(records, noEvacuations)
+    expect(upstreams.find(toUpstreamId('a'))?.sends.allows(share)).toBe(false)
+    clock.advance(900)
+    expect(upstreams.find(toUpstreamId('a'))?.sends.allows(share)).toBe(true)
+  })
+
+  // Guards against more requests under way than the connections that this VM may use, while those of before the record are answered.
+  it.fails.each([
+    ['names another start', [announced('a', { startedAt: 2 })]],
+    ['came back after it had lapsed', [announced('a')]]
+  ])('counts the requests under way when the record of an upstream %s', (_case, records) => {
+    upstreams.sync([announced('a')], noEvacuations)
+    const before = upstreams.find(toUpstreamId('a'))
+    if (before !== undefined) before.ownInFlight += 3
+    upstreams.sync([], noEvacuations)
+    upstreams.sync(records, noEvacuations)
+    const after = upstreams.find(toUpstreamId('a'))
+    expect(after?.ownInFlight).toBe(3)
+    if (before !== undefined) before.ownInFlight -= 1
+    expect(after?.ownInFlight).toBe(2)
+  })
+
+  // Guards against an upstream that counts as warm since an older record of the same start came back.
+  it.fails('does not forget a cold time when the record comes back as an older one', () => {
+    upstreams.sync([announced('a', { coldMilliseconds: 9_000 })], noEvacuations)
+    upstreams.sync([], noEvacuations)
+    upstreams.sync([announced('a')], noEvacuations)
+    clock.advance(8_000)
+    expect(upstreams.find(toUpstreamId('a'))?.isCold).toBe(true)
+  })
+
+  // Guards against an upstream that counts as warm since it was announced before its service was.
+  it.fails('treats an upstream as cold once its service is known, from the time at which it appeared', () => {
+    let isConfigured = false
+    upstreams = new UpstreamTable({ clock, regionOf, findService: (service) => isConfigured ? findService(service) : undefined })
+    upstreams.sync([announced('first')], noEvacuations)
+    upstreams.sync([announced('first'), announced('late')], noEvacuations)
+    clock.advance(1_000)
+    isConfigured = true
+    upstreams.sync([announced('first'), announced('late')], noEvacuations)
+    expect(upstreams.find(toUpstreamId('late'))?.isCold).toBe(true)
+    clock.advance(2_001)
+    expect(upstreams.find(toUpstreamId('late'))?.isCold).toBe(false)
+  })
+
   it('counts long parts that only another upstream holds, so that needless rereads show in the metric', () => {
     upstreams.sync([announced('a'), announced('b')], noEvacuations)
     const a = upstreams.find(toUpstreamId('a'))
