Prove upstreams warm by inspections while a VM is out of touch with the records

Cause: two VMs that are cut off from the store and the other VMs don't learn of the evacuation, go on sending, and the upstreams become cold 0.7 s before it ends. Nothing made them doubt what they had read before the cut. Ruled out: a window that begins anew (no record changes there), a start that isn't noticed (no process ends). Change: a VM is out of touch if its records are over 3.5 s old, or 0.7 s while half of the VMs that it heard in the last 10 s are silent. Meanwhile only an inspection proves an upstream warm, and between two of them it is sent no more than the share of a cold one; afterwards all are inspected once. Where a region has too many VMs for a share, each sends one request after each inspection.

--- a/packages/gateway/src/coldStarts.test.ts
+++ b/packages/gateway/src/coldStarts.test.ts
@@ -46,6 +46,10 @@
     await new Promise<void>((resolve) => server.listen({ host: '127.0.0.1', port: this.port }, () => resolve()))
   }
 
+  becomeCold (): void {
+    this.coldUntil = performance.now() + coldSeconds * 1_000
+  }
+
   end (): void {
     this.server?.close()
     this.sockets.forEach((socket) => socket.resetAndDestroy())
@@ -110,4 +114,20 @@
     await callFor(gateway.port, 1_500)
     expect(running.mostPerSecondSince(0)).toBeLessThanOrEqual(maximumPerSecond)
   }, 15_000)
+
+  // Guards against a VM that is cut off from the records and the other VMs, and doesn't learn of an evacuation at whose end the upstream is cold (FAILBACK).
+  it('is sent what a cold one takes by a VM that is out of touch with the records', async () => {
+    const { upstream, running } = await startProcess(false)
+    gateway = await startTestGateway(document(), [upstream])
+    gateway.gateway.state.recordAgeMilliseconds = () => 60_000
+    await wait(settledMilliseconds)
+    const calls = callFor(gateway.port, 2_000)
+    await wait(1_000)
+    const servedWarm = running.arrivedAt.length
+    running.becomeCold()
+    const coldAt = performance.now()
+    await calls
+    expect(servedWarm).toBeGreaterThan(50)
+    expect(running.mostPerSecondSince(coldAt)).toBeLessThanOrEqual(maximumPerSecond)
+  }, 15_000)
 })
--- a/packages/gateway/src/gatewayState.ts
+++ b/packages/gateway/src/gatewayState.ts
@@ -19,7 +19,7 @@
 import { UpstreamSigns } from './upstreamSigns.js'
 import { UpstreamStarts } from './upstreamStarts.js'
 import { UpstreamReach, acceptsConnections } from './upstreamReach.js'
-import { interRegionRoundTripMilliseconds, regionRoundTripMilliseconds, hubReportIntervalMilliseconds, tickIntervalMilliseconds, peerDiscoveryMilliseconds, reportingMilliseconds } from './constants.js'
+import { isolatedRecordMilliseconds, outOfTouchRecordMilliseconds, interRegionRoundTripMilliseconds, regionRoundTripMilliseconds, hubReportIntervalMilliseconds, tickIntervalMilliseconds, peerDiscoveryMilliseconds, reportingMilliseconds } from './constants.js'
 import type { Clock, FailureDomainId, Random, Refusal, RegionId, UpstreamId, VmId } from '@cuminvale/common'
 import type { Log } from '@cuminvale/logs'
 import type { AnnouncedUpstream, InFlightLoad, PeerIdentity, PromptPart, PromptPartId, NeighbourReports, Quarantine, ServiceForecast, ServiceName, Service, SoftwareVersion, StopPlan, UpstreamState } from '@cuminvale/serving'
@@ -132,7 +132,7 @@
       vmCount: () => this.maximumRegionVmCount,
       isSettled: () => this.peers.isSettled,
       isHere,
-      isOutOfTouch: () => false,
+      isOutOfTouch: () => this.isOutOfTouch,
       inspect: async (upstream, healthPath) => await inspectUpstream({ connections: this.connections, codec: this.codec, upstream, healthPath }),
       onUnreachable: (upstream) => this.signs.unreachable(upstream)
     })
@@ -204,6 +204,12 @@
     })
   }
 
+  /** Whether records may have changed without this VM: they are old, or it has lost contact with most others and hasn't read them since. */
+  private get isOutOfTouch (): boolean {
+    const age = this.recordAgeMilliseconds()
+    return age > outOfTouchRecordMilliseconds || (age > isolatedRecordMilliseconds && this.peers.hasLostMost)
+  }
+
   /** Whether this VM takes new requests: it knows a configuration and is not shutting down. */
   get isReady (): boolean {
     return this.configuration !== undefined && !this.isLeaving
--- a/packages/serving/src/peerTable.test.ts
+++ b/packages/serving/src/peerTable.test.ts
@@ -46,6 +46,28 @@
     expect(table.heardShare()).toBe(0.5)
   })
 
+  it('has lost most others if half of those that it heard lately are silent, and no longer once they have likely ended', () => {
+    for (const name of ['a', 'b', 'c']) table.recordContact(identity(name), true)
+    expect(table.hasLostMost).toBe(false)
+    clock.advance(600)
+    table.recordContact(identity('a'), true)
+    clock.advance(200)
+    expect(table.hasLostMost).toBe(true)
+    table.recordContact(identity('b'), true)
+    expect(table.hasLostMost).toBe(false)
+    clock.advance(9_500)
+    for (const name of ['a', 'b']) table.recordContact(identity(name), true)
+    expect(table.hasLostMost).toBe(false)
+  })
+
+  it('has lost a region once its reports cease', () => {
+    table.recordRegionReport(south, [{ identity: identity('far', south), isReady: true }])
+    clock.advance(1_400)
+    expect(table.hasLostMost).toBe(false)
+    clock.advance(200)
+    expect(table.hasLostMost).toBe(true)
+  })
+
   it('assumes at least a minimum region size just after startup', () => {
     expect(table.countIn(north)).toBe(8)
     table.recordContact(identity('a'), true)
--- a/packages/serving/src/peerTable.ts
+++ b/packages/serving/src/peerTable.ts
@@ -65,6 +65,10 @@
 const regionSilentAfterMilliseconds = 1_500
 /** Silence after which a failure domain is not heard; covers the change to another hub. */
 const domainSilentAfterMilliseconds = 2_600
+/** Silence after which contact with a VM of the region may be lost: three heartbeats. */
+const lostAfterMilliseconds = 700
+/** Time for which a VM that fell silent shows that contact may be lost; one that is silent for longer has likely ended. */
+const lossMemoryMilliseconds = 10_000
 /** Time for which the share of the VMs that are heard is kept before it is counted again; every charge to a team reads it. */
 const heardShareLifetimeMilliseconds = 100
 /** Silence after which a VM is removed; far longer than the network partitions that the deployment expects. */
@@ -265,6 +269,26 @@
     return silent.length === 0 ? undefined : Math.min(...silent.map((peer) => this.heardAt(peer)))
   }
 
+  /** Whether at least half of the VMs that were heard lately have fallen silent. */
+  get hasLostMost (): boolean {
+    const now = this.clock.monotonic()
+    let heardCount = 0
+    let lostCount = 0
+    for (const peer of this.peers.values()) {
+      const heardAt = this.heardAt(peer)
+      if (now - heardAt > lossMemoryMilliseconds) continue
+      heardCount += 1
+      if (now - heardAt > this.lostAfter(peer, heardAt)) lostCount += 1
+    }
+    return lostCount > 0 && lostCount * 2 >= heardCount
+  }
+
+  /** Silence after which contact with a VM may be lost, by the way in which it was heard last. */
+  private lostAfter (peer: Peer, heardAt: number): number {
+    if (peer.identity.region !== this.self.region) return regionSilentAfterMilliseconds
+    return heardAt > peer.heardAt ? domainSilentAfterMilliseconds : lostAfterMilliseconds
+  }
+
   /** VMs of this VM's region that are heard, and whether they accept new work. */
   get heardNeighbours (): readonly RegionMember[] {
     return [...this.peers.values()]
