Tell the other VMs of the region that an upstream was seen cold

Callers saw upstreams fall over; a VM whose own connections showed nothing went on at the usual rate while another VM knew better. Cause: no VM told others of a start, or of a cold time, that it had seen itself. Evidence: upstreamStarts.test.ts, 'tells others'; before, no message said it. Ruled out: that the limits' exchange does so, which carries only what answers name. Change: link message upstream-cold, sent as an inspection shows a cold upstream, and for all cold ones as a link is made; hubs pass on what is new to them. A report of an earlier start is ignored, and none counts for longer than a start of the service is cold.

--- a/packages/gateway/src/gatewayPeerLinks.ts
+++ b/packages/gateway/src/gatewayPeerLinks.ts
@@ -114,6 +114,7 @@
     state.recordAgeMilliseconds = () => this.feed.ageMilliseconds
     state.originLinks = () => (this.originLinks ??= this.findOriginLinks())
     state.limitExchange.sendToRegion = (message) => this.sendToRegion(message)
+    state.starts.announceCold = (message) => this.sendToRegion(message)
     state.announceLeaving = ({ id, startedAt }) => this.sendToRegion(packMessage({ kind: 'upstream-leaving', upstream: id, startedAt }))
     this.webSocketServer = new WebSocketServer({ server, path: linkPath, perMessageDeflate: false, maxPayload: maximumLinkMessageBytes })
     this.webSocketServer.on('connection', (socket) => this.accept(socket))
@@ -348,8 +349,7 @@
         const { message, serial } = this.introductions.forDialledLink({ isAsking: link.isAsking, isSpeaker: this.plan.isSpeaker })
         link.sentSerial = serial
         link.send(message)
-        this.evidenceExchange.sendAll((evidence) => link.send(evidence))
-        state.limitExchange.sendAll((limits) => link.send(limits))
+        for (const source of [this.evidenceExchange, state.limitExchange, state.starts]) source.sendAll((known) => link.send(known))
       },
       onClosed: () => { this.isPlanOutdated = true },
       onMessage: (data) => this.receive(data, { sender: peers.find(address), accepted: undefined, send: (message) => link.send(message) })
@@ -412,6 +412,8 @@
         if (upstream !== undefined && upstream.announced.startedAt === (message.startedAt ?? undefined)) state.saidToLeave(upstream, sender?.vm)
         return
       }
+      case 'upstream-cold':
+        return state.starts.receiveCold(message, { relays: this.plan.usesHubs })
       case 'upstream-limits':
         return state.limitExchange.receive(message)
       case 'suspicion.report':
--- a/packages/gateway/src/linkMessageShapes.ts
+++ b/packages/gateway/src/linkMessageShapes.ts
@@ -57,6 +57,7 @@
   acknowledgement: fields({ sequence: isNumber }),
   leaving: fields({ identity }),
   'upstream-leaving': fields({ upstream: isText, startedAt: optional(isNumber) }),
+  'upstream-cold': fields({ upstream: isText, startedAt: optional(isNumber), coldMilliseconds: isNumber }),
   'upstream-limits': fields({ vm: isText, incarnation: isText, limits: listOf(row(isText, optional(isNumber), optional(isNumber), isNumber, isNumber)) }),
   'crash-evidence': fields({
     observations: listOf(row(isText, isText, isText, isNumber, listOf(row(isText, listOf(isText))))), completions: listOf(row(isText, isText, isNumber))
--- a/packages/gateway/src/linkMessages.ts
+++ b/packages/gateway/src/linkMessages.ts
@@ -145,6 +145,16 @@
   readonly startedAt: number | undefined
 }
 
+/** An upstream said that it is cold when the sender inspected it. */
+export interface UpstreamColdMessage {
+  readonly kind: 'upstream-cold'
+  readonly upstream: UpstreamId
+  /** The announced start of the upstream as the sender knows it. */
+  readonly startedAt: number | undefined
+  /** Milliseconds for which it stays cold. */
+  readonly coldMilliseconds: number
+}
+
 /** An upstream, its announced start, the limit that it named last (null for none), the age of that answer in milliseconds, and the sender's sends while it named limits. */
 export type PackedLimit = readonly [UpstreamId, number | undefined, number | null, number, number]
 
@@ -225,7 +235,7 @@
 }
 
 export type LinkMessage =
-  | SuspicionMessage | CrashEvidenceMessage | HelloMessage | HeartbeatMessage | RegionReport | DigestMessage | AcknowledgementMessage | LeavingMessage | UpstreamLeavingMessage | UpstreamLimitsMessage
+  | SuspicionMessage | CrashEvidenceMessage | HelloMessage | HeartbeatMessage | RegionReport | DigestMessage | AcknowledgementMessage | LeavingMessage | UpstreamLeavingMessage | UpstreamColdMessage | UpstreamLimitsMessage
   | RecordsRequestMessage | RecordChangesMessage | RecordsMessage | CompressedMessage | StreamOriginsMessage | StreamQuestionMessage
 
 // Records name the fields of equal objects once in a message, which halves a list of VMs.
--- a/packages/gateway/src/upstreamStarts.test.ts
+++ b/packages/gateway/src/upstreamStarts.test.ts
@@ -2,10 +2,12 @@
 import { StartSign, UpstreamTable } from '@cuminvale/serving'
 import { beforeEach, describe, expect, it } from 'vitest'
 import { outOfTouchInspectionMilliseconds } from './constants.js'
+import { unpackMessages } from './linkMessages.js'
 import { GatewayMetrics } from './gatewayMetrics.js'
 import { region, service, silentLog } from './testSupport.js'
 import { UpstreamStarts } from './upstreamStarts.js'
 import type { Service, SoftwareVersion, UpstreamState } from '@cuminvale/serving'
+import type { UpstreamColdMessage } from './linkMessages.js'
 import type { UpstreamHealth } from './types.js'
 
 const id = toUpstreamId('u1')
@@ -152,6 +154,32 @@
     expect(inspections).toBe(1)
   })
 
+  // Guards against a VM that sends the usual rate to an upstream that another VM has seen cold (FAILBACK).
+  it('tells others of an upstream that it saw cold, and takes that over only for a start that it knows, for no longer than one is cold', async () => {
+    const [teller, other, newer] = [createVm('vm-1'), createVm('vm-2'), createVm('vm-3')]
+    newer.upstream.announced = { ...newer.upstream.announced, startedAt: 2 }
+    const told: UpstreamColdMessage[] = []
+    teller.starts.announceCold = (frame) => unpackMessages(frame).forEach((message) => { if (message.kind === 'upstream-cold') told.push(message) })
+    health = { upstream: id, coldMilliseconds: 2_000 }
+    teller.starts.suspect(teller.upstream, StartSign.Lost)
+    await settle()
+    expect(told).toHaveLength(1)
+    for (const { starts } of [other, newer]) told.forEach((message) => starts.receiveCold(message, { relays: false }))
+    expect([other, newer].map(({ upstream }) => upstream.isCold)).toEqual([true, false])
+    clock.advance(3_000)
+    other.starts.receiveCold({ kind: 'upstream-cold', upstream: id, startedAt: undefined, coldMilliseconds: 1e9 }, { relays: false })
+    clock.advance(3_000)
+    expect(other.upstream.isCold).toBe(false)
+  })
+
+  it('passes on what it was told by way of hubs, once', () => {
+    const vm = createVm()
+    let passedOn = 0
+    vm.starts.announceCold = () => { passedOn += 1 }
+    for (let copies = 0; copies < 2; copies += 1) vm.starts.receiveCold({ kind: 'upstream-cold', upstream: id, startedAt: 1, coldMilliseconds: 500 }, { relays: true })
+    expect(passedOn).toBe(1)
+  })
+
   // Guards against an upstream that is used although another one answers at its address.
   it('does not use an upstream at whose address another one answers', async () => {
     const vm = createVm()
--- a/packages/gateway/src/upstreamStarts.ts
+++ b/packages/gateway/src/upstreamStarts.ts
@@ -7,10 +7,12 @@
 
 import { StartSign, coldSendsPerSecond } from '@cuminvale/serving'
 import { CallFailure } from './errors.js'
+import { packMessage } from './linkMessages.js'
 import { coldStartGraceMilliseconds, outOfTouchInspectionMilliseconds } from './constants.js'
 import type { Log } from '@cuminvale/logs'
 import type { AnnouncedUpstream, Service, ServiceName, UpstreamState, UpstreamTable } from '@cuminvale/serving'
 import type { Clock, UpstreamId, VmId } from '@cuminvale/common'
+import type { UpstreamColdMessage } from './linkMessages.js'
 import type { GatewayMetrics } from './gatewayMetrics.js'
 import type { ServingBounds, UpstreamHealth } from './types.js'
 
@@ -45,6 +47,9 @@
   private readonly inspected = new Set<UpstreamState>()
   private wasOutOfTouch = false
 
+  /** Sends a message to the VMs of the region that this VM is linked to. */
+  announceCold: (message: Buffer) => void = () => { /* no links yet */ }
+
   constructor (private readonly options: UpstreamStartsOptions) {}
 
   /** Whether an upstream may be sent one more request, as far as its start is concerned. */
@@ -100,6 +105,27 @@
     }
   }
 
+  /** Takes over that another VM has seen an upstream cold; in a region with hubs, what is new here is passed on. */
+  receiveCold ({ upstream: id, startedAt, coldMilliseconds }: UpstreamColdMessage, { relays }: { readonly relays: boolean }): void {
+    const upstream = this.options.upstreams.find(id)
+    const service = upstream === undefined ? undefined : this.options.findService(upstream.announced.service)
+    // An earlier start than the one that is known here says nothing of it.
+    if (upstream === undefined || service === undefined || (startedAt ?? Infinity) < (upstream.announced.startedAt ?? -Infinity)) return
+    const wasCold = upstream.isCold
+    // No start of the service is cold for longer, whatever the message says.
+    upstream.start.markCold(Math.min(coldMilliseconds, coldMillisecondsOf(service)), StartSign.Told)
+    if (wasCold || !upstream.isCold) return
+    this.recordCold(upstream)
+    if (relays) this.announceCold(packCold(upstream))
+  }
+
+  /** Tells a VM with which a link was made of all cold upstreams. */
+  sendAll (send: (message: Buffer) => void): void {
+    for (const upstream of this.options.upstreams.all) {
+      if (upstream.isCold) send(packCold(upstream))
+    }
+  }
+
   /** Records a request that is sent. */
   recordSend (upstream: UpstreamState): void {
     if (upstream.isCold) this.options.metrics.coldSends.inc()
@@ -159,8 +185,13 @@
       upstream.isReplaced = true
       return
     }
-    if (upstream.start.recordInspection({ askedAt, coldMilliseconds: health.coldMilliseconds })) this.recordCold(upstream)
+    if (!upstream.start.recordInspection({ askedAt, coldMilliseconds: health.coldMilliseconds })) return
+    this.recordCold(upstream)
+    this.announceCold(packCold(upstream))
   }
 }
 
+const packCold = ({ announced: { id, startedAt }, start: { coldMilliseconds } }: UpstreamState): Buffer =>
+  packMessage({ kind: 'upstream-cold', upstream: id, startedAt, coldMilliseconds: Math.round(coldMilliseconds) })
+
 const coldMillisecondsOf = ({ coldSeconds, coldRequestsPerSecond }: Service): number => coldRequestsPerSecond > 0 ? coldSeconds * millisecondsPerSecond : 0
