--- a/packages/serving/src/coldSendsPerSecond.test.ts
+++ b/packages/serving/src/coldSendsPerSecond.test.ts
@@ -31,6 +31,27 @@
     }
   })
 
+  // Guards against VMs that divide the rate by too few: each counts those that it knows and a spare, also while others leave or start.
+  it.each([2, 3, 4, 5, 8])('stay within the bound whichever of %i VMs lack one of the others, or all but those that they started with', (count) => {
+    const vms = vmsOf(count)
+    for (const upstream of upstreams) {
+      for (const hidden of vms) {
+        // One that starts is known to none; it knows all of them, or none yet and then assumes eight.
+        expect(totalPerSecond(vms, upstream, (_from, to) => to !== hidden)).toBeLessThanOrEqual(maximumPerSecond)
+        const rest = vms.filter((vm) => vm !== hidden)
+        const alone = Math.floor(coldSendsPerSecond({ upstream, self: hidden, neighbours: () => [], count: 9, isSettled: true, maximumPerSecond }))
+        expect(alone + totalPerSecond(rest, upstream)).toBeLessThanOrEqual(maximumPerSecond)
+      }
+    }
+  })
+
+  // Groups of a region whose VMs all started while the groups couldn't hear each other: each counts only itself and a spare.
+  it.fails('stay within the bound if eight VMs start in four pairs that don’t hear each other', () => {
+    const vms = vmsOf(8)
+    const pairOf = (vm: VmId): number => Math.floor(vms.indexOf(vm) / 2)
+    for (const upstream of upstreams) expect(totalPerSecond(vms, upstream, (from, to) => pairOf(from) === pairOf(to))).toBeLessThanOrEqual(maximumPerSecond)
+  })
+
   it('are sent nothing by a VM that has just started', () => {
     expect(coldSendsPerSecond({ upstream: toUpstreamId('i-1'), self: toVmId('vm-1'), neighbours: () => [], count: 9, isSettled: false, maximumPerSecond })).toBe(0)
   })
