Don't inspect unwatched upstreams where there are too many VMs for a share

Cause: the sign that the last connection to an upstream was closed had it inspected at once in regions where no VM has a share of a cold one's rate. The inspection opens a connection, which is closed as idle 3.5 s later, and is the reason of the next one. Ruled out: regions of up to 18 VMs, in which only a send has an unwatched upstream inspected. Change: there, the sign is left out. VMs that keep no connection to an upstream send it less than one request each in 3.5 s.

--- a/packages/gateway/src/upstreamStarts.test.ts
+++ b/packages/gateway/src/upstreamStarts.test.ts
@@ -154,6 +154,14 @@
     expect(inspections).toBe(1)
   })
 
+  // Guards against inspections in a large region that each open a connection, whose close is the reason of the next one.
+  it('does not inspect an upstream without a connection where there are too many VMs for a share', () => {
+    vmCount = 60
+    const vm = createVm('vm-without-share')
+    vm.starts.suspect(vm.upstream, StartSign.Unwatched)
+    expect([inspections, vm.upstream.start.isUnsure, vm.starts.allows(engine, vm.upstream)]).toEqual([0, false, true])
+  })
+
   // Guards against a VM that sends the usual rate to an upstream that another VM has seen cold (FAILBACK).
   it('tells others of an upstream that it saw cold, and takes that over only for a start that it knows, for no longer than one is cold', async () => {
     const [teller, other, newer] = [createVm('vm-1'), createVm('vm-2'), createVm('vm-3')]
--- a/packages/gateway/src/upstreamStarts.ts
+++ b/packages/gateway/src/upstreamStarts.ts
@@ -67,9 +67,11 @@
     const { findService, isHere } = this.options
     const service = findService(upstream.announced.service)
     if (service === undefined || coldMillisecondsOf(service) === 0 || !isHere(upstream.announced)) return
+    // So many VMs that none has a share send little together to an upstream to which none keeps a connection; inspections would keep one open for each.
+    if (sign === StartSign.Unwatched && this.sharePerSecond(service, upstream.announced.id, { isCold: false }) < 1) return
     upstream.start.suspect(sign)
     // Nothing is at risk before the first send, which has it inspected.
-    if (sign !== StartSign.Unwatched || this.sharePerSecond(service, upstream.announced.id, { isCold: false }) < 1) this.inspect(upstream)
+    if (sign !== StartSign.Unwatched) this.inspect(upstream)
   }
 
   /** Records that this VM may have missed what happened to all upstreams. */
