--- a/packages/gateway/src/upstreamStarts.ts
+++ b/packages/gateway/src/upstreamStarts.ts
@@ -41,6 +41,8 @@
 }
 
 const millisecondsPerSecond = 1_000
+/** Upstreams that one line names; after a release of a large service, many are cold. */
+const maximumLoggedUpstreams = 20
 
 export class UpstreamStarts {
   private readonly adopted = new WeakSet<UpstreamState>()
@@ -149,12 +151,13 @@
   /** Logs what was sent to upstreams that are cold or may be. Called every second. */
   logSends (): void {
     const { log, upstreams, findService } = this.options
-    const bounded = [...upstreams.all].filter(({ start }) => start.isCold || start.isUnsure).map(({ announced: { id, service: name }, sends, start }) => {
+    const bounded = [...upstreams.all].filter(({ start }) => start.isCold || start.isUnsure)
+    const texts = bounded.slice(0, maximumLoggedUpstreams).map(({ announced: { id, service: name }, sends, start }) => {
       const service = findService(name)
       const share = service === undefined ? 0 : this.sharePerSecond(service, id, start)
       return `${id}:${sends.count}/${share.toFixed(1)}:${start.sign}:${start.isCold ? Math.round(start.coldMilliseconds) : 'unsure'}`
     })
-    if (bounded.length > 0) log.info('cold-sends', { upstreams: bounded.join(' ') })
+    if (texts.length > 0) log.info('cold-sends', { count: bounded.length, upstreams: texts.join(' ') })
   }
 
   /** Requests per second that this VM may send to an upstream that is cold or may be. */
