Review: case 1, a spoiled stream of blank lines hangs a machine

A runner in trouble sends blank lines that end in CRLF and a word in the body of a stream. The pattern that looks for comments in eventBoundaryBuffer.ts takes exponential time on it, so the machine that reads it answers nothing any more. review/support holds the stand-ins that all cases share.

--- /dev/null
+++ b/review/1/run.mjs
@@ -0,0 +1,66 @@
+/**
+ * A runner in trouble sends, in a few of its streams, bytes that are no events:
+ * blank lines and a word now and then, without end. Callers go on sending sound
+ * orders to all machines, which go to sound runners of another service.
+ */
+
+import { fileURLToPath } from 'node:url'
+import { Fleet, runCase } from '../support/fleet.mjs'
+import { Runner, answerHead, chunk } from '../support/runner.mjs'
+import { pause } from '../support/ports.mjs'
+import { soundAnswer, stream, summary } from '../support/traffic.mjs'
+
+const isTroubled = process.env.TROUBLE !== '0'
+const zones = { 'monza-a': 'lombardia', 'padova-a': 'veneto' }
+const orderTimeoutMilliseconds = 3_000
+const graceMilliseconds = 500
+/** One of so many answers of the runner in trouble is spoiled. */
+const answersPerSpoiled = 50
+const spoiledBytes = `${'\r\n'.repeat(40)}overloaded\r\n\r\n`
+
+const fleet = new Fleet({ zones, recordPath: fileURLToPath(new URL('record.txt', import.meta.url)) })
+
+let answers = 0
+let inTrouble = false
+const spoilingAnswer = async (request, socket, runner) => {
+  answers += 1
+  if (!inTrouble || answers % answersPerSpoiled !== 0) return await soundAnswer(request, socket)
+  fleet.record({ what: 'spoiled', runner: runner.id, id: request.id })
+  socket.write(answerHead(request, { headers: ['Content-Type: text/event-stream', 'Transfer-Encoding: chunked'] }))
+  while (!socket.destroyed) {
+    socket.write(chunk(spoiledBytes))
+    await pause(20)
+  }
+}
+
+await runCase(fleet, async () => {
+  const drafting = { service: 'drafting', slots: 64, handle: soundAnswer }
+  const orders = { service: 'orders', slots: 6, handle: soundAnswer }
+  await fleet.start({
+    machines: [{ name: 'edge-monza-1', zone: 'monza-a' }, { name: 'edge-monza-2', zone: 'monza-a' }, { name: 'edge-monza-3', zone: 'monza-a' }, { name: 'edge-padova-1', zone: 'padova-a' }],
+    runners: [
+      new Runner({ id: 'i-draft-1', zone: 'monza-a', ...drafting, handle: spoilingAnswer }),
+      new Runner({ id: 'i-draft-2', zone: 'monza-a', ...drafting }),
+      new Runner({ id: 'i-draft-3', zone: 'monza-a', ...drafting }),
+      new Runner({ id: 'i-draft-4', zone: 'padova-a', ...drafting }),
+      new Runner({ id: 'i-order-1', zone: 'monza-a', ...orders }),
+      new Runner({ id: 'i-order-2', zone: 'monza-a', ...orders }),
+      new Runner({ id: 'i-order-3', zone: 'padova-a', ...orders })
+    ]
+  })
+  const onEnded = (result) => fleet.record(summary(result))
+  const stopQueries = stream('query', fleet.machines, 10, { onEnded })
+  const stopOrders = stream('order', fleet.machines, 5, { onEnded })
+  await pause(3_000)
+  inTrouble = isTroubled
+  await pause(5_500)
+  inTrouble = false
+  await pause(4_000)
+  const [, ended] = await Promise.all([stopQueries(), stopOrders()])
+  for (const machine of fleet.machines) fleet.record({ what: 'readiness', machine: machine.name, status: await machine.readiness() })
+
+  const late = ended.filter(({ milliseconds }) => milliseconds >= orderTimeoutMilliseconds)
+  const unanswered = late.filter(({ milliseconds, ending }) => ending !== 'answer' || milliseconds > orderTimeoutMilliseconds + graceMilliseconds)
+  fleet.record({ what: 'verdict', rule: 'CONFIG', orders: ended.length, answered: ended.length - late.length, unansweredAtTimeout: late.length, withoutAnswerHalfASecondLater: unanswered.length })
+  return unanswered.length >= 8 && unanswered.length * 2 > late.length
+})
