--- a/review/support/ports.mjs
+++ b/review/support/ports.mjs
@@ -6,10 +6,16 @@
 
 export const pause = async (milliseconds) => await new Promise((resolve) => setTimeout(resolve, milliseconds))
 
-/** A port that nothing listens on, outside the range that outgoing connections use. */
+const firstPort = 11_000
+const portCount = 20_000
+const chosen = new Set()
+
+/** A port that nothing listens on, outside the range that outgoing connections use, and that was not returned before. */
 export const freePort = async () => {
   for (;;) {
-    const port = 11_000 + Math.floor(Math.random() * 20_000)
+    const port = firstPort + Math.floor(Math.random() * portCount)
+    if (chosen.has(port)) continue
+    chosen.add(port)
     const isFree = await new Promise((resolve) => {
       const server = createServer()
       server.once('error', () => resolve(false))
@@ -18,6 +24,3 @@
     if (isFree) return port
   }
 }
-
-/** Removes the characters that must not stand in a log line. */
-export const printable = (text) => JSON.stringify(text)
