Review: cases end their processes on any end

A case that ended by an error that nothing handled left its processes behind, and exited with 1 as if its rule were broken. It now ends them and exits with 2.

--- a/review/support/fleet.mjs
+++ b/review/support/fleet.mjs
@@ -192,14 +192,27 @@
     for (const runner of this.runners) runner.stop()
     this.store.stop()
     writeFileSync(this.recordPath, `${this.lines.join('\n')}\n`)
-    if (process.env.KEEP !== '1') rmSync(this.folder, { recursive: true, force: true })
   }
 }
 
+const killAll = (fleet) => {
+  for (const { child } of fleet.machines) child?.kill('SIGKILL')
+}
+
 /** Runs a case: exits with 1 if its rule was broken, 0 if it held, 2 if the case could not run. */
 export const runCase = async (fleet, run) => {
+  // Also if the case ends by an error that nothing handles, or by a signal.
+  process.once('exit', () => {
+    killAll(fleet)
+    if (process.env.KEEP !== '1') rmSync(fleet.folder, { recursive: true, force: true })
+  })
+  for (const signal of ['SIGINT', 'SIGTERM']) process.once(signal, () => process.exit(2))
+  process.once('uncaughtException', (error) => {
+    process.stderr.write(`${error.stack}\n`)
+    process.exit(2)
+  })
   const limit = setTimeout(() => {
-    for (const { child } of fleet.machines) child?.kill('SIGKILL')
+    killAll(fleet)
     writeFileSync(fleet.recordPath, `${fleet.lines.join('\n')}\n`)
     process.exit(2)
   }, 115_000)
