--- a/review/1/run.mjs
+++ b/review/1/run.mjs
@@ -1,18 +1,22 @@
 /**
  * A runner in trouble sends, in a few of its streams, bytes that are no events:
- * blank lines and a word now and then, without end. Callers go on sending sound
- * orders to all machines, which go to sound runners of another service.
+ * blank lines and a word now and then, without end. Callers, which choose machines
+ * by the directory, go on sending sound orders to sound runners of another service.
  */
 
 import { fileURLToPath } from 'node:url'
 import { Fleet, runCase } from '../support/fleet.mjs'
 import { Runner, answerHead, chunk } from '../support/runner.mjs'
 import { pause } from '../support/ports.mjs'
-import { soundAnswer, stream, summary } from '../support/traffic.mjs'
+import { Client } from '../support/directory.mjs'
+import { soundAnswer, summary } from '../support/traffic.mjs'
 
 const isTroubled = process.env.TROUBLE !== '0'
 const zones = { 'monza-a': 'lombardia', 'padova-a': 'veneto' }
 const orderTimeoutMilliseconds = 3_000
+const orderDeadlineMilliseconds = 5_000
+const streamGapMilliseconds = 3_200
+const callIntervalMilliseconds = 216
 const graceMilliseconds = 500
 /** One of so many answers of the runner in trouble is spoiled. */
 const answersPerSpoiled = 50
@@ -48,15 +52,25 @@
       new Runner({ id: 'i-order-3', zone: 'padova-a', ...orders })
     ]
   })
-  const onEnded = (result) => fleet.record(summary(result))
-  const stopQueries = stream('query', fleet.machines, 10, { onEnded })
-  const stopOrders = stream('order', fleet.machines, 5, { onEnded })
+  // A third of the clients keep what the directory says for three times as long.
+  const clients = ['monza-a', 'monza-a', 'monza-a', 'padova-a'].flatMap((zone) => [1, 1, 3].map((keepsFactor) => new Client(fleet, zone, { keepsFactor })))
+  const calls = []
+  const send = (client, kind, options) => calls.push(client.send(kind, options).then((result) => {
+    if (result !== undefined) fleet.record(summary(result))
+    return result
+  }))
+  const timers = clients.map((client) => setInterval(() => {
+    send(client, 'order', { deadlineMilliseconds: orderDeadlineMilliseconds })
+    // Clients abandon a stream after a gap of eight times the longest pause.
+    send(client, 'query', { deadlineMilliseconds: 4_000, patienceMilliseconds: streamGapMilliseconds })
+  }, callIntervalMilliseconds))
   await pause(3_000)
   inTrouble = isTroubled
   await pause(5_500)
   inTrouble = false
   await pause(4_000)
-  const [, ended] = await Promise.all([stopQueries(), stopOrders()])
+  timers.forEach((timer) => clearInterval(timer))
+  const ended = (await Promise.all(calls)).filter((result) => result?.kind === 'order')
   for (const machine of fleet.machines) fleet.record({ what: 'readiness', machine: machine.name, status: await machine.readiness() })
 
   const late = ended.filter(({ milliseconds }) => milliseconds >= orderTimeoutMilliseconds)
--- a/review/1/sound.mjs
+++ b/review/1/sound.mjs
@@ -1,5 +1,5 @@
 /**
- * The same fault with sound runners only: a machine stands still for three seconds
+ * The same fault with sound runners only: a machine stands still for 2.6 seconds
  * while a stream that ends with its connection waits for its first event behind
  * comments that keep it alive. Its lines end in CRLF. When the machine goes on, it
  * reads them at once. Run as `node review/1/sound.mjs`; TROUBLE=0 as in run.sh.
@@ -13,15 +13,17 @@
 
 const isTroubled = process.env.TROUBLE !== '0'
 const zones = { 'monza-a': 'lombardia', 'padova-a': 'veneto' }
-const commentCount = 25
+const commentCount = 18
 const commentIntervalMilliseconds = 100
 const eventCount = 6
 const eventIntervalMilliseconds = 50
-const standstillMilliseconds = 3_000
+const standstillMilliseconds = 2_600
 const contactMilliseconds = 5_000
-const orderTimeoutMilliseconds = 3_000
-const graceMilliseconds = 500
-const ordersPerMachine = 10
+const questions = 10
+const questionIntervalMilliseconds = 1_000
+const shutdownGraceMilliseconds = 8_000
+/** Clients abandon a stream after a gap of eight times the longest pause. */
+const streamGapMilliseconds = 3_200
 
 const fleet = new Fleet({ zones, recordPath: fileURLToPath(new URL('record-sound.txt', import.meta.url)) })
 
@@ -51,16 +53,26 @@
   })
   // One machine of ten.
   const [machine] = fleet.machines
-  const streams = [send('query', machine), send('query', machine)]
+  const options = { deadlineMilliseconds: 4_000, patienceMilliseconds: streamGapMilliseconds }
+  const streams = [send('query', machine, options), send('query', machine, options)]
   await pause(300)
   if (isTroubled) machine.signal('SIGSTOP')
   await pause(standstillMilliseconds)
   if (isTroubled) machine.signal('SIGCONT')
   await pause(contactMilliseconds + 1_000)
-  const ended = await Promise.all(fleet.machines.flatMap((each) => Array.from({ length: ordersPerMachine }, async () => ({ kind: 'order', machine: each.name, ...await send('order', each) }))))
-  for (const result of [...ended, ...(await Promise.all(streams)).map((result) => ({ kind: 'query', machine: machine.name, ...result }))]) fleet.record(summary(result))
-  const late = ended.filter(({ milliseconds }) => milliseconds >= orderTimeoutMilliseconds)
-  const unanswered = late.filter(({ milliseconds, ending }) => ending !== 'answer' || milliseconds > orderTimeoutMilliseconds + graceMilliseconds)
-  fleet.record({ what: 'verdict', rule: 'CONFIG', orders: ended.length, unansweredAtTimeout: late.length, withoutAnswerHalfASecondLater: unanswered.length, readiness: await machine.readiness() })
-  return unanswered.length >= 8 && unanswered.length * 2 > late.length
+  for (const result of await Promise.all(streams)) fleet.record(summary({ kind: 'query', machine: machine.name, ...result }))
+  // The platform asks each machine once a second, and then stops this one.
+  let unanswered = 0
+  for (let question = 0; question < questions; question += 1) {
+    const status = await machine.readiness()
+    fleet.record({ what: 'readiness', machine: machine.name, status })
+    if (status !== 200) unanswered += 1
+    await pause(questionIntervalMilliseconds)
+  }
+  machine.signal('SIGTERM')
+  const killAt = performance.now() + shutdownGraceMilliseconds
+  while (machine.isRunning && performance.now() < killAt) await pause(50)
+  const hasEnded = !machine.isRunning
+  fleet.record({ what: 'verdict', rule: 'Fault', questions, unanswered, endedWithinGrace: hasEnded })
+  return unanswered === questions && !hasEnded
 })
--- a/review/3/run.mjs
+++ b/review/3/run.mjs
@@ -8,7 +8,7 @@
 import { Fleet, runCase } from '../support/fleet.mjs'
 import { Runner } from '../support/runner.mjs'
 import { pause } from '../support/ports.mjs'
-import { newId, plainAnswer, send, streamEvents, summary } from '../support/traffic.mjs'
+import { newId, newRequest, plainAnswer, send, streamEvents, summary } from '../support/traffic.mjs'
 
 const isTroubled = process.env.TROUBLE !== '0'
 const zones = { 'monza-a': 'lombardia', 'padova-a': 'veneto', 'bologna-a': 'emilia' }
@@ -16,7 +16,7 @@
 const eventIntervalMilliseconds = 200
 const deadlineMilliseconds = 4_000
 const callsPerSecond = 5
-const calmMilliseconds = 40_000
+const calmMilliseconds = 30_000
 const downMilliseconds = 2_000
 /** Time after the last kill in which new streams are compared. */
 const comparedMilliseconds = 2_000
@@ -35,9 +35,10 @@
 
 /** A client that takes a stream up once, at another machine, if its connection breaks after events. */
 const readStream = async (machine) => {
-  const id = newId('query')
+  const request = newRequest('query')
+  const { id } = request
   const sentAt = performance.now()
-  const first = await send('query', machine, { id, deadlineMilliseconds })
+  const first = await send('query', machine, { ...request, deadlineMilliseconds })
   const events = eventsOf(first)
   fleet.record(summary({ kind: 'query', machine: machine.name, ...first }))
   const read = { id, machine, sentAt, ...first, count: events.length }
@@ -45,7 +46,7 @@
   if (!isBroken) return read
   const other = otherMachine(machine)
   const takenUpAt = performance.now()
-  const resumed = await send('query', other, { path: first.path, id: newId('again'), deadlineMilliseconds: Math.max(500, deadlineMilliseconds - first.milliseconds), headers: ['Model: m', 'Token-Count: 383,48', 'Prompt-Prefix: 5c1e07a2:92', `Last-Event-Id: ${events.length}`, `Resumes: ${id}`] })
+  const resumed = await send('query', other, { ...request, id: newId('again'), deadlineMilliseconds: Math.max(500, deadlineMilliseconds - first.milliseconds), headers: [...request.headers, `Last-Event-Id: ${events.length}`, `Resumes: ${id}`] })
   const goesOn = resumed.status === 200 && eventsOf(resumed).length > 0
   fleet.record({ ...summary({ kind: 'query', machine: other.name, ...resumed }), resumes: id, goesOn, detail: resumed.status === 200 ? undefined : resumed.body.toString().trim() })
   return { ...read, takenUp: { machine: other, at: takenUpAt, goesOn } }
--- a/review/support/fleet.mjs
+++ b/review/support/fleet.mjs
@@ -10,6 +10,7 @@
 import { join } from 'node:path'
 import { fileURLToPath } from 'node:url'
 import { parse } from 'smol-toml'
+import { startDelay } from './proxy.mjs'
 import { Store } from './store.mjs'
 import { freePort, host, pause } from './ports.mjs'
 
@@ -75,8 +76,10 @@
     Object.assign(this, { fleet, name, zone })
   }
 
-  async prepare () {
+  /** With a delay, the other machines are all in other regions. */
+  async prepare ({ linkDelayMilliseconds }) {
     this.ports = { front: await freePort(), ready: await freePort(), control: await freePort(), directory: await freePort(), metrics: await freePort() }
+    this.linkPort = linkDelayMilliseconds === undefined ? this.ports.control : await startDelay(this.ports.control, linkDelayMilliseconds)
   }
 
   get isRunning () {
@@ -103,7 +106,7 @@
     const { fleet, name, ports } = this
     this.writeSettings()
     const [program, ...words] = fleet.command
-    const child = spawn(program, words, { cwd: root, env: { ...process.env, CUMINVALE_NODE_FILE: this.settingsPath, CUMINVALE_METRICS_PORT: String(ports.metrics) }, stdio: ['ignore', 'pipe', 'pipe'] })
+    const child = spawn(program, words, { cwd: root, env: { ...process.env, CUMINVALE_NODE_FILE: this.settingsPath, CUMINVALE_METRICS_PORT: String(ports.metrics), CUMINVALE_ADVERTISED_LINK: `${host}:${this.linkPort}` }, stdio: ['ignore', 'pipe', 'pipe'] })
     this.child = child
     const log = (bytes) => appendFileSync(join(fleet.folder, `${name}.log`), bytes)
     child.stdout.on('data', log)
@@ -154,7 +157,7 @@
     this.lines.push(JSON.stringify({ ms: Math.round(performance.now() - this.startedAt), ...entry }))
   }
 
-  async start ({ machines, runners, document = configuration() }) {
+  async start ({ machines, runners, document = configuration(), linkDelayMilliseconds }) {
     await this.store.start()
     this.runners = runners
     for (const runner of runners) {
@@ -165,8 +168,8 @@
     this.beat()
     this.beats = setInterval(() => this.beat(), heartbeatMilliseconds)
     this.machines = machines.map((options) => new Machine(this, options))
-    for (const machine of this.machines) await machine.prepare()
-    this.seeds = this.machines.slice(0, 3).map(({ ports }) => `${host}:${ports.control}`)
+    for (const machine of this.machines) await machine.prepare({ linkDelayMilliseconds })
+    this.seeds = this.machines.slice(0, 3).map(({ linkPort }) => `${host}:${linkPort}`)
     for (const machine of this.machines) machine.start()
     const until = performance.now() + 15_000
     for (const machine of this.machines) {
--- a/review/support/ports.mjs
+++ b/review/support/ports.mjs
@@ -6,8 +6,10 @@
 
 export const pause = async (milliseconds) => await new Promise((resolve) => setTimeout(resolve, milliseconds))
 
-const firstPort = 11_000
-const portCount = 20_000
+/** Cases that run side by side look for ports in different ranges. */
+const portCount = 300
+const rangeCount = 66
+const firstPort = 11_000 + (process.pid % rangeCount) * portCount
 const chosen = new Set()
 
 /** A port that nothing listens on, outside the range that outgoing connections use, and that was not returned before. */
--- a/review/support/runner.mjs
+++ b/review/support/runner.mjs
@@ -1,13 +1,15 @@
 /**
  * Stand-in of a runner. It reads requests one at a time on each connection,
- * answers 421 to those for another instance, and otherwise hands them to a
- * handler that decides which bytes are written.
+ * answers 421 to those for another instance, runs as many at once as it has slots,
+ * and stops at the deadline that it receives. A handler decides which bytes it writes.
  */
 
 import { createServer } from 'node:net'
 import { freePort, host } from './ports.mjs'
 
 const headEnd = '\r\n\r\n'
+const coldMilliseconds = 3_000
+const queuePerSlot = 3
 
 /** Parses one request of the bytes read; undefined while it is incomplete. */
 const parseRequest = (bytes) => {
@@ -23,7 +25,7 @@
 }
 
 export const answerHead = (request, { status = '200 OK', seal = true, headers = [] } = {}) =>
-  [`HTTP/1.1 ${status}`, `Request-Attempt-Id: ${request.id}`, ...seal ? [`Response-Seal: seal.${request.id}`] : [], ...headers].join('\r\n') + headEnd
+  [`HTTP/1.1 ${status}`, `Request-Attempt-Id: ${request.id}`, ...seal ? [`Response-Seal: seal.${request.id}`] : [], ...request.load === undefined ? [] : [`Server-Load: ${request.load()}`], ...headers].join('\r\n') + headEnd
 
 export const chunk = (text) => {
   const bytes = Buffer.from(text, 'latin1')
@@ -36,6 +38,8 @@
   port = 0
   connections = new Set()
   running = 0
+  waiting = []
+  coldUntil = 0
 
   /** The handler gets the request and the socket, and resolves once its answer is written. */
   constructor ({ id, service, zone, slots, record, handle }) {
@@ -57,10 +61,20 @@
     for (const socket of this.connections) socket.destroy()
   }
 
+  /** Starts again under the same id after a crash, cold, and with its count begun anew. */
+  async restart (version) {
+    Object.assign(this, { version, born: Date.now(), sequence: 0, waiting: [], coldUntil: performance.now() + coldMilliseconds })
+    await this.start()
+  }
+
+  get coldRemaining () {
+    return Math.max(0, Math.round(this.coldUntil - performance.now()))
+  }
+
   entry () {
     this.sequence += 1
     const { service, port, zone, slots, state, version, sequence, born } = this
-    return { service, address: `${host}:${port}`, zone, version, slots, state, coldRemainingMs: 0, stage: 'both', models: [{ name: 'm', version: 1, adapters: [] }], sequence, born }
+    return { service, address: `${host}:${port}`, zone, version, slots, state, coldRemainingMs: this.coldRemaining, stage: 'both', models: [{ name: 'm', version: 1, adapters: [] }], sequence, born }
   }
 
   accept (socket) {
@@ -87,24 +101,41 @@
   }
 
   async serve (request, socket) {
+    request.load = () => `${this.running},${this.waiting.length},${this.slots}`
     if (request.path === '/health') {
-      socket.write(`HTTP/1.1 200 OK\r\nInstance-Id: ${this.id}\r\nServer-Load: ${this.running},0,${this.slots}\r\nContent-Length: 0\r\n\r\n`)
+      const cold = this.coldRemaining > 0 ? `Cold-Ms: ${this.coldRemaining}\r\n` : ''
+      socket.write(`HTTP/1.1 200 OK\r\nInstance-Id: ${this.id}\r\nServer-Load: ${request.load()}\r\n${cold}Content-Length: 0\r\n\r\n`)
       return
     }
     if (request.headers.get('expected-instance') !== this.id) {
       socket.write(`HTTP/1.1 421 Misdirected Request\r\nInstance-Id: ${this.id}\r\nContent-Length: 0\r\n\r\n`)
       return
     }
-    if (this.running >= this.slots * 4) {
+    if (this.waiting.length >= this.slots * queuePerSlot) {
       socket.write(answerHead(request, { status: '503 Service Unavailable', seal: false, headers: ['Not-Executed: 1', 'Content-Length: 0'] }))
       return
     }
+    if (this.running >= this.slots) await new Promise((resolve) => this.waiting.push(resolve))
+    if (socket.destroyed) return this.waiting.shift()?.()
     this.running += 1
     this.record?.({ what: 'run', runner: this.id, id: request.id, path: request.path })
+    const stopWork = this.stopAtDeadline(request, socket)
     try {
       await this.handle(request, socket, this)
     } finally {
+      clearTimeout(stopWork)
       this.running -= 1
+      this.waiting.shift()?.()
     }
   }
+
+  /** A runner stops work at the deadline that it receives: it answers 504, or breaks off what it has begun to write. */
+  stopAtDeadline (request, socket) {
+    const writtenBefore = socket.bytesWritten
+    return setTimeout(() => {
+      this.record?.({ what: 'stopped at the deadline', runner: this.id, id: request.id })
+      if (socket.bytesWritten === writtenBefore) socket.write(answerHead(request, { status: '504 Gateway Timeout', headers: ['Content-Length: 0', 'Connection: close'] }))
+      socket.destroySoon()
+    }, Number(request.headers.get('request-deadline-ms')))
+  }
 }
