Read comments and blank lines of a stream in a loop

Cause: the pattern that asked whether a text holds only comments matched a CRLF as one line ending and as two, so that n lines before anything else took 2^n steps.

Ruled out: a quadratic search for the ends of events (100,000 lines pass now), memory (the loop stops at the first chunk).

Change: hasOnlyComments reads each byte once. A property test compares it with a split into lines.

--- a/packages/gateway/src/eventBoundaryBuffer.test.ts
+++ b/packages/gateway/src/eventBoundaryBuffer.test.ts
@@ -79,6 +79,33 @@
     expect(buffer.partialEvent()?.length).toBe(bytes)
   })
 
+  // Guards against a VM that stands still for good: blank lines and a word from an upstream took 2^n steps for n lines.
+  it.each([
+    ['blank lines with CRLF and a word', '\r\n'], ['comments with CRLF and a word', ': x\r\n'], ['blank lines with CR and a word', '\r'], ['mixed line endings and a word', '\r\r\n\n']
+  ])('reads %s in time, however many there are', (_name, line) => {
+    for (const lineCount of [20, 22, 24, 26, 1_000, 100_000]) {
+      const startedAt = performance.now()
+      const buffer = new EventBoundaryBuffer()
+      expect(pushAll(buffer, `${line.repeat(lineCount)}overloaded\r\n\r\nword`)).not.toBe('')
+      expect([buffer.hasCompleteEvents, buffer.isInsideEvent]).toEqual([true, true])
+      expect([lineCount, Math.round(performance.now() - startedAt)]).toEqual([lineCount, expect.toSatisfy((milliseconds: number) => milliseconds < 250)])
+    }
+  })
+
+  it('knows comments and blank lines from events, whatever it was given', () => {
+    const isOnlyComments = (text: string): boolean => {
+      const lines = text.split(/\r\n|\n|\r(?!$)/)
+      return lines.pop() === '' && lines.every((line) => line === '' || line.startsWith(':'))
+    }
+    fastCheck.assert(fastCheck.property(fastCheck.array(fastCheck.constantFrom('\n', '\r', '\r\n', ':', ': x\n', 'x'), { maxLength: 10 }), (texts) => {
+      const text = texts.join('')
+      const buffer = new EventBoundaryBuffer()
+      const passed = pushAll(buffer, text)
+      const partial = text.slice(passed.length)
+      expect([buffer.hasCompleteEvents, buffer.isInsideEvent]).toEqual([!isOnlyComments(passed), partial !== '' && !isOnlyComments(partial)])
+    }), { numRuns: 2_000 })
+  })
+
   it('passes on what it was given, whatever it is and however it is split', () => {
     const piece = fastCheck.array(fastCheck.constantFrom('\n', '\r', 'a', ':', 'id: 1', 'data: ', '\u00ff'), { maxLength: 12 }).map((texts) => texts.join(''))
     fastCheck.assert(fastCheck.property(fastCheck.array(piece, { maxLength: 20 }), fastCheck.integer({ min: 1, max: 9 }), (pieces, pieceLength) => {
--- a/packages/gateway/src/eventBoundaryBuffer.ts
+++ b/packages/gateway/src/eventBoundaryBuffer.ts
@@ -8,10 +8,10 @@
 
 const lineFeed = 10
 const carriageReturn = 13
+const colon = 58
 /** Bytes of a blank line and the line ending before it that an earlier chunk may hold. */
 const maximumBoundaryBytes = 4
 const idFieldStarts = ['\nid:', '\rid:'] as const
-const completeCommentsPattern = /^(?:(?::[^\r\n]*)?(?:\r?\n|\r(?!$)))*$/
 const maximumEventBytes = 1_048_576
 const emptyBuffer = Buffer.alloc(0)
 
@@ -140,7 +140,31 @@
   }
 }
 
-const hasOnlyComments = (events: Buffer): boolean => completeCommentsPattern.test(events.toString('latin1'))
+/** Position after the line ending at a position; the position itself if none begins there, or if its line feed may be still to come. */
+const lineEndAfter = (buffer: Buffer, start: number): number => {
+  if (buffer[start] === lineFeed) return start + 1
+  if (buffer[start] !== carriageReturn || start + 1 === buffer.length) return start
+  return buffer[start + 1] === lineFeed ? start + 2 : start + 1
+}
+
+/** End of the line that begins at a position, before its line ending. */
+const lineTextEnd = (buffer: Buffer, start: number): number => {
+  let end = start
+  while (end < buffer.length && buffer[end] !== lineFeed && buffer[end] !== carriageReturn) end += 1
+  return end
+}
+
+/** Whether all lines are complete, and are comments or blank. Reads each byte once: upstreams decide what it is given. */
+const hasOnlyComments = (events: Buffer): boolean => {
+  let position = 0
+  while (position < events.length) {
+    const textEnd = events[position] === colon ? lineTextEnd(events, position) : position
+    const next = lineEndAfter(events, textEnd)
+    if (next === textEnd) return false
+    position = next
+  }
+  return true
+}
 
 const hasIdField = (events: Buffer): boolean =>
   events.toString('latin1', 0, 'id:'.length) === 'id:' || idFieldStarts.some((start) => events.includes(start))
