Name why the version of a stream that is taken up isn't known

Callers saw: 503, "the version at which the stream began is not known".

Change: the refusal and its line in the log name the condition.

--- a/packages/gateway/src/findTakenUpStream.ts
+++ b/packages/gateway/src/findTakenUpStream.ts
@@ -10,22 +10,43 @@
 import type { AdmittedRequest, StreamOrigin } from '@cuminvale/serving'
 import type { GatewayState } from './gatewayState.js'
 
-/** Undefined if the version isn't known, or if the route doesn't go to that service any more. */
-export const findTakenUpStream = async (state: GatewayState, request: AdmittedRequest): Promise<StreamOrigin | undefined> => {
+/** Why the origin of a stream isn't known, for the log. */
+export const UnknownOrigin = {
+  OtherService: 'the route goes to another service now',
+  SeveralServices: 'the route goes to several services',
+  SeveralVersions: 'the service may have had several versions lately',
+  OldRecords: 'the records are old',
+  NoContact: 'a VM that was heard lately does not answer',
+  FewVms: 'under half of the known VMs are heard'
+} as const
+export type UnknownOrigin = typeof UnknownOrigin[keyof typeof UnknownOrigin]
+
+export type TakenUpStream = { readonly origin: StreamOrigin } | { readonly origin: undefined, readonly reason: UnknownOrigin }
+
+export const findTakenUpStream = async (state: GatewayState, request: AdmittedRequest): Promise<TakenUpStream> => {
   const { head, route, team } = request
   const askedAt = state.clock.monotonic()
   state.contact?.requestProofs()
   const reported = head.resumes === undefined ? await unnamed() : await state.streamOrigins.find(streamKeyOf(team?.id, head.resumes))
-  const isServed = reported === undefined || route.targets.some((target) => target.service === reported.service)
-  const origin = reported ?? (await isInContact(state, askedAt) ? conclude(state, request) : undefined)
-  state.recordTakenUp(origin === undefined || !isServed ? 'unknown' : reported === undefined ? 'concluded' : 'told')
-  return isServed ? origin : undefined
+  if (reported === undefined) {
+    const concluded = await conclude(state, request, askedAt)
+    state.recordTakenUp(concluded.origin === undefined ? 'unknown' : 'concluded')
+    return concluded
+  }
+  const isServed = route.targets.some((target) => target.service === reported.service)
+  state.recordTakenUp(isServed ? 'told' : 'unknown')
+  return isServed ? { origin: reported } : unknown(UnknownOrigin.OtherService)
 }
 
-const conclude = (state: GatewayState, { head, route, service }: AdmittedRequest): StreamOrigin | undefined => {
-  if (route.targets.length !== 1 || !isInTouch(state)) return undefined
+const unknown = (reason: UnknownOrigin): TakenUpStream => ({ origin: undefined, reason })
+
+const conclude = async (state: GatewayState, { head, route, service }: AdmittedRequest, askedAt: number): Promise<TakenUpStream> => {
+  if (!await isInContact(state, askedAt)) return unknown(UnknownOrigin.NoContact)
+  if (route.targets.length !== 1) return unknown(UnknownOrigin.SeveralServices)
+  if (state.recordAgeMilliseconds() > maximumRecordAgeMilliseconds) return unknown(UnknownOrigin.OldRecords)
+  if (!hearsHalf(state)) return unknown(UnknownOrigin.FewVms)
   const softwareVersion = state.softwareVersions.provenVersion({ host: head.host, path: head.path, service }, streamLifetimeMilliseconds(route))
-  return softwareVersion === undefined ? undefined : { service, softwareVersion }
+  return softwareVersion === undefined ? unknown(UnknownOrigin.SeveralVersions) : { origin: { service, softwareVersion } }
 }
 
 /** Waits for what other VMs tell of new versions: the stream may have begun at one that this VM's records lack yet. */
@@ -42,8 +63,4 @@
   return true
 }
 
-/** Whether this VM would have learned of another version, from the records or from other VMs. */
-const isInTouch = (state: GatewayState): boolean => {
-  const { peers } = state
-  return state.recordAgeMilliseconds() <= maximumRecordAgeMilliseconds && peers.heardPeers({ readyOnly: false }).length * 2 >= peers.known.length
-}
+const hearsHalf = ({ peers }: GatewayState): boolean => peers.heardPeers({ readyOnly: false }).length * 2 >= peers.known.length
--- a/packages/gateway/src/gatewayCallerServer.ts
+++ b/packages/gateway/src/gatewayCallerServer.ts
@@ -280,11 +280,12 @@
     }
     const charged: ChargedRequest = { request, body, receivedAt, softwareVersion: undefined }
     if (!continuesStream(request)) return this.execute(response, sink, charged)
-    findTakenUpStream(state, request).then((origin) => {
+    findTakenUpStream(state, request).then((stream) => {
       if (response.destroyed) return this.refund(request)
+      const { origin } = stream
       if (origin !== undefined) return this.execute(response, sink, { ...charged, request: { ...request, service: origin.service }, softwareVersion: origin.softwareVersion })
       this.refund(request)
-      const refusal = refuse(RefusalReason.NoUpstream, 'the version at which the stream began is not known', { retryAfterMilliseconds: unknownOriginRetryMilliseconds })
+      const refusal = refuse(RefusalReason.NoUpstream, `the version at which the stream began is not known: ${stream.reason}`, { retryAfterMilliseconds: unknownOriginRetryMilliseconds })
       this.requestLog.refused(head, refusal, request.configurationVersion)
       sink.refuse(refusal)
     }).catch((error: unknown) => {
