Conclude the version of a stream by a read of the store

Cause: a VM concludes the version of a stream that nobody was told of only if each VM that counts as heard answers a ping within 1.2 s, and half of the known VMs are heard.

Change (decision 054): a read of the store that is sent after the request has come proves it too, since VMs send only to upstreams whose records the store had acknowledged before. Reads are shared by all requests of a VM, at most one in 250 ms; a VM that is fed asks one that feeds it. Not while the store is being restored from an older copy. All other conditions of decision 052 stay. Where no version can be concluded in any case, the caller is refused once the other VMs were asked, not after 1.2 s more.

--- a/packages/gateway/src/constants.ts
+++ b/packages/gateway/src/constants.ts
@@ -178,6 +178,10 @@
 /** Time in which other VMs must prove that they are heard: a round trip, and a report of each region by way of its speakers. */
 export const contactProofMilliseconds = 1_200
 export const contactCheckIntervalMilliseconds = 25
+/** Shortest interval of reads that confirm the records; many VMs may need them at the same time. */
+export const recordConfirmationIntervalMilliseconds = 250
+/** Time in which a VM that feeds this one must confirm the records: that interval, a read, and a hop. */
+export const feederConfirmationMilliseconds = 400
 /** Time after which the caller of a stream whose origin isn't known may try another VM. */
 export const unknownOriginRetryMilliseconds = 150
 /** Streams in one question that are looked at. */
--- a/packages/gateway/src/findTakenUpStream.ts
+++ b/packages/gateway/src/findTakenUpStream.ts
@@ -6,30 +6,31 @@
  */
 
 import { maximumRecordAgeMilliseconds, streamKeyOf, streamLifetimeMilliseconds } from '@cuminvale/serving'
-import { contactCheckIntervalMilliseconds, contactProofMilliseconds, originLookupMilliseconds } from './constants.js'
-import type { AdmittedRequest, StreamOrigin } from '@cuminvale/serving'
+import { originLookupMilliseconds } from './constants.js'
+import { ProofFailure, VersionProof } from './versionProof.js'
+import type { AdmittedRequest, SoftwareVersion, StreamOrigin } from '@cuminvale/serving'
 import type { GatewayState } from './gatewayState.js'
 
 /** Why the origin of a stream isn't known, for the log. */
 export const UnknownOrigin = {
   OtherService: 'the route goes to another service now',
-  SeveralServices: 'the route goes to several services',
   SeveralVersions: 'the service may have had several versions lately',
   OldRecords: 'the records are old',
-  NoContact: 'a VM that was heard lately does not answer',
-  FewVms: 'under half of the known VMs are heard'
+  ...ProofFailure
 } as const
 export type UnknownOrigin = typeof UnknownOrigin[keyof typeof UnknownOrigin]
 
 export type TakenUpStream = { readonly origin: StreamOrigin } | { readonly origin: undefined, readonly reason: UnknownOrigin }
 
 export const findTakenUpStream = async (state: GatewayState, request: AdmittedRequest): Promise<TakenUpStream> => {
-  const { head, route, team } = request
-  const askedAt = state.clock.monotonic()
-  state.contact?.requestProofs()
-  const reported = head.resumes === undefined ? await unnamed() : await state.streamOrigins.find(streamKeyOf(team?.id, head.resumes))
+  const { head: { resumes }, route, team } = request
+  const key = resumes === undefined ? undefined : streamKeyOf(team?.id, resumes)
+  // The proof is sought beside the question to the other VMs, which takes longer.
+  const mayConclude = (key === undefined || state.streamOrigins.origins.find(key) === undefined) && provenVersion(state, request) !== undefined
+  const proof = mayConclude ? new VersionProof(state) : undefined
+  const reported = key === undefined ? await unnamed() : await state.streamOrigins.find(key)
   if (reported === undefined) {
-    const concluded = await conclude(state, request, askedAt)
+    const concluded = await conclude(state, request, proof)
     state.recordTakenUp(concluded.origin === undefined ? 'unknown' : 'concluded')
     return concluded
   }
@@ -40,27 +41,20 @@
 
 const unknown = (reason: UnknownOrigin): TakenUpStream => ({ origin: undefined, reason })
 
-const conclude = async (state: GatewayState, { head, route, service }: AdmittedRequest, askedAt: number): Promise<TakenUpStream> => {
-  if (!await isInContact(state, askedAt)) return unknown(UnknownOrigin.NoContact)
-  if (route.targets.length !== 1) return unknown(UnknownOrigin.SeveralServices)
+/** The version that may be concluded, once it is proven that this VM knows all; undefined if none will be. */
+const provenVersion = (state: GatewayState, { head: { host, path }, route, service }: AdmittedRequest): SoftwareVersion | undefined =>
+  route.targets.length === 1 ? state.softwareVersions.provenVersion({ host, path, service }, streamLifetimeMilliseconds(route)) : undefined
+
+const conclude = async (state: GatewayState, request: AdmittedRequest, proof: VersionProof | undefined): Promise<TakenUpStream> => {
+  const reason = await proof?.findFailure()
+  if (reason !== undefined) return unknown(reason)
   if (state.recordAgeMilliseconds() > maximumRecordAgeMilliseconds) return unknown(UnknownOrigin.OldRecords)
-  if (!hearsHalf(state)) return unknown(UnknownOrigin.FewVms)
-  const softwareVersion = state.softwareVersions.provenVersion({ host: head.host, path: head.path, service }, streamLifetimeMilliseconds(route))
-  return softwareVersion === undefined ? unknown(UnknownOrigin.SeveralVersions) : { origin: { service, softwareVersion } }
+  // Other versions may have become known since the proof was begun.
+  const softwareVersion = proof === undefined ? undefined : provenVersion(state, request)
+  return softwareVersion === undefined ? unknown(UnknownOrigin.SeveralVersions) : { origin: { service: request.service, softwareVersion } }
 }
 
 /** Waits for what other VMs tell of new versions: the stream may have begun at one that this VM's records lack yet. */
 const unnamed = async (): Promise<undefined> => await new Promise((resolve) => {
   setTimeout(() => resolve(undefined), originLookupMilliseconds)
 })
-
-/** Whether the other VMs were heard since the request came; those that were cut off or this VM's standstill are noticed only later. */
-const isInContact = async ({ clock, contact }: GatewayState, askedAt: number): Promise<boolean> => {
-  while (contact?.isProvenSince(askedAt) === false) {
-    if (clock.monotonic() - askedAt > contactProofMilliseconds) return false
-    await new Promise((resolve) => setTimeout(resolve, contactCheckIntervalMilliseconds))
-  }
-  return true
-}
-
-const hearsHalf = ({ peers }: GatewayState): boolean => peers.heardPeers({ readyOnly: false }).length * 2 >= peers.known.length
--- a/packages/gateway/src/gatewayPeerLinks.ts
+++ b/packages/gateway/src/gatewayPeerLinks.ts
@@ -6,12 +6,14 @@
  * regions, and relay the reports that they receive.
  */
 
-import { SuspensionDetector, chooseSpeakers, hubsPerDomain, planLinks } from '@cuminvale/serving'
+import { SuspensionDetector, hubsPerDomain, planLinks } from '@cuminvale/serving'
 import { WebSocketServer } from 'ws'
 import { DomainReports, packLoads, toLoads } from './domainReports.js'
 import { EvidenceExchange } from './evidenceExchange.js'
+import { FeederConfirmations } from './feederConfirmations.js'
 import { Introductions } from './introductions.js'
 import { PeerContact } from './peerContact.js'
+import { LinkedPeers } from './linkedPeers.js'
 import { OutgoingLink, linkPath } from './outgoingLink.js'
 import { readFrame } from './linkFrames.js'
 import { packMessage } from './linkMessages.js'
@@ -20,11 +22,10 @@
 import { RecordRole } from './recordPoller.js'
 import { RegionReports } from './regionReports.js'
 import { linkRetryIntervalMilliseconds, maximumLinkMessageBytes, maximumRelayedReports, startingLinkRetryIntervalMilliseconds, selfReadingNeighbourCount, ticksBetweenHubHeartbeats, unusedLinkTimeoutMilliseconds } from './constants.js'
-import type { TeamId, VmId } from '@cuminvale/common'
+import type { TeamId } from '@cuminvale/common'
 import type { LinkPlan, PeerIdentity, RecordChange } from '@cuminvale/serving'
 import type { Server } from 'node:http'
 import type { WebSocket } from 'ws'
-import type { EvidencePeer } from './evidenceExchange.js'
 import type { PlainLinkMessage } from './linkFrames.js'
 import type { HeartbeatMessage, HelloMessage, RegionReport } from './linkMessages.js'
 import type { GatewayState } from './gatewayState.js'
@@ -77,6 +78,8 @@
 
 export class GatewayPeerLinks {
   readonly feed: RecordFeed
+  readonly confirmations: FeederConfirmations
+  private readonly linkedPeers: LinkedPeers
   private readonly linksByAddress = new Map<string, OutgoingLink>()
   private readonly acceptedLinks = new Set<AcceptedLink>()
   private readonly webSocketServer: WebSocketServer
@@ -109,11 +112,19 @@
     this.domainReports = new DomainReports({ state, self })
     this.suspensionDetector = new SuspensionDetector(clock)
     this.feed = new RecordFeed({ clock, records: state.records, takesRecords: () => this.recordRole !== RecordRole.Reading || isSourceLost(), onRecordsAdopted })
-    this.evidenceExchange = new EvidenceExchange({ clock, random, evidence: crashDetector.evidence, region: self.region, usesHubs: () => this.plan.usesHubs, peers: () => this.evidencePeers })
+    this.linkedPeers = new LinkedPeers({ state, self, dialled: this.linksByAddress, accepted: this.acceptedLinks, plan: () => this.plan })
+    this.confirmations = new FeederConfirmations({
+      records: state.records,
+      feeders: () => this.linkedPeers.feeders,
+      isReader: () => this.recordRole !== RecordRole.Fed,
+      confirm: async () => await state.confirmRecords(clock.monotonic()),
+      changesAfter: (position) => this.feed.answerRequest(position)
+    })
+    this.evidenceExchange = new EvidenceExchange({ clock, random, evidence: crashDetector.evidence, region: self.region, usesHubs: () => this.plan.usesHubs, peers: () => this.linkedPeers.all })
     crashDetector.onNews = () => this.evidenceExchange.sendNews()
     state.recordAgeMilliseconds = () => this.feed.ageMilliseconds
     state.contact = new PeerContact({ peers: state.peers, region: self.region, near: () => this.plan.near, far: () => this.plan.far, linkTo: (address) => this.linksByAddress.get(address) })
-    state.originLinks = () => (this.originLinks ??= this.findOriginLinks())
+    state.originLinks = () => (this.originLinks ??= this.linkedPeers.findOriginLinks())
     state.limitExchange.sendToRegion = (message) => this.sendToRegion(message)
     state.starts.announceCold = (message) => this.sendToRegion(message)
     state.announceLeaving = ({ id, startedAt }) => this.sendToRegion(packMessage({ kind: 'upstream-leaving', upstream: id, startedAt }))
@@ -225,35 +236,6 @@
     }
   }
 
-  /** All VMs, of any region, to which a message can be sent. */
-  private get evidencePeers (): readonly EvidencePeer[] {
-    const { state, self } = this.options
-    const peers = new Map<VmId, EvidencePeer>()
-    const add = (identity: PeerIdentity | undefined, send: (message: Buffer) => void): void => {
-      if (identity !== undefined && identity.vm !== self.vm && !peers.has(identity.vm)) peers.set(identity.vm, { vm: identity.vm, region: identity.region, send })
-    }
-    for (const [address, link] of this.linksByAddress) {
-      if (link.isOpen) add(state.peers.find(address), (message) => link.send(message))
-    }
-    for (const { identity, socket } of this.acceptedLinks) add(identity, (message) => socket.send(message))
-    return [...peers.values()]
-  }
-
-  private findOriginLinks (): OriginLinks {
-    const { state, self } = this.options
-    const { usesHubs, isSpeaker, near, otherHubs } = this.plan
-    const hubs = new Set([...near, ...otherHubs].map(({ vm }) => vm))
-    const peers = this.evidencePeers
-    const heardHere = state.peers.heardPeers({ readyOnly: false }).filter(({ region }) => region === self.region)
-    return {
-      usesHubs,
-      isSpeaker,
-      speakers: new Set(chooseSpeakers([self, ...heardHere]).map(({ vm }) => vm)),
-      near: peers.filter(({ vm, region }) => region === self.region && (!usesHubs || hubs.has(vm))),
-      far: peers.filter(({ region }) => region !== self.region)
-    }
-  }
-
   /** Announces on every link that this VM stops. */
   leave (): void {
     const message = packMessage({ kind: 'leaving', identity: this.options.self })
@@ -434,6 +416,11 @@
         return
       case 'records':
         return this.feed.applySnapshot(message)
+      case 'confirmation-request':
+        this.confirmations.answer(message, send).catch((error: unknown) => state.log.error('link-message-error', { peer: sender?.vm, kind: message.kind, detail: describeError(error) }))
+        return
+      case 'confirmation':
+        return this.confirmations.receive(message)
     }
   }
 
--- a/packages/gateway/src/gatewayProcess.ts
+++ b/packages/gateway/src/gatewayProcess.ts
@@ -11,7 +11,8 @@
 import { ForwardServer } from './forwardServer.js'
 import { GatewayMetrics } from './gatewayMetrics.js'
 import { GatewayPeerLinks } from './gatewayPeerLinks.js'
-import { RecordPoller } from './recordPoller.js'
+import { RecordConfirmation } from './recordConfirmation.js'
+import { RecordPoller, RecordRole } from './recordPoller.js'
 import { RequestLog } from './requestLog.js'
 import { GatewayState } from './gatewayState.js'
 import { forwardPath } from './forwardCall.js'
@@ -90,6 +91,8 @@
       onChange: () => this.adoptRecords(),
       onChangesRead: (changes, after) => this.links.feedChanges(changes, after)
     })
+    const confirmation = new RecordConfirmation({ clock, records: this.state.records, read: async () => await this.confirmRecords() })
+    this.state.confirmRecords = async (since) => await confirmation.confirmSince(since)
   }
 
   async start (): Promise<void> {
@@ -228,6 +231,12 @@
     return this.callerServer.awaitedCount > 0 || this.state.executions.size > 0 || this.callerServer.exchangeCount > 0 || this.linkServer.exchangeCount > 0
   }
 
+  /** A VM that is fed reads the source only if no VM confirms its records that reads it anyhow. */
+  private async confirmRecords (): Promise<boolean> {
+    const isConfirmed = this.links.recordRole === RecordRole.Fed && await this.links.confirmations.request()
+    return isConfirmed || await this.recordPoller.readCurrent()
+  }
+
   private adoptRecords (): void {
     this.state.adoptRecords()
     this.callerServer.applyTimeouts()
--- a/packages/gateway/src/gatewayState.ts
+++ b/packages/gateway/src/gatewayState.ts
@@ -86,6 +86,8 @@
   usesHubs = false
   /** Milliseconds since the published records were last known to be complete. */
   recordAgeMilliseconds: () => number = () => Infinity
+  /** Whether the records are known to be complete up to a monotonic time; reads them if need be. */
+  confirmRecords: (since: number) => Promise<boolean> = async () => await Promise.resolve(false)
   /** The links on which origins of streams are told and asked for. */
   originLinks: () => OriginLinks = () => noLinks
   /** Proves that this VM hears the others now; undefined while it has no links. */
--- a/packages/gateway/src/linkMessageShapes.ts
+++ b/packages/gateway/src/linkMessageShapes.ts
@@ -67,6 +67,8 @@
   'records-request': fields({ after: isNumber }),
   'record-changes': fields({ after: isNumber, at: isNumber, changes: listOf(row(isText, optional(isText), isNumber)), lapseGrace: isNumber }),
   records: fields({ at: isNumber, records: listOf(row(isText, isText, isNumber)), lapsing: listOf(row(isText, isNumber)) }),
+  'confirmation-request': fields({ request: isNumber, after: isNumber }),
+  confirmation: fields({ request: isNumber, at: optional(isNumber) }),
   compressed: fields({ deflated: isBytes }),
   'suspicion.report': isAny
 }
--- a/packages/gateway/src/linkMessages.ts
+++ b/packages/gateway/src/linkMessages.ts
@@ -197,6 +197,21 @@
   readonly lapsing: ReadonlyArray<readonly [string, number]>
 }
 
+/** Asks a VM that reads the source of the records to confirm them up to now. */
+export interface ConfirmationRequestMessage {
+  readonly kind: 'confirmation-request'
+  readonly request: number
+  /** Revision up to which the sender knows the records. */
+  readonly after: number
+}
+
+export interface ConfirmationMessage {
+  readonly kind: 'confirmation'
+  readonly request: number
+  /** Revision up to which the records are complete at a moment after the request; absent if that can't be confirmed. */
+  readonly at?: number
+}
+
 /** Another message, packed and compressed, since a configuration is long and goes to many VMs. */
 export interface CompressedMessage {
   readonly kind: 'compressed'
@@ -236,7 +251,7 @@
 
 export type LinkMessage =
   | SuspicionMessage | CrashEvidenceMessage | HelloMessage | HeartbeatMessage | RegionReport | DigestMessage | AcknowledgementMessage | LeavingMessage | UpstreamLeavingMessage | UpstreamColdMessage | UpstreamLimitsMessage
-  | RecordsRequestMessage | RecordChangesMessage | RecordsMessage | CompressedMessage | StreamOriginsMessage | StreamQuestionMessage
+  | RecordsRequestMessage | RecordChangesMessage | RecordsMessage | CompressedMessage | StreamOriginsMessage | StreamQuestionMessage | ConfirmationRequestMessage | ConfirmationMessage
 
 // Records name the fields of equal objects once in a message, which halves a list of VMs.
 const packr = new Packr({ useRecords: true })
--- a/packages/gateway/src/messageFormat.ts
+++ b/packages/gateway/src/messageFormat.ts
@@ -5,7 +5,7 @@
  * lists what each version added.
  */
 
-export const messageFormat = 3
+export const messageFormat = 4
 
 /** Of builds that name none. */
 const unnamedFormat = 1
--- a/packages/gateway/src/recordPoller.test.ts
+++ b/packages/gateway/src/recordPoller.test.ts
@@ -37,6 +37,10 @@
     return await this.answer(() => ({ ...this.records, changes: this.records.records }))
   }
 
+  async currentChanges (): Promise<Result<RecordChanges, SourceError>> {
+    return await this.changes()
+  }
+
   close (): void { /* nothing to close */ }
 
   private async answer<Value> (value: () => Value): Promise<Result<Value, SourceError>> {
--- a/packages/gateway/src/recordPoller.ts
+++ b/packages/gateway/src/recordPoller.ts
@@ -16,7 +16,7 @@
 import type { GatewayMetrics } from './gatewayMetrics.js'
 import type { GatewayState } from './gatewayState.js'
 import type { RecordFeed } from './recordFeed.js'
-import type { RecordSource } from './types.js'
+import type { RecordChanges, RecordSource } from './types.js'
 
 /** Which VMs a VM gets the records from or gives them to. */
 export const RecordRole = {
@@ -125,20 +125,41 @@
   }
 
   private async readChanges (): Promise<SourceError | undefined> {
-    const { state, source, onChange, onChangesRead } = this.options
+    const { state, source } = this.options
     const after = state.records.at
     const read = await source.changes(after, this.waitMilliseconds)
     if (read.isErr) return this.failed(read.error)
     this.succeeded()
-    if (read.value.at <= state.records.at) return undefined
-    this.reportSkipped(read.value.skipped)
-    // Which record has changed isn't known, so all are read again.
-    if ((read.value.skipped ?? 0) > 0) this.isHistoryLost = true
-    if (state.records.applyChanges(read.value.changes, read.value.at)) onChange()
-    onChangesRead?.(read.value.changes, after)
+    this.applyChanges(read.value, after)
     return undefined
   }
 
+  /**
+   * Reads the changes up to now, beside a poll that waits for the next ones.
+   * False if they could not be read; the poll finds out why, and what follows.
+   */
+  async readCurrent (): Promise<boolean> {
+    const { state, source, metrics, feed } = this.options
+    const after = state.records.at
+    if (after === 0 || this.isHistoryLost) return false
+    const read = await source.currentChanges(after)
+    metrics.sourceCalls.inc({ result: read.isErr ? read.error.kind : 'ok' })
+    if (read.isErr || this.isStopped || this.isHistoryLost) return false
+    feed.confirm()
+    this.applyChanges(read.value, after)
+    return (read.value.skipped ?? 0) === 0
+  }
+
+  private applyChanges ({ changes, at, skipped }: RecordChanges, after: number): void {
+    const { state, onChange, onChangesRead } = this.options
+    if (at <= state.records.at) return
+    this.reportSkipped(skipped)
+    // Which record has changed isn't known, so all are read again.
+    if ((skipped ?? 0) > 0) this.isHistoryLost = true
+    if (state.records.applyChanges(changes, at)) onChange()
+    onChangesRead?.(changes, after)
+  }
+
   private reportSkipped (count = 0): void {
     if (count === 0) return
     this.options.metrics.unreadableRecords.inc(count)
--- a/packages/gateway/src/testSupport.ts
+++ b/packages/gateway/src/testSupport.ts
@@ -97,13 +97,21 @@
 }
 
 /** A source without records, which refuses to report changes; tests set TestDecoder.view instead. */
-class TestSource implements RecordSource {
+export class TestSource implements RecordSource {
+  /** Called for a read of what has changed up to now; false refuses it. */
+  onRead: () => boolean = () => false
+  private readonly refusal = new SourceError(SourceErrorKind.Refused, 'the test source reports no changes')
+
   async snapshot (): Promise<Result<RecordSnapshot, SourceError>> {
     return await Promise.resolve(Result.ok({ records: [], at: 1 }))
   }
 
   async changes (): Promise<Result<RecordChanges, SourceError>> {
-    return await Promise.resolve(Result.err(new SourceError(SourceErrorKind.Refused, 'the test source reports no changes')))
+    return await Promise.resolve(Result.err(this.refusal))
+  }
+
+  async currentChanges (after: number): Promise<Result<RecordChanges, SourceError>> {
+    return await Promise.resolve(this.onRead() ? Result.ok({ changes: [], at: after }) : Result.err(this.refusal))
   }
 
   close (): void { /* nothing to close */ }
@@ -213,18 +221,20 @@
 export interface TestGateway {
   readonly gateway: GatewayProcess
   readonly decoder: TestDecoder
+  readonly source: TestSource
   readonly port: number
   stop (): void
 }
 
 export const startTestGateway = async (document: ServingDocument, upstreams: readonly ScriptedUpstream[], log: Log = silentLog, clock: Clock = runtimeClock, settings: Partial<GatewaySettings> = {}): Promise<TestGateway> => {
   const decoder = new TestDecoder()
+  const source = new TestSource()
   const gateway = new GatewayProcess({
     settings: { ...testSettings, ...settings },
     incarnation: newIncarnationId(),
     codec: testCodec,
     decoder,
-    source: new TestSource(),
+    source,
     log,
     clock,
     random: new SeededRandom(1)
@@ -237,6 +247,7 @@
   return {
     gateway,
     decoder,
+    source,
     port: gateway.callerPort,
     stop: () => {
       gateway.close()
--- a/packages/gateway/src/types.ts
+++ b/packages/gateway/src/types.ts
@@ -116,6 +116,8 @@
   snapshot (): Promise<Result<RecordSnapshot, SourceError>>
   /** Long poll for changes after a position; resolves with an empty list when the wait expires. */
   changes (after: number, waitMilliseconds: number): Promise<Result<RecordChanges, SourceError>>
+  /** The changes after a position up to a moment after the call; may be called while another call waits. */
+  currentChanges (after: number): Promise<Result<RecordChanges, SourceError>>
   close (): void
 }
 
--- a/packages/serving/src/publishedRecords.ts
+++ b/packages/serving/src/publishedRecords.ts
@@ -63,6 +63,11 @@
     return this.revision
   }
 
+  /** Whether the store has come back in a new era so recently that it may lack records which it had acknowledged. */
+  get isRestoring (): boolean {
+    return this.options.clock.monotonic() < this.restoredUntil
+  }
+
   get all (): Iterable<PublishedRecord> {
     return this.records.values()
   }
