--- a/packages/gateway/src/constants.ts
+++ b/packages/gateway/src/constants.ts
@@ -192,8 +192,8 @@
 export const discardedAnswerTimeoutMilliseconds = 1_000
 /** Time in which an order whose caller has left must begin to answer, unless its deadline is known. */
 export const detachedRunTimeoutMilliseconds = 120_000
-/** Size limit of what an upstream sends in a row that is no body: heads with all informational ones, chunk lengths and extensions, trailers, bytes on an idle connection. */
-export const maximumAnswerOverheadBytes = 65_536
+/** Size limit of what an upstream sends in a row that is no body: heads with all informational ones, chunk lengths and extensions, trailers, bytes on an idle connection. As much as undici allows for the fields of a head. */
+export const maximumAnswerOverheadBytes = 16_384
 /** Size limit of one answer of the record source, with its head. */
 export const maximumSourceAnswerBytes = 33_554_432
 /** Size limit of all keys and values of one reading of the records; each record counts as some bytes more. */
--- a/packages/gateway/src/upstreamConnections.ts
+++ b/packages/gateway/src/upstreamConnections.ts
@@ -128,6 +128,8 @@
       pipelining: 1,
       headersTimeout: 0,
       bodyTimeout: 0,
+      // Never reached: undici makes an error for each further field, which costs more than the field.
+      maxHeaderSize: 2 * maximumAnswerOverheadBytes,
       keepAliveTimeout: upstreamIdleTimeoutMilliseconds + 1_000,
       connect: (options, callback) => connectHalfOpen(options, (error, socket) => {
         if (error !== null) return callback(error, null)
