Share the memory for parts of answers that can't be passed on yet

Callers saw (report of other operators): a VM ran out of memory with bytes without end from faulty upstreams, and the requests of others ended with it.

Cause: each event may grow to 1 MiB, in memory that doubles, and nothing limited their sum. Besides, the few bytes of an event at the end of a read kept the whole read; each stream kept its newest events, up to a megabyte; and a safe answer that is collected kept an object for each chunk.

Change: what one answer may hold is an eighth of what is left of a tenth of the VM's memory, at most 1 MiB and at least 16 KiB. Those that hold most give way first; sound events are far shorter. The sum is counted anew every 50 ms from the requests under way, so that nothing can leak. Reads aren't kept for their ends, nor long events for their ids.

--- a/packages/gateway/src/answerRelay.ts
+++ b/packages/gateway/src/answerRelay.ts
@@ -12,6 +12,7 @@
 import { headerValue, withoutHeader } from './headerList.js'
 import type { Route, SoftwareVersion } from '@cuminvale/serving'
 import type { AnswerSink, AnswerFailureKind } from './answerSink.js'
+import type { HeldBytes } from './heldBytes.js'
 
 const eventStreamType = 'text/event-stream'
 const typeHeader = 'content-type'
@@ -22,6 +23,8 @@
 export interface AnswerRelayOptions {
   readonly sink: AnswerSink
   readonly route: Route
+  /** What all answers may hold. */
+  readonly held: HeldBytes
   /** Id of the last event of the stream that the caller has, as the VM names it that forwarded the request; undefined if it has none. */
   readonly resumeAfter: string | undefined
   /** The same as the caller names it, which takes the stream up; an empty id is that of a caller without events. */
@@ -78,9 +81,14 @@
     return this.events?.partialEventBytes ?? 0
   }
 
+  /** Memory that what was not passed on takes, in bytes. */
+  get heldBytes (): number {
+    return (this.events?.heldBytes ?? 0) + (this.held?.heldBytes ?? 0)
+  }
+
   /** Why the answer under way is no part of the stream; undefined if it may be. */
   get flawInData (): string | undefined {
-    if (this.events?.exceedsLimit === true) return 'an event is over a megabyte'
+    if (this.events?.exceedsLimit === true) return 'an event is longer than may be held'
     return this.events?.isDiscontinuous === true ? 'events that do not continue the stream' : undefined
   }
 
@@ -106,9 +114,9 @@
       this.events?.continueAfter(this.lastEventId ?? this.resumeAfter)
       return
     }
-    this.events = this.isEventStream(status, headers) ? new EventBoundaryBuffer() : undefined
+    this.events = this.isEventStream(status, headers) ? new EventBoundaryBuffer(this.options.held) : undefined
     if (this.resumeAfter !== undefined && this.isResumable) this.events?.continueAfter(this.resumeAfter)
-    if (this.options.route.kind === RequestKind.Safe) this.held = new BufferedAnswer(status, headers)
+    if (this.options.route.kind === RequestKind.Safe) this.held = new BufferedAnswer(status, headers, this.options.held)
     else if (this.options.holdsHead && this.events !== undefined) this.unsentHead = { status, headers }
     else this.relayHead(status, headers, softwareVersion)
   }
--- a/packages/gateway/src/eventBoundaryBuffer.ts
+++ b/packages/gateway/src/eventBoundaryBuffer.ts
@@ -4,7 +4,10 @@
  * and holds back what does not continue a resumed one.
  */
 
-import { ContinuedEvents, endWithId, lastIdIn } from './continuedEvents.js'
+import { ContinuedEvents } from './continuedEvents.js'
+import { GrowingBuffer } from './growingBuffer.js'
+import { HeldBytes } from './heldBytes.js'
+import { NewestEvents } from './newestEvents.js'
 
 const lineFeed = 10
 const carriageReturn = 13
@@ -16,13 +19,11 @@
 const emptyBuffer = Buffer.alloc(0)
 
 export class EventBoundaryBuffer {
-  /** Begins with the bytes after the last event boundary. Grows by doubling, so that many short chunks cost little more than a long one. */
-  private storage: Buffer = emptyBuffer
-  private heldBytes = 0
-  /** The newest complete events among which one has an id, as they were returned. */
-  private lastEventsWithId: Buffer | undefined
-  /** The newest complete events, as they were returned. */
-  private lastEvents: Buffer | undefined
+  /** The bytes after the last event boundary. */
+  private readonly partial: GrowingBuffer
+  /** The newest complete events among which one has an id. */
+  private lastEventsWithId: NewestEvents | undefined
+  private lastEvents: NewestEvents | undefined
   private hasEvents = false
   /** Checks the events of an answer that continues the stream; undefined during the first one. */
   private continuation: ContinuedEvents | undefined
@@ -32,6 +33,10 @@
   /** Whether an event that an earlier answer had begun has not come yet. */
   private hasLostEvent = false
 
+  constructor (held: HeldBytes = new HeldBytes(Infinity)) {
+    this.partial = new GrowingBuffer({ held, maximumBytes: maximumEventBytes })
+  }
+
   /** Whether what has come does not continue the stream; it is not returned then. */
   get isDiscontinuous (): boolean {
     return this.hasForeignEvents
@@ -55,28 +60,36 @@
 
   /** Adds a chunk; returns the buffered bytes up to the last event boundary, or undefined if there is none. */
   push (chunk: Buffer): Buffer | undefined {
-    const searchedBytes = this.heldBytes
-    const buffer = this.append(chunk)
+    const searchedBytes = this.partial.length
+    const buffer = searchedBytes === 0 ? chunk : this.partial.append(chunk)
     const end = lastBoundaryEnd(buffer, Math.max(0, searchedBytes - maximumBoundaryBytes))
-    if (end === 0) return undefined
-    this.hold(buffer.subarray(end))
+    if (end === 0) {
+      if (searchedBytes === 0) this.partial.append(chunk)
+      return undefined
+    }
+    this.partial.replace(buffer.subarray(end))
     const completeEvents = buffer.subarray(0, end)
     if (this.continuation?.accept(completeEvents) === false) this.hasForeignEvents = true
     if (this.hasForeignEvents) return undefined
     this.recordEvents(completeEvents)
-    if (hasIdField(completeEvents)) this.lastEventsWithId = this.lastEvents = completeEvents
-    else if (!hasOnlyComments(completeEvents)) this.lastEvents = completeEvents
+    if (hasIdField(completeEvents)) this.lastEventsWithId = this.lastEvents = new NewestEvents(completeEvents)
+    else if (!hasOnlyComments(completeEvents)) this.lastEvents = new NewestEvents(completeEvents)
     return completeEvents
   }
 
   /** Bytes after the last event boundary. */
   partialEvent (): Buffer | undefined {
-    return this.heldBytes === 0 ? undefined : this.storage.subarray(0, this.heldBytes)
+    return this.partial.length === 0 ? undefined : this.partial.bytes
   }
 
   /** Number of these bytes. */
   get partialEventBytes (): number {
-    return this.heldBytes
+    return this.partial.length
+  }
+
+  /** Memory that the partial event takes, in bytes. */
+  get heldBytes (): number {
+    return this.partial.capacity
   }
 
   /** Whether the stream so far ends inside an event. Comments and blank lines are no part of one. */
@@ -89,25 +102,25 @@
     return this.hasEvents
   }
 
-  /** Whether the partial event exceeds the size limit of one event. */
+  /** Whether the partial event exceeds the size limit of one event, or what one answer may hold at this moment. */
   get exceedsLimit (): boolean {
-    return this.heldBytes > maximumEventBytes
+    return this.partial.exceedsLimit
   }
 
   /** Discards a partial event before the stream is resumed on another upstream. */
   discardPartialEvent (): void {
     this.hasLostEvent ||= this.isInsideEvent
-    this.hold(emptyBuffer)
+    this.partial.replace(emptyBuffer)
   }
 
   /** Id of the last complete event that has one. */
   get lastEventId (): string | undefined {
-    return lastIdIn(this.lastEventsWithId?.toString('latin1') ?? '')
+    return this.lastEventsWithId?.lastId
   }
 
   /** Whether the stream can be resumed after this id. */
   get endsWithId (): boolean {
-    return this.lastEvents !== undefined && endWithId(this.lastEvents)
+    return this.lastEvents?.endsWithId === true
   }
 
   private recordEvents (completeEvents: Buffer): void {
@@ -115,29 +128,6 @@
     this.hasEvents = this.hasEventsOfAnswer = true
     this.hasLostEvent = false
   }
-
-  /** Replaces the held bytes by a buffer, which is not written to. */
-  private hold (buffer: Buffer): void {
-    this.storage = buffer
-    this.heldBytes = buffer.length
-  }
-
-  /** Returns the held bytes with the chunk. */
-  private append (chunk: Buffer): Buffer {
-    if (this.heldBytes === 0) {
-      this.hold(chunk)
-      return chunk
-    }
-    const length = this.heldBytes + chunk.length
-    if (length > this.storage.length) {
-      const grown = Buffer.allocUnsafe(length * 2)
-      this.storage.copy(grown, 0, 0, this.heldBytes)
-      this.storage = grown
-    }
-    chunk.copy(this.storage, this.heldBytes)
-    this.heldBytes = length
-    return this.storage.subarray(0, length)
-  }
 }
 
 /** Position after the line ending at a position; the position itself if none begins there, or if its line feed may be still to come. */
--- a/packages/gateway/src/executions.test.ts
+++ b/packages/gateway/src/executions.test.ts
@@ -1,6 +1,7 @@
 import { runtimeClock } from '@cuminvale/common'
 import { afterEach, beforeEach, describe, expect, it, vi } from 'vitest'
 import { Executions } from './executions.js'
+import { HeldBytes } from './heldBytes.js'
 import { silentLog } from './testSupport.js'
 import type { RequestExecution } from './requestExecution.js'
 
@@ -11,7 +12,7 @@
 
 describe('Executions', () => {
   it('checks the requests under way, and keeps no timer while there are none', () => {
-    const executions = new Executions(runtimeClock, silentLog)
+    const executions = new Executions(runtimeClock, silentLog, new HeldBytes(Infinity))
     expect(vi.getTimerCount()).toBe(0)
     let checks = 0
     const running = execution(() => { checks += 1 })
@@ -29,7 +30,7 @@
   // Guards against a stall of this VM that is taken for the silence of its upstreams: timers run before the sockets are read.
   it('leaves out the check right after a stall, but never two in a row', () => {
     let now = 0
-    const executions = new Executions({ ...runtimeClock, monotonic: () => now }, silentLog)
+    const executions = new Executions({ ...runtimeClock, monotonic: () => now }, silentLog, new HeldBytes(Infinity))
     let checks = 0
     executions.add(execution(() => { checks += 1 }))
     const checksAfter = (milliseconds: number): number => {
@@ -47,7 +48,7 @@
   // Guards against an error of one request that kept all later ones from their deadlines.
   it('checks the other requests after an error of one, and fails that one', () => {
     const errors: string[] = []
-    const executions = new Executions(runtimeClock, { ...silentLog, error: (event) => { errors.push(event) } })
+    const executions = new Executions(runtimeClock, { ...silentLog, error: (event) => { errors.push(event) } }, new HeldBytes(Infinity))
     let checks = 0
     let abandoned = 0
     const faulty = { check: () => { throw new Error('a fault') }, abandon: () => { abandoned += 1 } } as unknown as RequestExecution
--- a/packages/gateway/src/executions.ts
+++ b/packages/gateway/src/executions.ts
@@ -9,6 +9,7 @@
 import { describeError } from './errors.js'
 import type { Clock, Refusal } from '@cuminvale/common'
 import type { Log } from '@cuminvale/logs'
+import type { HeldBytes } from './heldBytes.js'
 import type { RequestExecution } from './requestExecution.js'
 
 export class Executions {
@@ -19,7 +20,7 @@
   private wasLeftOut = false
   private hasEnded = false
 
-  constructor (private readonly clock: Clock, private readonly log: Log) {}
+  constructor (private readonly clock: Clock, private readonly log: Log, private readonly held: HeldBytes) {}
 
   get size (): number {
     return this.running.size
@@ -82,7 +83,12 @@
     this.wasLeftOut = !this.wasLeftOut && now - this.checkedAt > stallMilliseconds
     this.checkedAt = now
     if (this.wasLeftOut) return
-    for (const execution of this.running) this.guard(execution, () => execution.check(now))
+    let heldBytes = 0
+    for (const execution of this.running) {
+      this.guard(execution, () => execution.check(now))
+      heldBytes += execution.heldBytes
+    }
+    this.held.recount(heldBytes)
     if (this.running.size === 0) this.stopTimer()
   }
 }
--- a/packages/gateway/src/gatewayState.ts
+++ b/packages/gateway/src/gatewayState.ts
@@ -9,6 +9,7 @@
 import { removeForwardedWork } from './attempts.js'
 import { CrashDetector } from './crashDetector.js'
 import { Executions } from './executions.js'
+import { HeldBytes } from './heldBytes.js'
 import { compareFormat } from './messageFormat.js'
 import { ForwardPools } from './forwardPools.js'
 import { LimitExchange } from './limitExchange.js'
@@ -42,6 +43,10 @@
 
 /** Prompt parts shorter than this are not worth the traffic of a report to other VMs. */
 const minimumReportedPartTokens = 500
+/** Part of the VM's memory that parts of answers may take which can't be passed on yet. */
+const heldMemoryShare = 0.1
+/** Memory of a VM whose settings name none. */
+const assumedMemoryBytes = 268_435_456
 /** VMs that may be running without being known yet. */
 const spareVmCount = 1
 
@@ -78,6 +83,7 @@
   readonly predictionErrors = new PredictionErrors()
   readonly forwardPools = new ForwardPools()
   readonly executions: Executions
+  readonly heldBytes: HeldBytes
   configuration: ServingConfiguration | undefined
   isLeaving = false
   /** Undefined before the stop signal. */
@@ -108,7 +114,8 @@
     this.startedAt = clock.monotonic()
     this.clock = clock
     this.random = random
-    this.executions = new Executions(clock, options.log)
+    this.heldBytes = new HeldBytes((settings.memoryBytes ?? assumedMemoryBytes) * heldMemoryShare)
+    this.executions = new Executions(clock, options.log, this.heldBytes)
     this.codec = options.codec
     this.log = options.log
     this.records = new PublishedRecords({ clock, mayLapse: (key) => decoder.mayLapse(key), isOlder: (key, value, known) => decoder.isOlder(key, value, known) })
--- a/packages/gateway/src/requestExecution.ts
+++ b/packages/gateway/src/requestExecution.ts
@@ -85,7 +85,7 @@
     this.attemptsLeft = options.attemptsLeft
     const { sink, request, resumeAfter, state } = options
     const takenUpAfter = headerValue(request.head.headers, 'last-event-id')
-    this.relay = new AnswerRelay({ sink, route: request.route, resumeAfter, takenUpAfter, holdsHead: options.mayForward })
+    this.relay = new AnswerRelay({ sink, route: request.route, held: state.heldBytes, resumeAfter, takenUpAfter, holdsHead: options.mayForward })
     this.version = new StreamVersion({ state, request, relay: this.relay, isOfCaller: options.mayForward, softwareVersion: options.softwareVersion })
     this.attempts = new RequestAttempts({ forecasts: state.forecasts, service: request.service })
     this.peerWait = new PeerWait(options)
@@ -97,6 +97,11 @@
     return this.relay.status
   }
 
+  /** Memory that the part of the answer takes that was not passed on, in bytes. */
+  get heldBytes (): number {
+    return this.relay.heldBytes
+  }
+
   get request (): AdmittedRequest {
     return this.options.request
   }
@@ -256,8 +261,7 @@
     if (crashRefusal !== undefined) return this.refuseOrFail(crashRefusal)
     const placement = this.starter.chooseTarget(this.excluded, this.version.required)
     if (placement.kind !== PlacementKind.Refuse) return this.sendByPlacement(placement)
-    const isStopping = placement.cause === RefusalCause.Stop
-    if (lastRefusal === undefined && !placement.isPaused && !isStopping && this.peerWait.startOrContinue(this.now)) return
+    if (lastRefusal === undefined && !placement.isPaused && placement.cause !== RefusalCause.Stop && this.peerWait.startOrContinue(this.now)) return
     this.refusalCause = placement.cause
     this.refuseOrFail(this.starter.refusalOf(placement, lastRefusal))
   }
@@ -268,10 +272,9 @@
   }
 
   private sendTo (placement: Extract<Placement, { kind: 'run' }>): void {
-    const { prediction } = placement
     this.attemptsLeft -= 1
-    this.predictedMilliseconds = Math.round(prediction.milliseconds)
-    this.unreadTokens = prediction.unreadTokens
+    this.predictedMilliseconds = Math.round(placement.prediction.milliseconds)
+    this.unreadTokens = placement.prediction.unreadTokens
     this.starter.startLocal(placement, this.resumeAfter)
   }
 
--- a/packages/gateway/src/types.ts
+++ b/packages/gateway/src/types.ts
@@ -37,6 +37,8 @@
   readonly linkPort: number
   /** Processor time that the VM may use, in seconds of one core per second. */
   readonly processorCapacity: number
+  /** Memory that the VM may use, in bytes; undefined if the settings name none. */
+  readonly memoryBytes?: number | undefined
   /** Link addresses of VMs to contact at the start; they may be down. */
   readonly seeds: readonly string[]
   readonly domainRegions: ReadonlyMap<FailureDomainId, RegionId>
