Count the framing of short chunks with what is no body

Cause: any byte of a body began the count of other bytes anew, so that six bytes of chunk for each byte of body were read without end, at some microseconds each.

Change: a byte of a body makes up for one byte that is none. Chunks of five bytes and more are never limited; chunks of a byte are after some 4,000 of them, as is any answer that has brought 16 KiB more of framing than of body.

--- a/packages/gateway/src/readLimit.test.ts
+++ b/packages/gateway/src/readLimit.test.ts
@@ -43,6 +43,19 @@
     expect(socket.destroyed).toBe(false)
   })
 
+  // Guards against a VM that is busy for seconds with answers in chunks of a byte.
+  it.each([[1, true], [2, true], [5, false], [100, false]])('counts chunks of %i bytes with what frames them', (chunkBytes, isClosed) => {
+    const socket = receive(262_144)
+    const limit = new ReadLimit(maximumBytes)
+    limit.watch(socket)
+    const framedBytes = chunkBytes + 5
+    let framed = 0
+    for (let piece = socket.read() as Buffer | null; piece !== null; piece = socket.read() as Buffer | null) {
+      for (framed += piece.length; framed >= framedBytes; framed -= framedBytes) limit.recordBody(chunkBytes)
+    }
+    expect(socket.destroyed).toBe(isClosed)
+  })
+
   it('gives it no more after the connection was closed', () => {
     const socket = receive(32_768)
     new ReadLimit(maximumBytes).watch(socket)
--- a/packages/gateway/src/readLimit.ts
+++ b/packages/gateway/src/readLimit.ts
@@ -37,6 +37,11 @@
   mark (): void {
     if (this.socket !== undefined) this.bytesAtMark = parsedBytes(this.socket)
   }
+
+  /** Counts bytes of a body, which make up for as many bytes that are none; chunks of a byte or two cost the parser more than they bring. */
+  recordBody (bytes: number): void {
+    if (this.socket !== undefined) this.bytesAtMark = Math.min(parsedBytes(this.socket), this.bytesAtMark + 2 * bytes)
+  }
 }
 
 const parsedBytes = (socket: Socket): number => socket.bytesRead - socket.readableLength
--- a/packages/gateway/src/upstreamCall.ts
+++ b/packages/gateway/src/upstreamCall.ts
@@ -128,7 +128,7 @@
 
   onResponseData (controller: Dispatcher.DispatchController, chunk: Buffer): void {
     if (this.isOver) return
-    this.connection.overhead.mark()
+    this.connection.overhead.recordBody(chunk.length)
     if (this.isDetached) return this.discard(chunk)
     if (!this.listener.onData(chunk)) controller.pause()
   }
