Limit the body of the answer to an inspection

An upstream may send the body of its answer to an inspection for 400 ms as fast as it is read.

Cause: that reader had a limit of time only.

Change: it is given up after 64 KiB. A frame of another VM is at most 2 MiB, as nothing that a VM passes on is longer than an event of a megabyte; it was 16 MiB, held whole for each answer.

The regression test fails before: FAIL endlessAnswers.test.ts > the answer to an inspection > is given up after 64 KiB of body: expected 411.26 to be less than 300 Measured: it is given up within the bound, its connection closed.

--- a/packages/gateway/src/endlessAnswers.test.ts
+++ b/packages/gateway/src/endlessAnswers.test.ts
@@ -1,7 +1,8 @@
 import { request as httpRequest } from 'node:http'
 import { runtimeClock } from '@cuminvale/common'
 import { afterEach, beforeEach, describe, expect, it, vi } from 'vitest'
-import { OpenedConnections, sealedHeadText, senders } from './endlessTestSupport.js'
+import { OpenedConnections, pour, sealedHeadText, senders } from './endlessTestSupport.js'
+import { inspectUpstream } from './upstreamInspection.js'
 import { callGateway, sealedHead, silentLog, startTestGateway, startUpstream, testDocument, testHeaders, testRoute } from './testSupport.js'
 import type { IncomingMessage } from 'node:http'
 import type { Route } from '@cuminvale/serving'
@@ -135,3 +136,20 @@
     expect(connections.openCount).toBe(2)
   })
 })
+
+// Guards against an upstream that holds a VM up with the answer to an inspection, which nobody reads.
+describe('the answer to an inspection', () => {
+  it('is given up after 64 KiB of body, and its connection closed', async () => {
+    const [upstream] = await start(order, (request) => {
+      request.socket.write(`HTTP/1.1 200 OK\r\n${testHeaders.healthOf}: u0\r\ntransfer-encoding: chunked\r\n\r\n`)
+      pour(request.socket, chunk)
+    })
+    if (upstream === undefined || running === undefined) throw new Error('no upstream')
+    const { state } = running.gateway
+    const startedAt = performance.now()
+    expect(await inspectUpstream({ connections: state.connections, codec: state.codec, upstream: upstream.announced, healthPath: '/health' })).toBeUndefined()
+    expect(performance.now() - startedAt).toBeLessThan(300)
+    expect(connections.bytesRead).toBeLessThan(maximumReadBytes)
+    await firstIsClosed()
+  })
+})
--- a/packages/gateway/src/forwardFrames.ts
+++ b/packages/gateway/src/forwardFrames.ts
@@ -49,7 +49,8 @@
 export const isKnownFrame = ({ kind }: Frame): boolean => frameKinds.includes(kind)
 
 const frameHeaderBytes = 5
-const maximumFrameBytes = 16_777_216
+/** Longer than an event with the read in which it ends; all else that a VM passes on is shorter. */
+const maximumFrameBytes = 2_097_152
 
 export const encodeFrame = (kind: FrameKind, content?: Buffer): Buffer => {
   const header = Buffer.allocUnsafe(frameHeaderBytes)
--- a/packages/gateway/src/upstreamInspection.ts
+++ b/packages/gateway/src/upstreamInspection.ts
@@ -5,7 +5,7 @@
  */
 
 import { UpstreamCall } from './upstreamCall.js'
-import { inspectionTimeoutMilliseconds } from './constants.js'
+import { inspectionTimeoutMilliseconds, maximumDiscardedAnswerBytes } from './constants.js'
 import type { AnnouncedUpstream } from '@cuminvale/serving'
 import type { CallFailure } from './errors.js'
 import type { RequestCodec, UpstreamHealth } from './types.js'
@@ -21,6 +21,7 @@
 /** Resolves with what the upstream said; undefined if it said nothing in time, or nothing that can be read. */
 export const inspectUpstream = async ({ connections, codec, upstream, healthPath }: InspectionOptions): Promise<UpstreamHealth | CallFailure | undefined> => await new Promise((resolve) => {
   let health: UpstreamHealth | undefined
+  let bodyBytes = 0
   const finish = (result: UpstreamHealth | CallFailure | undefined): void => {
     clearTimeout(timer)
     resolve(result)
@@ -28,7 +29,11 @@
   const connection = connections.acquire(upstream, { isOrder: false, isSingleUse: false })
   const call = new UpstreamCall(connections, connection, {
     onHead: (status, headers) => { health = codec.decodeHealth(status, headers) },
-    onData: () => true,
+    onData: (chunk) => {
+      bodyBytes += chunk.length
+      if (bodyBytes > maximumDiscardedAnswerBytes) giveUp()
+      return true
+    },
     onEnd: () => {
       finish(health)
       // An answer that names no upstream may be a late one to another request, whose own would follow.
@@ -36,9 +41,10 @@
     },
     onFailure: finish
   })
-  const timer = setTimeout(() => {
+  const giveUp = (): void => {
     call.abort()
     finish(undefined)
-  }, inspectionTimeoutMilliseconds)
+  }
+  const timer = setTimeout(giveUp, inspectionTimeoutMilliseconds)
   call.send({ method: 'GET', path: healthPath, headers: [], body: null })
 })
