Answer 504 at the timeout while the head of a stream waits

Cause: a head that waits for its first data counted as passed on when the request failed, though nothing of it was sent.

Change: AnswerRelay.fail closes the connection only after a head was passed on. The caller gets 504 at the deadline, 502 at a stop.

--- a/packages/gateway/src/answerRelay.ts
+++ b/packages/gateway/src/answerRelay.ts
@@ -153,9 +153,9 @@
     this.options.sink.end()
   }
 
-  /** Ends without a complete answer: fails if none was begun, and aborts the answer otherwise. */
+  /** Ends without a complete answer: fails if none was passed on, and aborts the answer otherwise. A head that waits for its first data wasn't. */
   fail (kind: AnswerFailureKind, detail: string): void {
-    if (this.status !== 0 || this.unsentHead !== undefined) this.options.sink.abort()
+    if (this.status !== 0) this.options.sink.abort()
     else this.options.sink.fail(kind, detail)
   }
 
