Hold no upstream to blame for a forward that can't be written

Cause: the envelope of a forward was decoded without a look at its values. One with, say, a number as its method got as far as undici, which rejects it before it connects (UND_ERR_INVALID_ARG). That counted as an upstream that takes no connection: it was ejected, logged as lost, and dialled until it accepted. Evidence: in a trace, "InvalidArgumentError: method must be a string" comes in the same millisecond as "upstream-lost", and the caller's refusals end with "upstream-regained". Ruled out: connect timeouts under the crowd (no call failed that way), and the retry budget. Change: checkEnvelope refuses such a forward before it is placed; and a request that undici can't write is refused as not run, at once, and says nothing of the upstream.

--- a/packages/gateway/src/errors.ts
+++ b/packages/gateway/src/errors.ts
@@ -28,6 +28,8 @@
   NotSent: 'not-sent',
   /** Nothing was sent, since the upstream was found to take no more once a connection was open. */
   Withheld: 'withheld',
+  /** Nothing was sent, since the request can't be written in HTTP. */
+  Unwritable: 'unwritable',
   /** The connection broke after the request was sent. */
   Broken: 'broken'
 } as const
--- a/packages/gateway/src/forwardFrames.ts
+++ b/packages/gateway/src/forwardFrames.ts
@@ -5,6 +5,7 @@
  */
 
 import { pack, unpack } from 'msgpackr'
+import { checkEnvelope } from './checkEnvelope.js'
 import { messageFormat } from './messageFormat.js'
 import type { AnswerFailureKind } from './answerSink.js'
 import type { Refusal, RegionId, RouteName, TeamId } from '@cuminvale/common'
@@ -117,6 +118,7 @@
   // The further values of a newer build come last and mean nothing here.
   const isNewer: boolean = row.length > longEnvelopeRowLength && format > messageFormat
   if (!isKnownLength && !isNewer) throw new RangeError(`forwarded request has ${row.length} values, expected ${envelopeRowLength} or ${longEnvelopeRowLength}`)
+  checkEnvelope(row)
   const [
     attempt, method, path, headers, prompt, output, parts, name, kind, isResumable, objectiveMilliseconds, timeoutMilliseconds, maximumAttempts,
     service, teamId, priority, regions, isRepeatable, configurationVersion, remainingMilliseconds, onTimeMilliseconds, attemptsLeft, resumeAfter, softwareVersion
--- a/packages/gateway/src/requestExecution.ts
+++ b/packages/gateway/src/requestExecution.ts
@@ -368,7 +368,7 @@
     if (wasSilent) return
     this.detail = detail
     this.attemptsNotRun += 1
-    if (this.attemptsNotRun >= maximumAttemptsNotRun) return this.refuseOrFail(refuse(RefusalReason.NoUpstream, detail))
+    if (kind === CallFailureKind.Unwritable || this.attemptsNotRun >= maximumAttemptsNotRun) return this.refuseOrFail(refuse(RefusalReason.NoUpstream, detail))
     this.place()
   }
 
--- a/packages/gateway/src/upstreamCall.ts
+++ b/packages/gateway/src/upstreamCall.ts
@@ -31,6 +31,9 @@
   readonly answerTimeoutMilliseconds?: number
 }
 
+/** Errors with which undici rejects a request before it connects. */
+const unwritableCodes: ReadonlySet<string> = new Set(['UND_ERR_INVALID_ARG', 'UND_ERR_NOT_SUPPORTED'])
+
 /** Whether an answer of this status can state that the request has not run. */
 const isRefusal = (status: number): boolean => (status >= 400 && status < 500) || status === refusedStatus
 
@@ -146,12 +149,13 @@
   }
 
   onResponseError (_controller: Dispatcher.DispatchController, error: Error): void {
-    if (!this.isOver) this.fail(this.failureKind, error.message)
+    if (!this.isOver) this.fail(this.failureKindOf(error), error.message)
   }
 
-  private get failureKind (): CallFailureKind {
+  private failureKindOf ({ code = '' }: Error & { readonly code?: string }): CallFailureKind {
     if (this.isWithheld) return CallFailureKind.Withheld
-    return this.controller === undefined ? CallFailureKind.NotSent : CallFailureKind.Broken
+    if (this.controller !== undefined) return CallFailureKind.Broken
+    return unwritableCodes.has(code) ? CallFailureKind.Unwritable : CallFailureKind.NotSent
   }
 
   private discard (chunk: Buffer): void {
