Join the chunks of a body as they come

Callers saw: a VM that ends (heap), and all its requests with it, when one client inside the limits sent a body in chunks of a byte; 40 clients with 100,000 bytes each did the same. Cause: readBody kept a Buffer for each chunk until the end of the body. For a byte that is an object and a backing store of hundreds of bytes, and nothing counted them. Ruled out: that the number of bytes is at fault, as 4 MB in chunks of 16 bytes were served before too. Change: the body is copied into one piece of memory that grows by doubling (GrowingBuffer), as parts of answers are.

--- a/packages/gateway/src/gatewayCallerServer.ts
+++ b/packages/gateway/src/gatewayCallerServer.ts
@@ -12,6 +12,7 @@
 import { discardBody } from './discardBody.js'
 import { ExchangeServer, polled } from './exchangeServer.js'
 import { describeError } from './errors.js'
+import { GrowingBuffer } from './growingBuffer.js'
 import { startExecution } from './startExecution.js'
 import { findTakenUpStream } from './findTakenUpStream.js'
 import { ReadRequest } from './readRequest.js'
@@ -39,6 +40,8 @@
 const overloadedRefusal = refuse(RefusalReason.QueueFull, 'more requests than the processor can serve')
 const overloadedText = `${overloadedRefusal.detail}\n`
 
+const uncounted = { allowance: Infinity, recordGrowth: (): void => { /* limited one by one */ } }
+
 const encodeSeconds = (milliseconds: number): string => (milliseconds / millisecondsPerSecond).toFixed(2)
 
 class CallerAnswerSink implements AnswerSink {
@@ -233,12 +236,11 @@
 
   private readBody (request: IncomingMessage, response: ServerResponse, admitted: AdmittedRequest, receivedAt: number): void {
     const maximumBytes = this.state.configuration?.document.limits.bodyBytes ?? 0
-    const chunks: Buffer[] = []
-    let length = 0
+    const body = new GrowingBuffer({ held: uncounted, maximumBytes })
     let isRefused = false
     const refuseBody = (refusal: Refusal): void => {
       isRefused = true
-      chunks.length = 0
+      body.clear()
       clearInterval(timer)
       this.refuse(request, response, admitted.head, refusal)
     }
@@ -252,9 +254,8 @@
     request.on('close', () => clearInterval(timer))
     request.on('data', (chunk: Buffer) => {
       if (isRefused) return
-      length += chunk.length
-      if (length <= maximumBytes) {
-        chunks.push(chunk)
+      if (body.length + chunk.length <= maximumBytes) {
+        body.append(chunk)
         return
       }
       refuseBody(refuse(RefusalReason.BodyTooLarge, `the body is longer than ${maximumBytes} bytes`))
@@ -262,8 +263,7 @@
     request.on('end', () => {
       clearInterval(timer)
       if (isRefused || response.destroyed) return
-      const body = length === 0 ? null : chunks.length === 1 ? chunks[0] ?? null : Buffer.concat(chunks)
-      this.guard(request, response, () => this.intake.take(new ReadRequest(response, admitted, body, receivedAt)))
+      this.guard(request, response, () => this.intake.take(new ReadRequest(response, admitted, body.length === 0 ? null : body.bytes, receivedAt)))
     })
   }
 
