Bound what the bodies of all callers take together

Callers saw: a VM over the memory of its machine, where the platform kills it, once some 80 clients sent bodies inside the limit of one and stopped short of their end; the same with bodies far over the limit, announced or just sent, and with whole ones that wait for a slow upstream. Cause: bodies were limited one by one. Nothing counted their sum, nor how long they lay there without moving, and a body that was announced as too long was read up to the limit before it was refused. Ruled out: the answers and their buffers; the crowd gets none before its bodies end. When there is no room, the holder with the largest bytes times time without progress is refused (503, Retry-After, closed; its body wasn't whole, so it has not run). Whole requests stay; long holders leave a quarter to ordinary ones. An announced length over the limit is refused at the head, and its connection closed.

--- a/packages/gateway/src/constants.ts
+++ b/packages/gateway/src/constants.ts
@@ -128,6 +128,10 @@
 export const headerCheckIntervalMilliseconds = 500
 /** Bytes that are still read of the body of a refused request before the connection is closed, if the configuration allows no longer bodies. */
 export const maximumDiscardedBodyBytes = 1_048_576
+/** Memory that an open request takes beside its body: its head, its answer, its execution. */
+export const requestCostBytes = 8_192
+/** Time after which a caller may return for whose request there was no memory. */
+export const noRoomRetryMilliseconds = 500
 /** Time for which the body of a refused request is still read. */
 export const discardedBodyTimeoutMilliseconds = 3_000
 /** Time in which the caller of a connection that was refused unread must close it. */
--- a/packages/gateway/src/gatewayCallerServer.ts
+++ b/packages/gateway/src/gatewayCallerServer.ts
@@ -7,17 +7,17 @@
 import { STATUS_CODES } from 'node:http'
 import { RefusalReason, millisecondsPerSecond, refuse } from '@cuminvale/common'
 import { AnswerFailureKind } from './answerSink.js'
+import { BodyReading } from './bodyReading.js'
 import { CutAnswers } from './cutAnswers.js'
 import { continuesStream } from './continuesStream.js'
 import { discardBody } from './discardBody.js'
 import { ExchangeServer, polled } from './exchangeServer.js'
 import { describeError } from './errors.js'
-import { GrowingBuffer } from './growingBuffer.js'
 import { startExecution } from './startExecution.js'
 import { findTakenUpStream } from './findTakenUpStream.js'
 import { ReadRequest } from './readRequest.js'
 import { RequestIntake } from './requestIntake.js'
-import { checkIntervalMilliseconds, headerCheckIntervalMilliseconds, leavingNextRequestMilliseconds, leavingReadMilliseconds, maximumDiscardedBodyBytes, callerBacklog, maximumRequestHeaderBytes, startingRateRetryMilliseconds, unknownOriginRetryMilliseconds } from './constants.js'
+import { headerCheckIntervalMilliseconds, leavingNextRequestMilliseconds, maximumDiscardedBodyBytes, callerBacklog, maximumRequestHeaderBytes, startingRateRetryMilliseconds, unknownOriginRetryMilliseconds } from './constants.js'
 import type { Refusal } from '@cuminvale/common'
 import type { AdmittedRequest, RequestHead, SoftwareVersion } from '@cuminvale/serving'
 import type { GatewayMetrics } from './gatewayMetrics.js'
@@ -40,12 +40,18 @@
 const overloadedRefusal = refuse(RefusalReason.QueueFull, 'more requests than the processor can serve')
 const overloadedText = `${overloadedRefusal.detail}\n`
 
-const uncounted = { allowance: Infinity, recordGrowth: (): void => { /* limited one by one */ } }
-
 const encodeSeconds = (milliseconds: number): string => (milliseconds / millisecondsPerSecond).toFixed(2)
 
+interface CallerAnswerSinkOptions {
+  readonly state: GatewayState
+  readonly server: ExchangeServer
+  readonly cutAnswers: CutAnswers
+  /** Whether the connection closes after the answer. */
+  readonly closes: boolean
+}
+
 class CallerAnswerSink implements AnswerSink {
-  constructor (private readonly response: ServerResponse, private readonly state: GatewayState, private readonly server: ExchangeServer, private readonly cutAnswers: CutAnswers) {}
+  constructor (private readonly response: ServerResponse, private readonly options: CallerAnswerSinkOptions) {}
 
   head (status: number, headers: readonly string[]): void {
     this.response.writeHead(status, this.withConnectionClose(headers))
@@ -64,7 +70,7 @@
     if (refusal.retryAfterMilliseconds !== undefined && Number.isFinite(refusal.retryAfterMilliseconds)) {
       headers.push('retry-after', encodeSeconds(refusal.retryAfterMilliseconds))
     }
-    this.close(this.state.codec.statusOf(refusal), headers, refusal.detail)
+    this.close(this.options.state.codec.statusOf(refusal), headers, refusal.detail)
   }
 
   fail (kind: AnswerFailureKind, detail: string): void {
@@ -72,7 +78,7 @@
   }
 
   abort (): void {
-    this.cutAnswers.record(this.response)
+    this.options.cutAnswers.record(this.response)
     const { chunkedEncoding, socket } = this.response
     // Without chunks, a caller of HTTP/1.0 takes an orderly close for the end of the answer. One that waits for an earlier answer has no socket, and sends nothing.
     if (chunkedEncoding || socket === null) this.response.destroy()
@@ -86,9 +92,10 @@
     this.response.end(body)
   }
 
-  /** Adds `connection: close` to the last answer of a connection while this VM shuts down, so that callers connect to another one. */
+  /** Adds `connection: close` to the last answer of a connection, also while this VM shuts down, so that callers connect to another one. */
   private withConnectionClose (headers: readonly string[]): string[] {
-    return this.state.isLeaving && this.server.announceClose(this.response) ? [...headers, 'connection', 'close'] : [...headers]
+    const { state, server, closes } = this.options
+    return (closes || state.isLeaving) && server.announceClose(this.response) ? [...headers, 'connection', 'close'] : [...headers]
   }
 }
 
@@ -235,36 +242,18 @@
   }
 
   private readBody (request: IncomingMessage, response: ServerResponse, admitted: AdmittedRequest, receivedAt: number): void {
-    const maximumBytes = this.state.configuration?.document.limits.bodyBytes ?? 0
-    const body = new GrowingBuffer({ held: uncounted, maximumBytes })
-    let isRefused = false
-    const refuseBody = (refusal: Refusal): void => {
-      isRefused = true
-      body.clear()
-      clearInterval(timer)
-      this.refuse(request, response, admitted.head, refusal)
-    }
-    const deadlineAt = receivedAt + Math.min(admitted.head.deadlineMilliseconds ?? Infinity, admitted.route.timeoutMilliseconds)
-    // All bodies have the same interval, since timers with a delay of their own cost more.
-    const timer = setInterval(() => {
-      const now = this.state.clock.monotonic()
-      if (now >= deadlineAt) refuseBody(refuse(RefusalReason.DeadlineExceeded, 'the time was over before the body had come'))
-      else if (this.state.stopPlan !== undefined && now >= this.state.stopPlan.endsAt + leavingReadMilliseconds) refuseBody(refuse(RefusalReason.Draining, 'the VM stops before the body has come'))
-    }, checkIntervalMilliseconds)
-    request.on('close', () => clearInterval(timer))
-    request.on('data', (chunk: Buffer) => {
-      if (isRefused) return
-      if (body.length + chunk.length <= maximumBytes) {
-        body.append(chunk)
-        return
+    const body = new BodyReading({
+      state: this.state,
+      request,
+      deadlineAt: receivedAt + Math.min(admitted.head.deadlineMilliseconds ?? Infinity, admitted.route.timeoutMilliseconds),
+      onRefused: (refusal, { closes }) => this.refuse(request, response, admitted.head, refusal, { closes }),
+      onRead: (bytes, holder) => {
+        if (response.destroyed) return holder.release()
+        response.once('close', () => holder.release())
+        this.guard(request, response, () => this.intake.take(new ReadRequest(response, admitted, bytes, receivedAt)))
       }
-      refuseBody(refuse(RefusalReason.BodyTooLarge, `the body is longer than ${maximumBytes} bytes`))
-    })
-    request.on('end', () => {
-      clearInterval(timer)
-      if (isRefused || response.destroyed) return
-      this.guard(request, response, () => this.intake.take(new ReadRequest(response, admitted, body.length === 0 ? null : body.bytes, receivedAt)))
     })
+    body.start()
   }
 
   private serve ({ response, request, body, receivedAt }: ReadRequest): void {
@@ -324,13 +313,14 @@
     })
   }
 
-  private sinkOf (response: ServerResponse): CallerAnswerSink {
-    return new CallerAnswerSink(response, this.state, this.server, this.cutAnswers)
+  private sinkOf (response: ServerResponse, { closes }: { readonly closes: boolean } = { closes: false }): CallerAnswerSink {
+    return new CallerAnswerSink(response, { state: this.state, server: this.server, cutAnswers: this.cutAnswers, closes })
   }
 
-  private refuse (request: IncomingMessage, response: ServerResponse, head: RequestHead, refusal: Refusal): void {
+  /** With closes, the connection is closed after the answer, and the rest of the body isn't read as one. */
+  private refuse (request: IncomingMessage, response: ServerResponse, head: RequestHead, refusal: Refusal, { closes }: { readonly closes: boolean } = { closes: false }): void {
     discardBody(request, Math.max(maximumDiscardedBodyBytes, this.state.configuration?.document.limits.bodyBytes ?? 0))
     this.requestLog.refused(head, refusal, this.state.configuration?.version)
-    this.sinkOf(response).refuse(refusal)
+    this.sinkOf(response, { closes }).refuse(refusal)
   }
 }
--- a/packages/gateway/src/gatewayMetrics.ts
+++ b/packages/gateway/src/gatewayMetrics.ts
@@ -82,6 +82,14 @@
     name: 'cuminvale_gateway_refused_connections_total', help: 'New connections refused before anything was read of them', registers: [this.registry]
   })
 
+  readonly givenWay = new Counter({
+    name: 'cuminvale_gateway_given_way_total', help: 'Requests, answers and connections of callers that were given up for want of memory', registers: [this.registry]
+  })
+
+  readonly callerMemoryBytes = new Gauge({
+    name: 'cuminvale_gateway_caller_memory_bytes', help: 'Memory that is held for callers, as it is counted against its limit', registers: [this.registry]
+  })
+
   readonly turnSeconds = new Gauge({
     name: 'cuminvale_gateway_turn_seconds', help: 'Length of the last observed turn of the event loop, or the lateness of a timer', registers: [this.registry]
   })
--- a/packages/gateway/src/gatewayProcess.ts
+++ b/packages/gateway/src/gatewayProcess.ts
@@ -133,6 +133,7 @@
   async metricsText (): Promise<string> {
     this.metrics.peers.set(this.state.peers.heardPeers({ readyOnly: false }).length)
     this.metrics.limitedUpstreams.set(this.state.limitExchange.limitedCount)
+    this.metrics.callerMemoryBytes.set(this.state.callerMemory.total)
     this.metrics.regionShares.reset()
     for (const { region, service, perSecond } of this.state.forecasts.shares.all) this.metrics.regionShares.set({ region, service }, perSecond)
     for (const [service, level] of this.state.admission.levels()) this.metrics.admissionLevel.set({ service }, level)
--- a/packages/gateway/src/gatewayState.ts
+++ b/packages/gateway/src/gatewayState.ts
@@ -9,6 +9,8 @@
 import { removeForwardedWork } from './attempts.js'
 import { CrashDetector } from './crashDetector.js'
 import { Executions } from './executions.js'
+import { CallerMemory } from './callerMemory.js'
+import { memoryLimitsOf } from './memoryLimits.js'
 import { HeldBytes } from './heldBytes.js'
 import { compareFormat } from './messageFormat.js'
 import { ForwardPools } from './forwardPools.js'
@@ -43,10 +45,6 @@
 
 /** Prompt parts shorter than this are not worth the traffic of a report to other VMs. */
 const minimumReportedPartTokens = 500
-/** Part of the VM's memory that parts of answers may take which can't be passed on yet. */
-const heldMemoryShare = 0.1
-/** Memory of a VM whose settings name none. */
-const assumedMemoryBytes = 268_435_456
 /** VMs that may be running without being known yet. */
 const spareVmCount = 1
 
@@ -84,6 +82,7 @@
   readonly forwardPools = new ForwardPools()
   readonly executions: Executions
   readonly heldBytes: HeldBytes
+  readonly callerMemory: CallerMemory
   configuration: ServingConfiguration | undefined
   isLeaving = false
   /** Undefined before the stop signal. */
@@ -114,7 +113,8 @@
     this.startedAt = clock.monotonic()
     this.clock = clock
     this.random = random
-    this.heldBytes = new HeldBytes((settings.memoryBytes ?? assumedMemoryBytes) * heldMemoryShare)
+    this.heldBytes = new HeldBytes(memoryLimitsOf(settings).answerPartBytes)
+    this.callerMemory = new CallerMemory({ clock, maximumBytes: memoryLimitsOf(settings).callerBytes, onGivenWay: () => options.metrics.givenWay.inc() })
     this.executions = new Executions(clock, options.log, this.heldBytes)
     this.codec = options.codec
     this.log = options.log
