Read no further while a connection's requests wait for their answers

Callers saw: a VM that ended (heap) or answered nobody for half a minute once 40 clients sent short requests ahead without reading: with the host alone, or without a Host header, which Node answers with 400 by itself. Cause: Node parses each read of 64 KB to its end, a thousand requests with a response, a log line and more each, and pauses only by the bytes of answers that wait. Answers that Node gives by itself were in none of the server's counts. Ruled out: bodies (there are none), and the memory of the answers (they were a few bytes). Change: PacedReading hands the parser pieces of 1 KiB at heads and 4 KiB in bodies, and none while 16 requests of the connection are open; connections with more to parse share 5 ms of a turn of the event loop. ExchangeServer answers a missing Host and an unknown expectation itself; 100 Continue is sent once the body will be read.

--- a/packages/gateway/src/bodyReading.ts
+++ b/packages/gateway/src/bodyReading.ts
@@ -8,13 +8,14 @@
 import { GrowingBuffer } from './growingBuffer.js'
 import { checkIntervalMilliseconds, leavingReadMilliseconds, noRoomRetryMilliseconds, requestCostBytes } from './constants.js'
 import type { Refusal } from '@cuminvale/common'
-import type { IncomingMessage } from 'node:http'
+import type { IncomingMessage, ServerResponse } from 'node:http'
 import type { MemoryHolder } from './callerMemory.js'
 import type { GatewayState } from './gatewayState.js'
 
 export interface BodyReadingOptions {
   readonly state: GatewayState
   readonly request: IncomingMessage
+  readonly response: ServerResponse
   /** Monotonic time until which the caller waits. */
   readonly deadlineAt: number
   /** What holds the request from now on is released by the caller of this module. */
@@ -47,9 +48,10 @@
   }
 
   start (): void {
-    const { request, onRead } = this.options
+    const { request, response, onRead } = this.options
     if (this.announcedBytes > this.maximumBytes) return this.refuseAsTooLong()
     if (!this.holder.grow(requestCostBytes)) return this.refuseForRoom()
+    if (request.headers.expect !== undefined) response.writeContinue()
     // All bodies have the same interval, since timers with a delay of their own cost more.
     this.timer = setInterval(() => this.checkTime(), checkIntervalMilliseconds)
     request.on('close', () => {
--- a/packages/gateway/src/exchangeServer.ts
+++ b/packages/gateway/src/exchangeServer.ts
@@ -7,6 +7,7 @@
 
 import { Server, STATUS_CODES } from 'node:http'
 import { Socket } from 'node:net'
+import { PacedReading, ReadingTurns } from './pacedReading.js'
 import { halfClosedTimeoutMilliseconds, maximumDiscardedBodyBytes, refusedConnectionTimeoutMilliseconds } from './constants.js'
 import type { IncomingMessage, RequestListener, ServerOptions, ServerResponse } from 'node:http'
 
@@ -19,6 +20,7 @@
 
 interface Connection {
   readonly exchanges: Set<ServerResponse>
+  readonly reading: PacedReading
   readonly openedAt: number
   /** Bytes read by the end of the last request; undefined before it. More bytes are the begin of another request. */
   bytesReadAtEnd: number | undefined
@@ -32,12 +34,21 @@
   isHalfClosed: boolean
 }
 
+export interface ExchangeServerOptions extends ServerOptions {
+  /** Whether another listener takes connections over that ask for an upgrade. */
+  readonly acceptsUpgrades?: boolean
+}
+
 /** Statuses by the code of the error that ended the reading, as Node's; any other error means a malformed request. */
 const statusByReadError: Readonly<Record<string, number>> = { ERR_HTTP_REQUEST_TIMEOUT: 408, HPE_CHUNK_EXTENSIONS_OVERFLOW: 413, HPE_HEADER_OVERFLOW: 431 }
 const malformedStatus = 400
+const expectationFailedStatus = 417
+/** Requests of one connection that are read before the first of them is answered. */
+const maximumOpenRequests = 16
 
 export class ExchangeServer extends Server {
   private readonly openConnections = new Map<Socket, Connection>()
+  private readonly turns = new ReadingTurns()
   private acceptedCount = 0
   /** Time from the end of an answer within which its connection doesn't count as idle, since the next request may be on its way. */
   nextRequestMilliseconds = 0
@@ -46,18 +57,28 @@
    * With refuseConnection, a new connection for which it returns an answer gets
    * that answer and is closed, without anything being read as a request.
    */
-  constructor (options: ServerOptions, handle: RequestListener, refuseConnection?: () => string | undefined) {
-    super(options)
+  constructor ({ acceptsUpgrades = false, ...options }: ExchangeServerOptions, handle: RequestListener, refuseConnection?: () => string | undefined) {
+    // Node would answer such requests by itself, unseen.
+    super({ ...options, requireHostHeader: false })
+    // No peer sends more before its upgrade was answered.
+    if (acceptsUpgrades) this.on('upgrade', (_request, socket) => this.openConnections.get(socket as Socket)?.reading.end())
     this.on('connection', (socket: Socket) => {
       this.acceptedCount += 1
-      this.openConnections.set(socket, { exchanges: new Set(), openedAt: performance.now(), bytesReadAtEnd: undefined, idleSince: -Infinity, isClosing: false, isUnreadable: false, isHalfClosed: false })
+      const exchanges = new Set<ServerResponse>()
+      const reading = new PacedReading({ socket, turns: this.turns, mayRead: () => this.mayRead(socket), isInBody: () => lastOf(exchanges)?.req.complete === false })
+      this.openConnections.set(socket, { exchanges, reading, openedAt: performance.now(), bytesReadAtEnd: undefined, idleSince: -Infinity, isClosing: false, isUnreadable: false, isHalfClosed: false })
       socket.once('close', () => this.onClose(socket))
     })
     if (refuseConnection !== undefined) this.screenConnections(refuseConnection)
     this.on('clientError', (error: NodeJS.ErrnoException, socket) => this.onReadError(error, socket as Socket))
-    this.on('request', (request, response) => {
-      if (this.beginExchange(request, response)) handle(request, response)
-    })
+    const handleExchange: RequestListener = (request, response) => {
+      if (!this.beginExchange(request, response)) return
+      const status = unhandledStatus(request)
+      if (status === undefined) handle(request, response)
+      else this.answerUnhandled(response, status)
+    }
+    // With the listener of 'checkContinue', the body is asked for by the handler.
+    for (const event of ['request', 'checkContinue', 'checkExpectation']) this.on(event, handleExchange)
   }
 
   /** Runs before the listener of Node's server, which begins to parse. */
@@ -123,7 +144,7 @@
    */
   announceClose (response: ServerResponse): boolean {
     const connection = this.openConnections.get(response.req.socket)
-    if (connection === undefined || [...connection.exchanges].at(-1) !== response) return false
+    if (connection === undefined || lastOf(connection.exchanges) !== response) return false
     connection.isClosing = true
     const { socket } = response.req
     // Node calls this after the answer.
@@ -163,6 +184,21 @@
     return socket.bytesRead !== bytesReadAtEnd || now - idleSince < this.nextRequestMilliseconds
   }
 
+  /** Whether more may be parsed: what ends the last request, or a further one. */
+  private mayRead (socket: Socket): boolean {
+    const connection = this.openConnections.get(socket)
+    if (connection === undefined) return true
+    const { exchanges, isClosing } = connection
+    return lastOf(exchanges)?.req.complete === false || (!isClosing && exchanges.size < maximumOpenRequests)
+  }
+
+  /** Answers as Node does. */
+  private answerUnhandled (response: ServerResponse, status: number): void {
+    response.req.resume()
+    const headers = this.announceClose(response) ? { connection: 'close' } : {}
+    response.writeHead(status, { ...headers, 'content-length': 0 }).end()
+  }
+
   /** False if the request is to be ignored. */
   private beginExchange (request: IncomingMessage, response: ServerResponse): boolean {
     const { socket } = request
@@ -185,6 +221,7 @@
       partsUnderWay -= 1
       if (partsUnderWay > 0) return
       connection.exchanges.delete(response)
+      connection.reading.resume()
       connection.idleSince = performance.now()
       if (connection.isUnreadable && !hasReadRequest(connection)) closeUnreadable(socket, connection)
     }
@@ -217,7 +254,7 @@
   if (connection.isHalfClosed) return
   connection.isClosing = true
   connection.isHalfClosed = true
-  // Ends the parsing of requests.
+  connection.reading.end()
   socket.removeAllListeners('data')
   discardUntilClosed(socket, timeoutMilliseconds)
 }
@@ -244,6 +281,14 @@
 
 const hasBody = ({ headers }: IncomingMessage): boolean => headers['content-length'] !== undefined || headers['transfer-encoding'] !== undefined
 
+const lastOf = (exchanges: ReadonlySet<ServerResponse>): ServerResponse | undefined => [...exchanges].at(-1)
+
+/** Status of a request that breaks the protocol (RFC 9110, sections 7.2 and 10.1.1); undefined for others. */
+const unhandledStatus = ({ headers, httpVersion }: IncomingMessage): number | undefined => {
+  if (httpVersion === '1.1' && headers.host === undefined) return malformedStatus
+  return headers.expect === undefined || headers.expect.toLowerCase() === '100-continue' ? undefined : expectationFailedStatus
+}
+
 const hasReadRequest = ({ exchanges }: Connection): boolean => [...exchanges].some(({ req }) => req.complete)
 
 /** Node starts the idle time of a connection with the current limit, although the answer's head has promised that of its own time. */
--- a/packages/gateway/src/gatewayCallerServer.ts
+++ b/packages/gateway/src/gatewayCallerServer.ts
@@ -245,6 +245,7 @@
     const body = new BodyReading({
       state: this.state,
       request,
+      response,
       deadlineAt: receivedAt + Math.min(admitted.head.deadlineMilliseconds ?? Infinity, admitted.route.timeoutMilliseconds),
       onRefused: (refusal, { closes }) => this.refuse(request, response, admitted.head, refusal, { closes }),
       onRead: (bytes, holder) => {
--- a/packages/gateway/src/gatewayProcess.ts
+++ b/packages/gateway/src/gatewayProcess.ts
@@ -72,7 +72,7 @@
     this.state = new GatewayState({ ...options, self: this.self, metrics: this.metrics })
     this.requestLog = new RequestLog(clock, log, this.metrics, () => this.state.stopPlan?.signalledAt)
     const forwards = new ForwardServer(this.state, this.requestLog)
-    this.linkServer = new ExchangeServer({ headersTimeout: linkHeadTimeoutMilliseconds, connectionsCheckingInterval: headerCheckIntervalMilliseconds }, (request, response) => {
+    this.linkServer = new ExchangeServer({ acceptsUpgrades: true, headersTimeout: linkHeadTimeoutMilliseconds, connectionsCheckingInterval: headerCheckIntervalMilliseconds }, (request, response) => {
       if (request.url === forwardPath) return forwards.handle(request, response)
       discardBody(request, maximumEndpointBodyBytes)
       response.writeHead(404).end()
--- /dev/null
+++ b/packages/gateway/src/pacedReading.ts
@@ -0,0 +1,134 @@
+/**
+ * Gives Node's parser what arrives on a connection in short pieces. Node parses
+ * a read to its end, which may be a thousand requests or ten thousand chunks;
+ * here the rest of a read stays in the socket while the connection may not be
+ * read, and waits for its turn while others have something to parse.
+ */
+
+import type { Socket } from 'node:net'
+
+/** At the begin of a request; ordinary heads take one or two pieces. */
+const headPieceBytes = 1_024
+const bodyPieceBytes = 4_096
+/** Time for which the pieces of one read are parsed in a row. */
+const sliceMilliseconds = 1
+/** Time in a turn of the event loop for all connections that wait. */
+const turnMilliseconds = 5
+
+/** Connections that have more to parse, each in its turn. */
+export class ReadingTurns {
+  private readonly waiting = new Set<PacedReading>()
+  private immediate: NodeJS.Immediate | undefined
+
+  add (reading: PacedReading): void {
+    this.waiting.add(reading)
+    this.immediate ??= setImmediate(() => this.serve())
+  }
+
+  delete (reading: PacedReading): void {
+    this.waiting.delete(reading)
+  }
+
+  private serve (): void {
+    this.immediate = undefined
+    const until = performance.now() + turnMilliseconds
+    for (const reading of [...this.waiting]) {
+      this.waiting.delete(reading)
+      reading.takeTurn()
+      if (performance.now() >= until) break
+    }
+    if (this.waiting.size > 0) this.immediate ??= setImmediate(() => this.serve())
+  }
+}
+
+/** Whether Node's server waits until more of its answers were sent; its parser reads nothing then. */
+const isPausedByServer = (socket: Socket & { readonly _paused?: boolean }): boolean => socket._paused === true
+
+export interface PacedReadingOptions {
+  readonly socket: Socket
+  readonly turns: ReadingTurns
+  /** Whether another piece may be parsed. */
+  readonly mayRead: () => boolean
+  /** Whether the next bytes are those of a body. */
+  readonly isInBody: () => boolean
+}
+
+export class PacedReading {
+  private readonly parse: (chunk: Buffer) => void
+  /** Whether it waits for its turn. */
+  private isWaiting = false
+  /** Whether it has paused the socket, until it may be read. */
+  private isHeld = false
+  private hasEnded = false
+
+  /** For a socket on which Node's server has begun to parse. */
+  constructor (private readonly options: PacedReadingOptions) {
+    const { socket } = options
+    this.parse = socket.listeners('data')[0] as (chunk: Buffer) => void
+    socket.removeListener('data', this.parse)
+    socket.on('data', this.receive)
+    socket.once('close', () => this.end())
+  }
+
+  /** Whether bytes wait in the socket, and in the kernel. */
+  get isPaused (): boolean {
+    return this.isHeld || this.isWaiting
+  }
+
+  /** Reads on if the connection was held and may be read again. */
+  resume (): void {
+    if (!this.isHeld || this.isWaiting || this.hasEnded || !this.mayRead) return
+    this.isWaiting = true
+    this.options.turns.add(this)
+  }
+
+  /** Parses no more; what comes is left to others. */
+  end (): void {
+    this.hasEnded = true
+    this.options.socket.removeListener('data', this.receive)
+    this.options.turns.delete(this)
+  }
+
+  /** Called by ReadingTurns. */
+  takeTurn (): void {
+    const { socket } = this.options
+    this.isWaiting = false
+    if (this.hasEnded || socket.destroyed || !this.mayRead) return
+    socket.resume()
+    // Emits what the socket holds as data.
+    socket.read()
+  }
+
+  private get mayRead (): boolean {
+    return !isPausedByServer(this.options.socket) && this.options.mayRead()
+  }
+
+  private readonly receive = (chunk: Buffer): void => {
+    const { socket, turns, isInBody } = this.options
+    if (this.isWaiting || !this.mayRead) return this.hold(chunk)
+    this.isHeld = false
+    const until = performance.now() + sliceMilliseconds
+    for (let offset = 0; offset < chunk.length;) {
+      const piece = chunk.subarray(offset, offset + (isInBody() ? bodyPieceBytes : headPieceBytes))
+      offset += piece.length
+      this.parse(piece)
+      if (offset === chunk.length || this.hasEnded || socket.destroyed) return
+      const rest = chunk.subarray(offset)
+      // Node has paused it until the body is read, and resumes it.
+      if (socket.isPaused()) return socket.unshift(rest)
+      if (!this.mayRead) return this.hold(rest)
+      if (performance.now() < until) continue
+      this.hold(rest)
+      this.isWaiting = true
+      return turns.add(this)
+    }
+  }
+
+  /** In the socket, so that its end isn't seen before the rest was parsed. */
+  private hold (rest: Buffer): void {
+    const { socket } = this.options
+    this.isHeld = true
+    socket.pause()
+    socket.unshift(rest)
+  }
+}
