Count connections, long heads and unread answers with the rest

Cause: Node has no time limit and no sum for an answer that is ended and not sent; Executions only end what is under way. Change: ConnectionHolding counts a connection, its open requests, the bytes of a long head and those that wait to be sent, in the response and the socket, in CallerMemory. Without an open request it may be closed, with unread answers reset. Without pressure, a connection is reset once its caller has read nothing for idleTimeoutMs.

--- a/packages/gateway/src/exchangeServer.ts
+++ b/packages/gateway/src/exchangeServer.ts
@@ -7,8 +7,10 @@
 
 import { Server, STATUS_CODES } from 'node:http'
 import { Socket } from 'node:net'
+import { ConnectionHolding } from './connectionHolding.js'
 import { PacedReading, ReadingTurns } from './pacedReading.js'
-import { halfClosedTimeoutMilliseconds, maximumDiscardedBodyBytes, refusedConnectionTimeoutMilliseconds } from './constants.js'
+import { halfClosedTimeoutMilliseconds, maximumDiscardedBodyBytes, maximumOpenRequests, refusedConnectionTimeoutMilliseconds } from './constants.js'
+import type { CallerMemory } from './callerMemory.js'
 import type { IncomingMessage, RequestListener, ServerOptions, ServerResponse } from 'node:http'
 
 /** As Node's: a request that was sent within the promised time still finds the connection open. */
@@ -21,6 +23,7 @@
 interface Connection {
   readonly exchanges: Set<ServerResponse>
   readonly reading: PacedReading
+  readonly holding: ConnectionHolding
   readonly openedAt: number
   /** Bytes read by the end of the last request; undefined before it. More bytes are the begin of another request. */
   bytesReadAtEnd: number | undefined
@@ -37,14 +40,14 @@
 export interface ExchangeServerOptions extends ServerOptions {
   /** Whether another listener takes connections over that ask for an upgrade. */
   readonly acceptsUpgrades?: boolean
+  /** What counts connections, open requests and unread answers; they aren't counted if undefined. */
+  readonly memory?: CallerMemory | undefined
 }
 
 /** Statuses by the code of the error that ended the reading, as Node's; any other error means a malformed request. */
 const statusByReadError: Readonly<Record<string, number>> = { ERR_HTTP_REQUEST_TIMEOUT: 408, HPE_CHUNK_EXTENSIONS_OVERFLOW: 413, HPE_HEADER_OVERFLOW: 431 }
 const malformedStatus = 400
 const expectationFailedStatus = 417
-/** Requests of one connection that are read before the first of them is answered. */
-const maximumOpenRequests = 16
 
 export class ExchangeServer extends Server {
   private readonly openConnections = new Map<Socket, Connection>()
@@ -57,7 +60,7 @@
    * With refuseConnection, a new connection for which it returns an answer gets
    * that answer and is closed, without anything being read as a request.
    */
-  constructor ({ acceptsUpgrades = false, ...options }: ExchangeServerOptions, handle: RequestListener, refuseConnection?: () => string | undefined) {
+  constructor ({ acceptsUpgrades = false, memory, ...options }: ExchangeServerOptions, handle: RequestListener, refuseConnection?: () => string | undefined) {
     // Node would answer such requests by itself, unseen.
     super({ ...options, requireHostHeader: false })
     // No peer sends more before its upgrade was answered.
@@ -65,9 +68,17 @@
     this.on('connection', (socket: Socket) => {
       this.acceptedCount += 1
       const exchanges = new Set<ServerResponse>()
-      const reading = new PacedReading({ socket, turns: this.turns, mayRead: () => this.mayRead(socket), isInBody: () => lastOf(exchanges)?.req.complete === false })
-      this.openConnections.set(socket, { exchanges, reading, openedAt: performance.now(), bytesReadAtEnd: undefined, idleSince: -Infinity, isClosing: false, isUnreadable: false, isHalfClosed: false })
+      const reading: PacedReading = new PacedReading({
+        socket,
+        turns: this.turns,
+        mayRead: () => this.mayRead(socket),
+        isInBody: () => lastOf(exchanges)?.req.complete === false,
+        onLongHead: () => holding.measure(reading.headBytes)
+      })
+      const holding = new ConnectionHolding({ socket, exchanges, memory })
+      this.openConnections.set(socket, { exchanges, reading, holding, openedAt: performance.now(), bytesReadAtEnd: undefined, idleSince: -Infinity, isClosing: false, isUnreadable: false, isHalfClosed: false })
       socket.once('close', () => this.onClose(socket))
+      if (!holding.open()) socket.destroy()
     })
     if (refuseConnection !== undefined) this.screenConnections(refuseConnection)
     this.on('clientError', (error: NodeJS.ErrnoException, socket) => this.onReadError(error, socket as Socket))
@@ -118,6 +129,19 @@
     return [...this.openConnections.values()].filter(({ isHalfClosed }) => isHalfClosed).length
   }
 
+  /** Counts the part of an answer that was written and not sent. */
+  recordWrite (response: ServerResponse): void {
+    this.openConnections.get(response.req.socket)?.holding.recordWrite(response)
+  }
+
+  /** Resets the connections whose callers have read nothing of their answers for a time. */
+  resetUnread (milliseconds: number): void {
+    const now = performance.now()
+    for (const [socket, { holding }] of this.openConnections) {
+      if (holding.unreadMilliseconds(now) > milliseconds) socket.resetAndDestroy()
+    }
+  }
+
   /** Resolves once no connection waits to be accepted, or after a time. The event loop accepts only one or a few each time that it polls. */
   async acceptWaiting (): Promise<void> {
     const until = performance.now() + maximumAcceptingMilliseconds
@@ -154,7 +178,9 @@
 
   /** Closes the answers that waited for an earlier one: Node gives them no socket, and thus no 'close'. */
   private onClose (socket: Socket): void {
-    const exchanges = this.openConnections.get(socket)?.exchanges ?? []
+    const connection = this.openConnections.get(socket)
+    const exchanges = connection?.exchanges ?? []
+    connection?.holding.release()
     this.openConnections.delete(socket)
     for (const response of exchanges) {
       if (response.socket !== null || response.writableFinished) continue
@@ -209,6 +235,8 @@
       return false
     }
     connection.exchanges.add(response)
+    connection.reading.headBytes = 0
+    connection.holding.measure()
     if (!response.shouldKeepAlive && hasBody(request)) {
       // Node calls this after the answer, which may be a refusal that comes before the end of the body.
       socket.destroySoon = () => {
@@ -221,6 +249,7 @@
       partsUnderWay -= 1
       if (partsUnderWay > 0) return
       connection.exchanges.delete(response)
+      connection.holding.measure()
       connection.reading.resume()
       connection.idleSince = performance.now()
       if (connection.isUnreadable && !hasReadRequest(connection)) closeUnreadable(socket, connection)
--- a/packages/gateway/src/gatewayCallerServer.ts
+++ b/packages/gateway/src/gatewayCallerServer.ts
@@ -58,11 +58,14 @@
   }
 
   data (chunk: Buffer): boolean {
-    return this.response.write(chunk)
+    const isTaken = this.response.write(chunk)
+    this.options.server.recordWrite(this.response)
+    return isTaken
   }
 
   end (): void {
     this.response.end()
+    this.options.server.recordWrite(this.response)
   }
 
   refuse (refusal: Refusal): void {
@@ -90,6 +93,7 @@
     headers.push('content-length', String(body.length))
     this.response.writeHead(status, this.withConnectionClose(headers))
     this.response.end(body)
+    this.options.server.recordWrite(this.response)
   }
 
   /** Adds `connection: close` to the last answer of a connection, also while this VM shuts down, so that callers connect to another one. */
@@ -110,7 +114,7 @@
 
   constructor (private readonly state: GatewayState, private readonly requestLog: RequestLog, metrics: GatewayMetrics) {
     this.server = new ExchangeServer({
-      maxHeaderSize: maximumRequestHeaderBytes, connectionsCheckingInterval: headerCheckIntervalMilliseconds, noDelay: true
+      memory: state.callerMemory, maxHeaderSize: maximumRequestHeaderBytes, connectionsCheckingInterval: headerCheckIntervalMilliseconds, noDelay: true
     }, (request, response) => this.guard(request, response, () => this.handle(request, response)), () => this.connectionRefusal())
     this.server.requestTimeout = 0
     this.cutAnswers = new CutAnswers(state)
@@ -181,6 +185,12 @@
     }
   }
 
+  /** Resets the connections whose callers read nothing of their answers for as long as they may be idle. */
+  resetUnread (): void {
+    const limits = this.state.configuration?.document.limits
+    if (limits !== undefined) this.server.resetUnread(limits.idleTimeoutMilliseconds)
+  }
+
   /** From now on, connections are closed only some time after their last answer. */
   awaitNextRequests (): void {
     this.server.nextRequestMilliseconds = leavingNextRequestMilliseconds
--- a/packages/gateway/src/gatewayProcess.ts
+++ b/packages/gateway/src/gatewayProcess.ts
@@ -35,7 +35,7 @@
   readonly random: Random
 }
 
-/** Ticks between two passes that close idle upstream connections and log upstream load. */
+/** Ticks between two passes that close idle upstream connections, reset unread ones of callers, and log upstream load. */
 const ticksPerSweep = 5
 
 export class GatewayProcess {
@@ -271,6 +271,7 @@
     this.tickCount += 1
     if (this.tickCount % ticksPerSweep !== 0) return
     this.state.connections.closeExpired()
+    this.callerServer.resetUnread()
     this.logUpstreamLoads()
     this.state.starts.logSends()
   }
--- a/packages/gateway/src/pacedReading.ts
+++ b/packages/gateway/src/pacedReading.ts
@@ -10,6 +10,8 @@
 /** At the begin of a request; ordinary heads take one or two pieces. */
 const headPieceBytes = 1_024
 const bodyPieceBytes = 4_096
+/** Shorter heads are counted with their connection. */
+const longHeadBytes = 8_192
 /** Time for which the pieces of one read are parsed in a row. */
 const sliceMilliseconds = 1
 /** Time in a turn of the event loop for all connections that wait. */
@@ -51,6 +53,8 @@
   readonly mayRead: () => boolean
   /** Whether the next bytes are those of a body. */
   readonly isInBody: () => boolean
+  /** Called when the head of a request is long, and goes on. */
+  readonly onLongHead: () => void
 }
 
 export class PacedReading {
@@ -60,6 +64,8 @@
   /** Whether it has paused the socket, until it may be read. */
   private isHeld = false
   private hasEnded = false
+  /** Bytes of the head of a request that isn't complete. */
+  headBytes = 0
 
   /** For a socket on which Node's server has begun to parse. */
   constructor (private readonly options: PacedReadingOptions) {
@@ -104,14 +110,17 @@
   }
 
   private readonly receive = (chunk: Buffer): void => {
-    const { socket, turns, isInBody } = this.options
+    const { socket, turns, isInBody, onLongHead } = this.options
     if (this.isWaiting || !this.mayRead) return this.hold(chunk)
     this.isHeld = false
     const until = performance.now() + sliceMilliseconds
     for (let offset = 0; offset < chunk.length;) {
-      const piece = chunk.subarray(offset, offset + (isInBody() ? bodyPieceBytes : headPieceBytes))
+      const isBody = isInBody()
+      const piece = chunk.subarray(offset, offset + (isBody ? bodyPieceBytes : headPieceBytes))
       offset += piece.length
+      if (!isBody) this.headBytes += piece.length
       this.parse(piece)
+      if (this.headBytes >= longHeadBytes) onLongHead()
       if (offset === chunk.length || this.hasEnded || socket.destroyed) return
       const rest = chunk.subarray(offset)
       // Node has paused it until the body is read, and resumes it.
