Use the memory of bodies again

Seen: with what is held bounded at 33 MB for long bodies, the process took 194 to 200 MB of 220 beside crowds whose bodies are refused and sent anew (100 before they came). Cause: buffers that grow by doubling leave as much again behind, and what is dropped is freed only when it is collected. A crowd that is refused over and over makes more of that than is ever held. Change: CountedBody, the part of BodyReading that counts, copies chunks into blocks of 64 KiB (the first has 4 KiB), which a pool keeps for the next body, up to 8 MiB of free ones.

--- a/packages/gateway/src/bodyReading.ts
+++ b/packages/gateway/src/bodyReading.ts
@@ -5,8 +5,8 @@
  */
 
 import { RefusalReason, refuse } from '@cuminvale/common'
-import { GrowingBuffer } from './growingBuffer.js'
-import { checkIntervalMilliseconds, leavingReadMilliseconds, noRoomRetryMilliseconds, requestCostBytes } from './constants.js'
+import { CountedBody } from './countedBody.js'
+import { checkIntervalMilliseconds, leavingReadMilliseconds, noRoomRetryMilliseconds } from './constants.js'
 import type { Refusal } from '@cuminvale/common'
 import type { IncomingMessage, ServerResponse } from 'node:http'
 import type { MemoryHolder } from './callerMemory.js'
@@ -18,7 +18,7 @@
   readonly response: ServerResponse
   /** Monotonic time until which the caller waits. */
   readonly deadlineAt: number
-  /** What holds the request from now on is released by the caller of this module. */
+  /** The holder is to be released once the request is answered. */
   readonly onRead: (body: Buffer | null, holder: MemoryHolder) => void
   /** With closes, nothing more is to be read on the connection. */
   readonly onRefused: (refusal: Refusal, options: { readonly closes: boolean }) => void
@@ -26,54 +26,36 @@
 
 export class BodyReading {
   private readonly maximumBytes: number
-  /** 0 for a body without a length. */
-  private readonly announcedBytes: number
-  private readonly holder: MemoryHolder
-  private readonly body: GrowingBuffer
+  private readonly body: CountedBody
   private timer: NodeJS.Timeout | undefined
   private isOver = false
 
   constructor (private readonly options: BodyReadingOptions) {
     const { state, request } = options
-    const limit = state.configuration?.document.limits.bodyBytes ?? 0
-    const announced = request.headers['content-length']
-    const announcedBytes = announced === undefined ? undefined : Number(announced)
-    this.maximumBytes = limit
-    this.holder = state.callerMemory.hold({ canGiveWay: () => !this.isOver, giveWay: () => this.refuseForRoom() })
-    this.body = new GrowingBuffer({
-      held: { allowance: Infinity, recordGrowth: (bytes) => { this.holder.grow(bytes) } },
-      maximumBytes: Math.min(limit, announcedBytes ?? limit)
-    })
-    this.announcedBytes = announcedBytes ?? 0
+    this.maximumBytes = state.configuration?.document.limits.bodyBytes ?? 0
+    this.body = new CountedBody({ request, memory: state.callerMemory, maximumBytes: this.maximumBytes, onNoRoom: () => this.refuseForRoom() })
   }
 
   start (): void {
     const { request, response, onRead } = this.options
-    if (this.announcedBytes > this.maximumBytes) return this.refuseAsTooLong()
-    if (!this.holder.grow(requestCostBytes)) return this.refuseForRoom()
+    if (this.body.isTooLong) return this.refuseAsTooLong()
+    this.body.open()
+    if (this.isOver) return
     if (request.headers.expect !== undefined) response.writeContinue()
     // All bodies have the same interval, since timers with a delay of their own cost more.
     this.timer = setInterval(() => this.checkTime(), checkIntervalMilliseconds)
-    request.on('close', () => {
-      clearInterval(this.timer)
-      if (!this.isOver) this.finish()
+    request.on('close', () => this.finish())
+    request.on('data', (chunk: Buffer) => {
+      if (!this.body.append(chunk)) this.refuseAsTooLong()
     })
-    request.on('data', (chunk: Buffer) => this.append(chunk))
     request.on('end', () => {
       if (this.isOver) return
-      this.isOver = true
-      clearInterval(this.timer)
-      onRead(this.body.length === 0 ? null : this.body.bytes, this.holder)
+      const { bytes, holder } = this.body.take()
+      this.finish()
+      onRead(bytes.length === 0 ? null : bytes, holder)
     })
   }
 
-  private append (chunk: Buffer): void {
-    if (this.isOver) return
-    if (this.body.length + chunk.length > this.maximumBytes) return this.refuseAsTooLong()
-    this.holder.recordProgress(chunk.length)
-    this.body.append(chunk)
-  }
-
   private checkTime (): void {
     const { state, deadlineAt } = this.options
     const now = state.clock.monotonic()
@@ -98,7 +80,6 @@
   private finish (): void {
     this.isOver = true
     clearInterval(this.timer)
-    this.holder.release()
-    this.body.clear()
+    this.body.drop()
   }
 }
--- a/packages/gateway/src/callerMemory.ts
+++ b/packages/gateway/src/callerMemory.ts
@@ -5,6 +5,7 @@
  */
 
 import { millisecondsPerSecond } from '@cuminvale/common'
+import { BlockPool } from './blockBuffer.js'
 import type { Clock } from '@cuminvale/common'
 
 /** Holders of more may not use the part of the memory that is left for ordinary requests. */
@@ -86,6 +87,8 @@
 }
 
 export class CallerMemory {
+  /** The memory of bodies. */
+  readonly blocks = new BlockPool()
   private used = 0
   private readonly holders = new Set<MemoryHolder>()
 
--- a/packages/gateway/src/growingBuffer.ts
+++ b/packages/gateway/src/growingBuffer.ts
@@ -4,17 +4,12 @@
  * the chunks themselves, of which a short one may be part of a long read.
  */
 
-const emptyBuffer = Buffer.alloc(0)
+import type { HeldBytes } from './heldBytes.js'
 
-/** What counts the memory of growing buffers. */
-export interface GrowthAccount {
-  /** Bytes that one of them may hold at this moment. */
-  readonly allowance: number
-  recordGrowth (bytes: number): void
-}
+const emptyBuffer = Buffer.alloc(0)
 
 export interface GrowingBufferOptions {
-  readonly held: GrowthAccount
+  readonly held: HeldBytes
   /** Length beyond which the bytes are given up soon; more memory is not taken in advance. */
   readonly maximumBytes: number
 }
@@ -59,13 +54,6 @@
     return this.bytes
   }
 
-  /** Gives its memory up; what was returned before stays as it is. */
-  clear (): void {
-    this.options.held.recordGrowth(-this.storage.length)
-    this.storage = emptyBuffer
-    this.heldLength = 0
-  }
-
   /** Begins anew with a copy of bytes; what was returned before stays as it is. */
   replace (bytes: Buffer): void {
     this.storage = emptyBuffer
