Count what other VMs forward in the same sum

A forward may have 32 MiB, and holds its body a second time at the VM that asks. Change: forwards are read by CountedBody and held until their answer has ended; one that gives way, or finds no room, is refused by a frame that says that it has not run, before it was read to its end. The VM that asks counts the message it sends until the call ends. An answer that ends a connection before its request has come is half-closed first, whatever the request's own Connection header says, so that the refusal isn't lost in a reset.

--- a/packages/gateway/src/attemptStarter.ts
+++ b/packages/gateway/src/attemptStarter.ts
@@ -147,7 +147,7 @@
     if (peer === undefined) return undefined
     const now = state.clock.monotonic()
     const listener = new ForwardAttemptListener(handler)
-    const call = new ForwardCall({ clock: state.clock, pool: state.forwardPools.poolFor(peer.linkAddress), listener, sender: state.settings.vm, roundTripMilliseconds: state.roundTripMillisecondsTo(region) })
+    const call = new ForwardCall({ clock: state.clock, pool: state.forwardPools.poolFor(peer.linkAddress), listener, sender: state.settings.vm, roundTripMilliseconds: state.roundTripMillisecondsTo(region), memory: state.callerMemory })
     const attempt: ForwardAttempt = { kind: 'forward', call, region, vm: peer.vm, granted: grantedAttempts, workMilliseconds, wholeMilliseconds: this.wholeMilliseconds(placement), sentAt: now, dueAt: Math.max(firstAnswerDueAt, now + milliseconds * lateForwardFactor), softwareVersion: undefined, isAnswered: false, isRetryDenied: false }
     listener.attempt = attempt
     state.forecasts.forwarded(region, request.service, workMilliseconds)
--- a/packages/gateway/src/exchangeServer.ts
+++ b/packages/gateway/src/exchangeServer.ts
@@ -237,7 +237,7 @@
     connection.exchanges.add(response)
     connection.reading.headBytes = 0
     connection.holding.measure()
-    if (!response.shouldKeepAlive && hasBody(request)) {
+    if (hasBody(request)) {
       // Node calls this after the answer, which may be a refusal that comes before the end of the body.
       socket.destroySoon = () => {
         if (request.complete) Socket.prototype.destroySoon.call(socket)
--- a/packages/gateway/src/forwardCall.ts
+++ b/packages/gateway/src/forwardCall.ts
@@ -16,6 +16,7 @@
 import type { AdmittedRequest, AttemptId, SoftwareVersion } from '@cuminvale/serving'
 import type { IncomingHttpHeaders } from 'node:http'
 import type { Dispatcher, Pool } from 'undici'
+import type { CallerMemory, MemoryHolder } from './callerMemory.js'
 import type { Frame, ForwardedHead } from './forwardFrames.js'
 import type { DetachOptions } from './upstreamCall.js'
 
@@ -39,6 +40,7 @@
   readonly listener: ForwardCallListener
   readonly sender: VmId
   readonly roundTripMilliseconds: number
+  readonly memory: CallerMemory
 }
 
 export interface ForwardOptions {
@@ -67,18 +69,23 @@
   private isAborted = false
   private sentAt = 0
   private attempt: AttemptId | undefined
+  /** Counts the message, which holds the body once more. */
+  private readonly holder: MemoryHolder
   /** Message format of the VM that answers. */
   private answerFormat: number = messageFormat
 
   constructor (private readonly options: ForwardCallOptions) {
     this.timeLimits = new DetachedCalls(options.clock)
+    this.holder = options.memory.hold({ canGiveWay: () => false, giveWay: () => { /* never */ } })
   }
 
   send ({ request, body, remainingMilliseconds, onTimeMilliseconds, attemptsLeft, resumeAfter, softwareVersion }: ForwardOptions): void {
     this.sentAt = this.options.clock.monotonic()
     this.attempt = request.attempt
     const envelope = { request, remainingMilliseconds, onTimeMilliseconds, attemptsLeft, resumeAfter, softwareVersion }
-    this.options.pool.dispatch({ method: 'POST', path: forwardPath, headers: [forwardingVmHeader, this.options.sender, formatHeader, String(messageFormat)], body: encodeForward(envelope, body) }, this)
+    const message = encodeForward(envelope, body)
+    this.holder.grow(message.length)
+    this.options.pool.dispatch({ method: 'POST', path: forwardPath, headers: [forwardingVmHeader, this.options.sender, formatHeader, String(messageFormat)], body: message }, this)
   }
 
   abort (): void {
@@ -126,6 +133,7 @@
   }
 
   onResponseEnd (): void {
+    this.holder.release()
     this.timeLimits.delete(this.limitedCall)
     if (this.isOver) return
     this.isOver = true
@@ -133,6 +141,7 @@
   }
 
   onResponseError (_controller: Dispatcher.DispatchController, error: Error): void {
+    this.holder.release()
     this.timeLimits.delete(this.limitedCall)
     if (this.isOver) return
     this.isOver = true
@@ -153,6 +162,7 @@
   private close (): void {
     this.isOver = true
     this.isAborted = true
+    this.holder.release()
     this.timeLimits.delete(this.limitedCall)
     this.controller?.abort(new CallFailure(CallFailureKind.Broken, 'forwarded call aborted'))
   }
--- a/packages/gateway/src/forwardServer.ts
+++ b/packages/gateway/src/forwardServer.ts
@@ -5,7 +5,8 @@
  */
 
 import { RefusalReason, refuse } from '@cuminvale/common'
-import { forwardReadTimeoutMilliseconds, maximumForwardBytes } from './constants.js'
+import { CountedBody } from './countedBody.js'
+import { forwardReadTimeoutMilliseconds, maximumForwardBytes, noRoomRetryMilliseconds } from './constants.js'
 import { describeError } from './errors.js'
 import { startExecution } from './startExecution.js'
 import { forwardingVmHeader } from './forwardCall.js'
@@ -15,6 +16,7 @@
 import type { Refusal } from '@cuminvale/common'
 import type { IncomingMessage, ServerResponse } from 'node:http'
 import type { SoftwareVersion } from '@cuminvale/serving'
+import type { CallerMemory, MemoryHolder } from './callerMemory.js'
 import type { AnswerSink, AnswerFailureKind } from './answerSink.js'
 import type { RequestLog } from './requestLog.js'
 import type { GatewayState } from './gatewayState.js'
@@ -57,21 +59,40 @@
   }
 }
 
-const readBody = async (request: IncomingMessage): Promise<Buffer> => {
-  const timer = setTimeout(() => request.destroy(new Error(`it did not come within ${forwardReadTimeoutMilliseconds} ms`)), forwardReadTimeoutMilliseconds)
-  const chunks: Buffer[] = []
-  let length = 0
-  try {
-    for await (const chunk of request) {
-      chunks.push(chunk as Buffer)
-      length += (chunk as Buffer).length
-      if (length > maximumForwardBytes) throw new RangeError(`it is longer than ${maximumForwardBytes} bytes`)
-    }
-  } finally {
+/** The sum of what callers and other VMs send takes all of its memory. */
+class NoRoomError extends Error {
+  override readonly name = 'NoRoomError'
+}
+
+interface ReadForward {
+  readonly message: Buffer
+  /** Counts the message until it is released. */
+  readonly holder: MemoryHolder
+}
+
+/** Rejects with a NoRoomError, after which the request has not run and never will. */
+const readBody = async (request: IncomingMessage, memory: CallerMemory): Promise<ReadForward> => await new Promise((resolve, reject) => {
+  const body = new CountedBody({ request, memory, maximumBytes: maximumForwardBytes, onNoRoom: () => fail(new NoRoomError('no room')) })
+  const timer = setTimeout(() => fail(new Error(`it did not come within ${forwardReadTimeoutMilliseconds} ms`)), forwardReadTimeoutMilliseconds)
+  const fail = (error: Error): void => {
     clearTimeout(timer)
+    body.drop()
+    reject(error)
   }
-  return Buffer.concat(chunks)
-}
+  const failAsTooLong = (): void => fail(new RangeError(`it is longer than ${maximumForwardBytes} bytes`))
+  body.open()
+  if (body.isTooLong) return failAsTooLong()
+  request.on('data', (chunk: Buffer) => {
+    if (!body.append(chunk)) failAsTooLong()
+  })
+  request.on('end', () => {
+    clearTimeout(timer)
+    const { bytes, holder } = body.take()
+    resolve({ message: bytes, holder })
+  })
+  request.on('close', () => fail(new Error('the connection was closed')))
+  request.on('error', fail)
+})
 
 export class ForwardServer {
   constructor (private readonly state: GatewayState, private readonly requestLog: RequestLog) {}
@@ -81,12 +102,23 @@
     const sender = request.headers[forwardingVmHeader]
     const origin = { vm: typeof sender === 'string' ? sender.slice(0, maximumLoggedNameLength) : undefined, format: readFormat(request.headers[formatHeader]) }
     this.state.recordPeerFormat('forward', origin.format)
-    readBody(request).then((message) => this.runOrRefuse(message, response, origin)).catch((error: Error) => {
+    readBody(request, this.state.callerMemory).then(({ message, holder }) => {
+      if (response.destroyed) return holder.release()
+      response.once('close', () => holder.release())
+      this.runOrRefuse(message, response, origin)
+    }).catch((error: Error) => {
+      if (error instanceof NoRoomError) return this.refuseUnread(response)
       this.state.log.warn('forward-unreadable', { detail: error.message })
       response.destroy()
     })
   }
 
+  /** Refuses a request of which a part was read; the rest is discarded with its connection. */
+  private refuseUnread (response: ServerResponse): void {
+    response.writeHead(200, { [formatHeader]: messageFormat, connection: 'close' })
+    new ForwardAnswerSink(response).refuse(refuse(RefusalReason.QueueFull, 'the other VM has no memory for the request', { retryAfterMilliseconds: noRoomRetryMilliseconds }))
+  }
+
   /** Refuses a request that a fault keeps from its execution; until then it was not sent. */
   private runOrRefuse (message: Buffer, response: ServerResponse, origin: ForwardOrigin): void {
     try {
--- a/packages/gateway/src/forwarding.test.ts
+++ b/packages/gateway/src/forwarding.test.ts
@@ -1,9 +1,9 @@
 import { createServer, request as httpRequest } from 'node:http'
-import { toFailureDomainId, toIncarnationId, toRegionId, toVmId } from '@cuminvale/common'
+import { runtimeClock, toFailureDomainId, toIncarnationId, toRegionId, toVmId } from '@cuminvale/common'
 import { afterEach, describe, expect, it } from 'vitest'
 import { AnswerFailureKind } from './answerSink.js'
 import { forwardPath } from './forwardCall.js'
-import { FrameDecoder, FrameKind, encodeForward, encodeFrame, encodePackedFrame, decodeForward } from './forwardFrames.js'
+import { FrameDecoder, FrameKind, decodePackedContent, encodeForward, encodeFrame, encodePackedFrame, decodeForward } from './forwardFrames.js'
 import { ForwardServer } from './forwardServer.js'
 import { GatewayMetrics } from './gatewayMetrics.js'
 import { RequestLog } from './requestLog.js'
@@ -85,6 +85,29 @@
   })
 }
 
+describe('a forward for which this VM has no memory', () => {
+  // Guards against a request that is lost since the VM it was forwarded to is beset by others.
+  it('is refused as one that has not run, before it was read to its end', async () => {
+    running = await startTestGateway(testDocument([resumableStream]), [], silentLog, runtimeClock, { memoryBytes: 1_000_000 })
+    const { gateway } = running
+    const held = gateway.state.callerMemory.hold({ canGiveWay: () => false, giveWay: () => { /* stays */ } })
+    held.grow(190_000)
+    const frames = await new Promise<readonly Frame[]>((resolve, reject) => {
+      const request = httpRequest({ host: '127.0.0.1', port: gateway.linkPort, path: forwardPath, method: 'POST', headers: { 'content-length': 100_000 } }, (response) => {
+        const read: Frame[] = []
+        const decoder = new FrameDecoder()
+        response.on('data', (chunk: Buffer) => read.push(...decoder.push(chunk)))
+        response.on('end', () => resolve(read))
+      })
+      request.on('error', reject)
+      request.write(Buffer.alloc(90_000))
+    })
+    expect(frames.map(({ kind }) => kind)).toEqual([FrameKind.Refused])
+    expect(decodePackedContent(frames[0] as Frame)).toMatchObject({ reason: 'queue-full', outcome: 'not-run' })
+    expect(gateway.state.callerMemory.total).toBe(190_000)
+  })
+})
+
 describe('a forwarded request', () => {
   it('is not forwarded again after another VM may have used all of its attempts', async () => {
     running = await startTestGateway(testDocument([safe]), [])
