Keep descriptors for others when clients hold all connections

Cause: no server had a limit of connections. maxFds of the settings wasn't read. For a connection beyond that, the one is closed that costs least: one whose answer was sent, one that has had no request, one that waits for the next, the oldest first. If all have open requests, one gives way as for memory; if none may, the new one is closed.

--- a/packages/gateway/src/callerMemory.ts
+++ b/packages/gateway/src/callerMemory.ts
@@ -120,17 +120,33 @@
     if (this.holders.delete(holder)) this.used -= holder.bytes
   }
 
+  /** Lets the one give way that holds most and is furthest behind; false if all must stay. */
+  giveWayOne (): boolean {
+    const [worst] = this.ranked()
+    if (worst !== undefined) this.letGiveWay(worst)
+    return worst !== undefined
+  }
+
   private makeRoom (limit: number, grown: MemoryHolder): boolean {
-    const { now } = this
-    const ranked = [...this.holders].filter(({ canGiveWay }) => canGiveWay).map((holder) => ({ holder, rank: holder.rank(now) })).sort((first, second) => second.rank - first.rank)
-    for (const { holder } of ranked) {
+    for (const holder of this.ranked()) {
       if (this.used <= limit * roomShare) break
       // One that gave way may have taken others with it.
       if (!this.holders.has(holder)) continue
-      this.options.onGivenWay?.(holder.bytes)
-      holder.giveWay()
+      this.letGiveWay(holder)
       if (holder === grown) break
     }
     return this.used <= limit
   }
+
+  private letGiveWay (holder: MemoryHolder): void {
+    this.options.onGivenWay?.(holder.bytes)
+    holder.giveWay()
+  }
+
+  /** Those that can give way, the first one first. */
+  private ranked (): readonly MemoryHolder[] {
+    const { now } = this
+    return [...this.holders].filter(({ canGiveWay }) => canGiveWay).map((holder) => ({ holder, rank: holder.rank(now) }))
+      .sort((first, second) => second.rank - first.rank).map(({ holder }) => holder)
+  }
 }
--- a/packages/gateway/src/exchangeServer.ts
+++ b/packages/gateway/src/exchangeServer.ts
@@ -35,11 +35,17 @@
   isUnreadable: boolean
   /** Whether its last answer and the end of its side were sent, and it waits for the caller to close the other side. */
   isHalfClosed: boolean
+  /** Whether another protocol is spoken on it. */
+  isUpgraded: boolean
 }
 
 export interface ExchangeServerOptions extends ServerOptions {
   /** Whether another listener takes connections over that ask for an upgrade. */
   readonly acceptsUpgrades?: boolean
+  /** Connections beyond which one that waits for a request is closed for each new one. */
+  readonly maximumConnections?: number
+  /** Closes a connection on which a request is open; false if none may be. Asked when there is none that waits. */
+  readonly makeRoom?: () => boolean
   /** What counts connections, open requests and unread answers; they aren't counted if undefined. */
   readonly memory?: CallerMemory | undefined
 }
@@ -47,6 +53,10 @@
 /** Statuses by the code of the error that ended the reading, as Node's; any other error means a malformed request. */
 const statusByReadError: Readonly<Record<string, number>> = { ERR_HTTP_REQUEST_TIMEOUT: 408, HPE_CHUNK_EXTENSIONS_OVERFLOW: 413, HPE_HEADER_OVERFLOW: 431 }
 const malformedStatus = 400
+/** Part of the connections that may be open beyond their limit while others are being closed. */
+const closingShare = 0.25
+/** Time by which a connection that has had a request is preferred to one that has had none, and that to one whose answer was sent. */
+const usedConnectionMilliseconds = 10_000
 const expectationFailedStatus = 417
 
 export class ExchangeServer extends Server {
@@ -60,11 +70,11 @@
    * With refuseConnection, a new connection for which it returns an answer gets
    * that answer and is closed, without anything being read as a request.
    */
-  constructor ({ acceptsUpgrades = false, memory, ...options }: ExchangeServerOptions, handle: RequestListener, refuseConnection?: () => string | undefined) {
+  constructor ({ acceptsUpgrades = false, memory, maximumConnections = Infinity, makeRoom = () => false, ...options }: ExchangeServerOptions, handle: RequestListener, refuseConnection?: () => string | undefined) {
     // Node would answer such requests by itself, unseen.
     super({ ...options, requireHostHeader: false })
     // No peer sends more before its upgrade was answered.
-    if (acceptsUpgrades) this.on('upgrade', (_request, socket) => this.openConnections.get(socket as Socket)?.reading.end())
+    if (acceptsUpgrades) this.on('upgrade', (_request, socket) => this.beginUpgrade(socket as Socket))
     this.on('connection', (socket: Socket) => {
       this.acceptedCount += 1
       const exchanges = new Set<ServerResponse>()
@@ -76,9 +86,9 @@
         onLongHead: () => holding.measure(reading.headBytes)
       })
       const holding = new ConnectionHolding({ socket, exchanges, memory })
-      this.openConnections.set(socket, { exchanges, reading, holding, openedAt: performance.now(), bytesReadAtEnd: undefined, idleSince: -Infinity, isClosing: false, isUnreadable: false, isHalfClosed: false })
+      this.openConnections.set(socket, { exchanges, reading, holding, openedAt: performance.now(), bytesReadAtEnd: undefined, idleSince: -Infinity, isClosing: false, isUnreadable: false, isHalfClosed: false, isUpgraded: false })
       socket.once('close', () => this.onClose(socket))
-      if (!holding.open()) socket.destroy()
+      if (!holding.open() || !this.hasPlace({ maximumConnections, makeRoom })) socket.destroy()
     })
     if (refuseConnection !== undefined) this.screenConnections(refuseConnection)
     this.on('clientError', (error: NodeJS.ErrnoException, socket) => this.onReadError(error, socket as Socket))
@@ -210,6 +220,41 @@
     return socket.bytesRead !== bytesReadAtEnd || now - idleSince < this.nextRequestMilliseconds
   }
 
+  private beginUpgrade (socket: Socket): void {
+    const connection = this.openConnections.get(socket)
+    if (connection === undefined) return
+    connection.isUpgraded = true
+    connection.reading.end()
+  }
+
+  /** Whether the connection that was just accepted has a place, after others were closed if need be. */
+  private hasPlace ({ maximumConnections, makeRoom }: { readonly maximumConnections: number, readonly makeRoom: () => boolean }): boolean {
+    if (this.openConnections.size <= maximumConnections) return true
+    const leastNeeded = this.leastNeeded
+    if (leastNeeded !== undefined) {
+      leastNeeded.destroy()
+      return true
+    }
+    // Its connection is closed some time after its answer.
+    return makeRoom() && this.openConnections.size <= maximumConnections * (1 + closingShare)
+  }
+
+  /**
+   * The connection that can be closed at the least loss: one whose answer was sent
+   * and whose caller hasn't closed it, one that has had no request, or one that
+   * waits for the next, the oldest first; undefined if there is none but the newest.
+   */
+  private get leastNeeded (): Socket | undefined {
+    let longest: { readonly socket: Socket, readonly since: number } | undefined
+    const newest = [...this.openConnections.keys()].at(-1)
+    for (const [socket, { exchanges, openedAt, idleSince, bytesReadAtEnd, isHalfClosed, isUpgraded }] of this.openConnections) {
+      if (isUpgraded || socket === newest || socket.destroyed || (exchanges.size > 0 && !isHalfClosed)) continue
+      const since = isHalfClosed ? openedAt - usedConnectionMilliseconds : bytesReadAtEnd === undefined ? openedAt : idleSince + usedConnectionMilliseconds
+      if (longest === undefined || since < longest.since) longest = { socket, since }
+    }
+    return longest?.socket
+  }
+
   /** Whether more may be parsed: what ends the last request, or a further one. */
   private mayRead (socket: Socket): boolean {
     const connection = this.openConnections.get(socket)
--- a/packages/gateway/src/gatewayCallerServer.ts
+++ b/packages/gateway/src/gatewayCallerServer.ts
@@ -8,6 +8,7 @@
 import { RefusalReason, millisecondsPerSecond, refuse } from '@cuminvale/common'
 import { AnswerFailureKind } from './answerSink.js'
 import { BodyReading } from './bodyReading.js'
+import { connectionLimitsOf } from './connectionLimits.js'
 import { CutAnswers } from './cutAnswers.js'
 import { continuesStream } from './continuesStream.js'
 import { discardBody } from './discardBody.js'
@@ -114,7 +115,12 @@
 
   constructor (private readonly state: GatewayState, private readonly requestLog: RequestLog, metrics: GatewayMetrics) {
     this.server = new ExchangeServer({
-      memory: state.callerMemory, maxHeaderSize: maximumRequestHeaderBytes, connectionsCheckingInterval: headerCheckIntervalMilliseconds, noDelay: true
+      memory: state.callerMemory,
+      maximumConnections: connectionLimitsOf(state.settings).callers,
+      makeRoom: () => state.callerMemory.giveWayOne(),
+      maxHeaderSize: maximumRequestHeaderBytes,
+      connectionsCheckingInterval: headerCheckIntervalMilliseconds,
+      noDelay: true
     }, (request, response) => this.guard(request, response, () => this.handle(request, response)), () => this.connectionRefusal())
     this.server.requestTimeout = 0
     this.cutAnswers = new CutAnswers(state)
--- a/packages/gateway/src/gatewayProcess.ts
+++ b/packages/gateway/src/gatewayProcess.ts
@@ -6,6 +6,7 @@
 import { StopPlan, listEntries } from '@cuminvale/serving'
 import { describeError } from './errors.js'
 import { discardBody } from './discardBody.js'
+import { connectionLimitsOf } from './connectionLimits.js'
 import { GatewayCallerServer } from './gatewayCallerServer.js'
 import { ExchangeServer } from './exchangeServer.js'
 import { ForwardServer } from './forwardServer.js'
@@ -20,6 +21,7 @@
 import type { Clock, IncarnationId, Random, RegionId } from '@cuminvale/common'
 import type { Log } from '@cuminvale/logs'
 import type { PeerIdentity } from '@cuminvale/serving'
+import type { ConnectionLimits } from './connectionLimits.js'
 import type { GatewaySettings, RecordDecoder, RecordSource, RequestCodec } from './types.js'
 
 export interface GatewayProcessOptions {
@@ -72,7 +74,7 @@
     this.state = new GatewayState({ ...options, self: this.self, metrics: this.metrics })
     this.requestLog = new RequestLog(clock, log, this.metrics, () => this.state.stopPlan?.signalledAt)
     const forwards = new ForwardServer(this.state, this.requestLog)
-    this.linkServer = new ExchangeServer({ acceptsUpgrades: true, headersTimeout: linkHeadTimeoutMilliseconds, connectionsCheckingInterval: headerCheckIntervalMilliseconds }, (request, response) => {
+    this.linkServer = new ExchangeServer({ acceptsUpgrades: true, maximumConnections: this.connectionLimits.links, makeRoom: () => this.state.callerMemory.giveWayOne(), headersTimeout: linkHeadTimeoutMilliseconds, connectionsCheckingInterval: headerCheckIntervalMilliseconds }, (request, response) => {
       if (request.url === forwardPath) return forwards.handle(request, response)
       discardBody(request, maximumEndpointBodyBytes)
       response.writeHead(404).end()
@@ -109,6 +111,10 @@
     this.options.log.info('started', { region: settings.region, domain: settings.failureDomain, seeds: settings.seeds.join() })
   }
 
+  get connectionLimits (): ConnectionLimits {
+    return connectionLimitsOf(this.options.settings)
+  }
+
   get callerPort (): number {
     return this.callerServer.port
   }
--- a/packages/gateway/src/types.ts
+++ b/packages/gateway/src/types.ts
@@ -39,6 +39,8 @@
   readonly processorCapacity: number
   /** Memory that the VM may use, in bytes; undefined if the settings name none. */
   readonly memoryBytes?: number | undefined
+  /** Sockets that the process may have open; undefined if the settings name none. */
+  readonly sockets?: number | undefined
   /** Link addresses of VMs to contact at the start; they may be down. */
   readonly seeds: readonly string[]
   readonly domainRegions: ReadonlyMap<FailureDomainId, RegionId>
