Count a connection with unparsed requests as one that awaits an answer

Seen by reading, in the check of the stop: a connection whose requests were read and wait for their turn at the parser, with none open, counted as idle. The stop closes idle connections, and so did a port at its limit. Cause: before PacedReading, all that was read had been parsed; bytesRead tells of reads only. Change: such a connection is awaited, and isn't closed for a new one. Result: requestsAhead.test.ts, 200 requests sent ahead to a server that closes idle connections all the time: the connection was cut before, and all are answered now.

--- a/packages/gateway/src/exchangeServer.ts
+++ b/packages/gateway/src/exchangeServer.ts
@@ -214,8 +214,10 @@
     closeUnreadable(socket, connection)
   }
 
-  private isAwaited (socket: Socket, { exchanges, openedAt, bytesReadAtEnd, idleSince, isHalfClosed }: Connection, now: number): boolean {
+  private isAwaited (socket: Socket, { exchanges, reading, openedAt, bytesReadAtEnd, idleSince, isHalfClosed }: Connection, now: number): boolean {
     if (exchanges.size > 0 || isHalfClosed) return false
+    // The bytes of the next request were read, and wait to be parsed.
+    if (reading.isPaused) return true
     if (bytesReadAtEnd === undefined) return socket.bytesRead > 0 || now - openedAt <= firstRequestMilliseconds
     return socket.bytesRead !== bytesReadAtEnd || now - idleSince < this.nextRequestMilliseconds
   }
@@ -247,8 +249,9 @@
   private get leastNeeded (): Socket | undefined {
     let longest: { readonly socket: Socket, readonly since: number } | undefined
     const newest = [...this.openConnections.keys()].at(-1)
-    for (const [socket, { exchanges, openedAt, idleSince, bytesReadAtEnd, isHalfClosed, isUpgraded }] of this.openConnections) {
-      if (isUpgraded || socket === newest || socket.destroyed || (exchanges.size > 0 && !isHalfClosed)) continue
+    for (const [socket, { exchanges, reading, openedAt, idleSince, bytesReadAtEnd, isHalfClosed, isUpgraded }] of this.openConnections) {
+      const isBusy = !isHalfClosed && (exchanges.size > 0 || reading.isPaused)
+      if (isBusy || isUpgraded || socket === newest || socket.destroyed) continue
       const since = isHalfClosed ? openedAt - usedConnectionMilliseconds : bytesReadAtEnd === undefined ? openedAt : idleSince + usedConnectionMilliseconds
       if (longest === undefined || since < longest.since) longest = { socket, since }
     }
--- a/packages/gateway/src/pacedReading.ts
+++ b/packages/gateway/src/pacedReading.ts
@@ -91,6 +91,7 @@
   /** Parses no more; what comes is left to others. */
   end (): void {
     this.hasEnded = true
+    this.isWaiting = this.isHeld = false
     this.options.socket.removeListener('data', this.receive)
     this.options.turns.delete(this)
   }
--- a/packages/gateway/src/requestsAhead.test.ts
+++ b/packages/gateway/src/requestsAhead.test.ts
@@ -80,6 +80,28 @@
   })
 })
 
+describe('a connection with requests that were read and wait to be parsed', () => {
+  // Guards against a stop that closes a connection on a request that the process has read.
+  it('does not count as idle', async () => {
+    const server = new ExchangeServer({}, (request, response) => {
+      request.resume()
+      const until = performance.now() + 2
+      while (performance.now() < until) { /* takes longer than a slice */ }
+      response.end('done')
+      server.closeIdleConnections()
+    })
+    stops.push(() => {
+      server.close()
+      server.closeAllConnections()
+    })
+    const client = open(await listen(server))
+    client.socket.write(requestText('/').repeat(200))
+    const timer = setInterval(() => server.closeIdleConnections(), 1)
+    stops.push(() => clearInterval(timer))
+    await vi.waitUntil(() => client.text.split('done').length === 201, { timeout: 10_000 })
+  })
+})
+
 describe('a request that Node would answer by itself', () => {
   it.each([
     ['without a host', 'GET / HTTP/1.1\r\n\r\n', 400],
