--- a/packages/gateway/src/connectionLimits.test.ts
+++ b/packages/gateway/src/connectionLimits.test.ts
@@ -1,24 +1,20 @@
-import { connect } from 'node:net'
 import { afterEach, describe, expect, it, vi } from 'vitest'
 import { connectionLimitsOf } from './connectionLimits.js'
 import { ExchangeServer } from './exchangeServer.js'
-import { listen, wait } from './testSupport.js'
-import type { Socket } from 'node:net'
+import { listen, openRawClient, patiently } from './testSupport.js'
+import type { RawClient } from './testSupport.js'
 
 const stops: Array<() => void> = []
 afterEach(() => { for (const stop of stops.splice(0)) stop() })
 
-interface Client {
-  readonly socket: Socket
-  text: string
-  isClosed: boolean
-}
-
 const maximumConnections = 4
 
 /** A server that answers all but the requests to "/held". */
-const start = async (makeRoom: () => boolean = () => false): Promise<{ readonly open: (text?: string) => Promise<Client> }> => {
+const start = async (makeRoom: () => boolean = () => false): Promise<{ readonly open: (text?: string) => Promise<RawClient> }> => {
+  let accepted = 0
+  let handled = 0
   const server = new ExchangeServer({ maximumConnections, makeRoom }, (request, response) => {
+    handled += 1
     request.resume()
     if (request.url !== '/held') response.end('done')
   })
@@ -26,17 +22,15 @@
     server.close()
     server.closeAllConnections()
   })
+  server.on('connection', () => { accepted += 1 })
   const port = await listen(server)
   return {
     open: async (text = '') => {
-      const socket = connect({ host: '127.0.0.1', port })
-      const client: Client = { socket, text: '', isClosed: false }
-      socket.on('data', (chunk: Buffer) => { client.text += chunk.toString('latin1') })
-      socket.on('error', () => { /* 'close' follows */ })
-      socket.on('close', () => { client.isClosed = true })
-      stops.push(() => socket.destroy())
-      socket.write(text)
-      await wait(30)
+      const client = openRawClient(port)
+      stops.push(() => client.socket.destroy())
+      client.socket.write(text)
+      const known = { accepted, handled }
+      await vi.waitUntil(() => accepted > known.accepted && (text === '' || handled > known.handled || client.isClosed), patiently)
       return client
     }
   }
@@ -52,7 +46,8 @@
     const held = await open(requestText('/held'))
     const silent = [await open(), await open(), await open(), await open()]
     const caller = await open(requestText('/'))
-    await vi.waitUntil(() => caller.text.includes('done'))
+    await vi.waitUntil(() => caller.text.includes('done'), patiently)
+    await vi.waitUntil(() => silent.filter(({ isClosed }) => isClosed).length >= 3, patiently)
     expect([used, held, ...silent].map(({ isClosed }) => isClosed)).toEqual([false, false, true, true, true, false])
   })
 
@@ -60,7 +55,7 @@
     const { open } = await start()
     const held = [await open(requestText('/held')), await open(requestText('/held')), await open(requestText('/held')), await open(requestText('/held'))]
     const caller = await open(requestText('/'))
-    await vi.waitUntil(() => caller.isClosed)
+    await vi.waitUntil(() => caller.isClosed, patiently)
     expect(held.map(({ isClosed }) => isClosed)).toEqual([false, false, false, false])
   })
 
@@ -68,7 +63,7 @@
     const { open } = await start(() => true)
     for (let index = 0; index < maximumConnections; index += 1) await open(requestText('/held'))
     const caller = await open(requestText('/'))
-    await vi.waitUntil(() => caller.text.includes('done'))
+    await vi.waitUntil(() => caller.text.includes('done'), patiently)
   })
 })
 
--- a/packages/gateway/src/requestsAhead.test.ts
+++ b/packages/gateway/src/requestsAhead.test.ts
@@ -1,34 +1,22 @@
-import { connect } from 'node:net'
 import { afterEach, describe, expect, it, vi } from 'vitest'
 import { ExchangeServer } from './exchangeServer.js'
-import { callGateway, listen, sealedHead, startTestGateway, startUpstream, testDocument, testHeaders, testRoute, wait } from './testSupport.js'
+import { callGateway, listen, openRawClient, patiently, sealedHead, startTestGateway, startUpstream, testDocument, testHeaders, testRoute, wait } from './testSupport.js'
 import type { ServerResponse } from 'node:http'
-import type { Socket } from 'node:net'
-import type { TestGateway } from './testSupport.js'
+import type { RawClient, TestGateway } from './testSupport.js'
 
 const stops: Array<() => void> = []
 afterEach(() => { for (const stop of stops.splice(0)) stop() })
 
-interface Client {
-  readonly socket: Socket
-  text: string
-  isClosed: boolean
-}
-
-const open = (port: number): Client => {
-  const socket = connect({ host: '127.0.0.1', port, allowHalfOpen: true })
-  const client: Client = { socket, text: '', isClosed: false }
-  socket.on('data', (chunk: Buffer) => { client.text += chunk.toString('latin1') })
-  socket.on('error', () => { /* 'close' follows */ })
-  socket.on('close', () => { client.isClosed = true })
-  stops.push(() => socket.destroy())
+const open = (port: number): RawClient => {
+  const client = openRawClient(port, { allowHalfOpen: true })
+  stops.push(() => client.socket.destroy())
   return client
 }
 
 const requestText = (path: string): string => `GET ${path} HTTP/1.1\r\nhost: shop.example\r\n\r\n`
 
 interface Held {
-  readonly client: Client
+  readonly client: RawClient
   readonly responses: ServerResponse[]
 }
 
@@ -51,14 +39,14 @@
   it('are read on only as earlier ones are answered, all of them and in order', async () => {
     const { client, responses } = await startServer()
     client.socket.write(Array.from({ length: 400 }, (_value, index) => requestText(`/${index}`)).join(''))
-    await vi.waitUntil(() => responses.length > 0)
+    await vi.waitUntil(() => responses.length > 0, patiently)
     await wait(100)
     expect(responses.length).toBeLessThan(60)
     for (let index = 0; index < 400; index += 1) {
-      await vi.waitUntil(() => responses.length > index)
+      await vi.waitUntil(() => responses.length > index, patiently)
       responses[index]?.end(`answer to ${responses[index]?.req.url ?? ''}.`)
     }
-    await vi.waitUntil(() => client.text.includes('answer to /399.'))
+    await vi.waitUntil(() => client.text.includes('answer to /399.'), patiently)
     expect(client.text.match(/answer to \/\d+/g)).toEqual(Array.from({ length: 400 }, (_value, index) => `answer to /${index}`))
   })
 
@@ -67,7 +55,7 @@
     const { client, responses } = await startServer()
     client.socket.end(Array.from({ length: 200 }, (_value, index) => requestText(`/${index}`)).join(''))
     for (let index = 0; index < 200; index += 1) {
-      await vi.waitUntil(() => responses.length > index)
+      await vi.waitUntil(() => responses.length > index, patiently)
       responses[index]?.end('done')
     }
     expect(responses).toHaveLength(200)
@@ -76,7 +64,7 @@
   it('do not keep the body of the last of them from being read', async () => {
     const { client, responses } = await startServer()
     client.socket.write(`${requestText('/').repeat(15)}POST / HTTP/1.1\r\nhost: shop.example\r\ncontent-length: 100000\r\n\r\n${'x'.repeat(100_000)}`)
-    await vi.waitUntil(() => responses.length === 16 && responses[15]?.req.complete === true)
+    await vi.waitUntil(() => responses.length === 16 && responses[15]?.req.complete === true, patiently)
   })
 })
 
@@ -98,7 +86,7 @@
     client.socket.write(requestText('/').repeat(200))
     const timer = setInterval(() => server.closeIdleConnections(), 1)
     stops.push(() => clearInterval(timer))
-    await vi.waitUntil(() => client.text.split('done').length === 201, { timeout: 10_000 })
+    await vi.waitUntil(() => client.text.split('done').length === 201, patiently)
   })
 })
 
@@ -109,11 +97,11 @@
   ])('(%s) is answered after the ones before it, and counts as an exchange', async (_case, text, status) => {
     const { client, responses } = await startServer()
     client.socket.write(requestText('/') + text.repeat(1_000))
-    await vi.waitUntil(() => responses.length === 1)
+    await vi.waitUntil(() => responses.length === 1, patiently)
     await wait(50)
     expect([responses.length, client.text]).toEqual([1, ''])
     responses[0]?.end('done')
-    await vi.waitUntil(() => client.text.includes(String(status)))
+    await vi.waitUntil(() => client.text.includes(String(status)), patiently)
     expect(client.text.indexOf('done')).toBeLessThan(client.text.indexOf(String(status)))
     expect(client.text.split(`HTTP/1.1 ${status}`)).toHaveLength(2)
   })
@@ -134,9 +122,9 @@
     await start()
     const client = open(running.port)
     client.socket.write(headOf('/orders/1', 4))
-    await vi.waitUntil(() => client.text.includes('100 Continue'))
+    await vi.waitUntil(() => client.text.includes('100 Continue'), patiently)
     client.socket.write('body')
-    await vi.waitUntil(() => client.text.includes('done'))
+    await vi.waitUntil(() => client.text.includes('done'), patiently)
     expect((await callGateway({ port: running.port, path: '/orders/1', body: 'x' })).status).toBe(200)
   })
 
@@ -145,7 +133,7 @@
     await start()
     const client = open(running.port)
     client.socket.write(headOf(path, length))
-    await vi.waitUntil(() => client.text.includes('HTTP/1.1'))
+    await vi.waitUntil(() => client.text.includes('HTTP/1.1'), patiently)
     expect(client.text.startsWith(`HTTP/1.1 ${status}`)).toBe(true)
   })
 })
--- a/packages/gateway/src/testSupport.ts
+++ b/packages/gateway/src/testSupport.ts
@@ -4,11 +4,13 @@
  */
 
 import { createServer, request as httpRequest } from 'node:http'
+import { connect } from 'node:net'
 import { Result } from 'true-myth'
 import { newIncarnationId, refusalStatus, runtimeClock, SeededRandom, toFailureDomainId, toRegionId, toRouteName, toTeamId, toUpstreamId, toVmId } from '@cuminvale/common'
 import { GatewayProcess } from './gatewayProcess.js'
 import { SourceError, SourceErrorKind } from './errors.js'
 import type { IncomingHttpHeaders, IncomingMessage, Server, ServerResponse } from 'node:http'
+import type { Socket } from 'node:net'
 import type { AnnouncedUpstream, AttemptId, PromptPartId, PublishedRecord, Route, ServedTeam, ServiceName, ServingDocument, SoftwareVersion } from '@cuminvale/serving'
 import type { Clock } from '@cuminvale/common'
 import type { Log } from '@cuminvale/logs'
@@ -291,3 +293,22 @@
     request.on('error', () => resolve({ status: undefined, headers: {}, body: '', isWhole: false }))
     request.end(body)
   })
+
+/** Options of vi.waitUntil for what no bound of time is meant by. */
+export const patiently = { timeout: 20_000, interval: 10 } as const
+
+/** A client that writes its requests itself, and keeps what it reads. */
+export interface RawClient {
+  readonly socket: Socket
+  text: string
+  isClosed: boolean
+}
+
+export const openRawClient = (port: number, options: { readonly allowHalfOpen?: boolean } = {}): RawClient => {
+  const socket = connect({ host, port, ...options })
+  const client: RawClient = { socket, text: '', isClosed: false }
+  socket.on('data', (chunk: Buffer) => { client.text += chunk.toString('latin1') })
+  socket.on('error', () => { /* 'close' follows */ })
+  socket.on('close', () => { client.isClosed = true })
+  return client
+}
--- a/packages/gateway/src/unreadAnswers.test.ts
+++ b/packages/gateway/src/unreadAnswers.test.ts
@@ -1,10 +1,8 @@
-import { connect } from 'node:net'
 import { afterEach, describe, expect, it, vi } from 'vitest'
 import { runtimeClock, toRouteName } from '@cuminvale/common'
-import { callGateway, sealedHead, silentLog, startTestGateway, startUpstream, testDocument, testHeaders, testRoute, wait } from './testSupport.js'
-import type { Socket } from 'node:net'
+import { callGateway, openRawClient, patiently, sealedHead, silentLog, startTestGateway, startUpstream, testDocument, testHeaders, testRoute, wait } from './testSupport.js'
 import type { ServiceName } from '@cuminvale/serving'
-import type { TestGateway } from './testSupport.js'
+import type { RawClient, TestGateway } from './testSupport.js'
 
 /** More than the kernel's buffers of a connection on loopback hold. */
 const longAnswer = Buffer.alloc(24_000_000, 'x')
@@ -12,9 +10,9 @@
 const idleTimeoutMilliseconds = 1_500
 
 let running: TestGateway | undefined
-const sockets: Socket[] = []
+const stops: Array<() => void> = []
 afterEach(() => {
-  for (const socket of sockets.splice(0)) socket.destroy()
+  for (const stop of stops.splice(0)) stop()
   running?.stop()
 })
 
@@ -31,37 +29,35 @@
   return running
 }
 
-interface Unreading {
-  readonly socket: Socket
-  isClosed: boolean
-}
-
 /** A caller that asks and doesn't read. */
-const askWithoutReading = (port: number, text: string): Unreading => {
-  const socket = connect({ host: '127.0.0.1', port })
-  sockets.push(socket)
-  const client: Unreading = { socket, isClosed: false }
-  socket.pause()
-  socket.on('error', () => { /* 'close' follows */ })
-  socket.on('close', () => { client.isClosed = true })
-  socket.write(text)
+const askWithoutReading = (port: number, text: string): RawClient => {
+  const client = openRawClient(port)
+  stops.push(() => client.socket.destroy())
+  client.socket.pause()
+  client.socket.write(text)
   return client
 }
 
+/** The most that is held for callers in some time, from the moment on at which it is more than an amount. */
+const peakMemory = async ({ gateway: { state } }: TestGateway, bytes: number): Promise<number> => {
+  await vi.waitUntil(() => state.callerMemory.total > bytes, patiently)
+  let most = state.callerMemory.total
+  for (let check = 0; check < 40; check += 1) {
+    await wait(25)
+    most = Math.max(most, state.callerMemory.total)
+  }
+  return most
+}
+
 const requestText = (path: string): string => `POST ${path} HTTP/1.1\r\nhost: shop.example\r\n${testHeaders.attempt}: a1\r\ncontent-length: 0\r\n\r\n`
 const headText = `POST /orders/1 HTTP/1.1\r\nhost: shop.example\r\nx-long: ${'x'.repeat(60_000)}`
 
 describe('a VM whose callers do not read their answers', () => {
   // Guards against answers that lie in the memory until the process ends, since each of them is within its limit.
   it('holds no more than its limit, and answers another caller', async () => {
-    const { gateway: { state }, port } = await start()
+    const { port } = await start()
     for (let index = 0; index < 40; index += 1) askWithoutReading(port, requestText('/long/1').repeat(2))
-    let most = 0
-    for (let check = 0; check < 40; check += 1) {
-      await wait(25)
-      most = Math.max(most, state.callerMemory.total)
-    }
-    expect(most).toBeGreaterThan(1_000_000)
+    const most = await peakMemory(running as TestGateway, 1_000_000)
     expect(most).toBeLessThanOrEqual(memoryBytes * 0.2)
     expect(await callGateway({ port, path: '/orders/1' })).toMatchObject({ status: 200, body: 'done' })
   })
@@ -70,23 +66,18 @@
   it('resets a connection that is not read for as long as one may be idle', async () => {
     const { gateway: { state }, port } = await start()
     const client = askWithoutReading(port, requestText('/long/1'))
-    await vi.waitUntil(() => state.callerMemory.total > 0)
-    await vi.waitUntil(() => state.callerMemory.total === 0, { timeout: 10_000 })
+    await vi.waitUntil(() => state.callerMemory.total > 0, patiently)
+    await vi.waitUntil(() => state.callerMemory.total === 0, patiently)
     client.socket.resume()
-    await vi.waitUntil(() => client.isClosed)
+    await vi.waitUntil(() => client.isClosed, patiently)
   })
 })
 
 describe('a VM whose callers stop within long heads', () => {
   it('counts them, and answers another caller', async () => {
-    const { gateway: { state }, port } = await start()
+    const { port } = await start()
     for (let index = 0; index < 100; index += 1) askWithoutReading(port, headText)
-    let most = 0
-    for (let check = 0; check < 20; check += 1) {
-      await wait(25)
-      most = Math.max(most, state.callerMemory.total)
-    }
-    expect(most).toBeGreaterThan(2_000_000)
+    const most = await peakMemory(running as TestGateway, 2_000_000)
     expect(most).toBeLessThanOrEqual(memoryBytes * 0.2)
     expect((await callGateway({ port, path: '/orders/1' })).status).toBe(200)
   })
