--- a/packages/gateway/src/exchangeServer.ts
+++ b/packages/gateway/src/exchangeServer.ts
@@ -42,7 +42,7 @@
 export interface ExchangeServerOptions extends ServerOptions {
   /** Whether another listener takes connections over that ask for an upgrade. */
   readonly acceptsUpgrades?: boolean
-  /** Connections beyond which one that waits for a request is closed for each new one. */
+  /** Number of connections beyond which one that waits for a request is closed for each new one. */
   readonly maximumConnections?: number
   /** Closes a connection on which a request is open; false if none may be. Asked when there is none that waits. */
   readonly makeRoom?: () => boolean
@@ -247,15 +247,15 @@
    * waits for the next, the oldest first; undefined if there is none but the newest.
    */
   private get leastNeeded (): Socket | undefined {
-    let longest: { readonly socket: Socket, readonly since: number } | undefined
+    let chosen: { readonly socket: Socket, readonly since: number } | undefined
     const newest = [...this.openConnections.keys()].at(-1)
     for (const [socket, { exchanges, reading, openedAt, idleSince, bytesReadAtEnd, isHalfClosed, isUpgraded }] of this.openConnections) {
       const isBusy = !isHalfClosed && (exchanges.size > 0 || reading.isPaused)
       if (isBusy || isUpgraded || socket === newest || socket.destroyed) continue
       const since = isHalfClosed ? openedAt - usedConnectionMilliseconds : bytesReadAtEnd === undefined ? openedAt : idleSince + usedConnectionMilliseconds
-      if (longest === undefined || since < longest.since) longest = { socket, since }
+      if (chosen === undefined || since < chosen.since) chosen = { socket, since }
     }
-    return longest?.socket
+    return chosen?.socket
   }
 
   /** Whether more may be parsed: what ends the last request, or a further one. */
