Measure what a connection holds only as it changes

Cause, by reading: each write of an answer summed up the bytes that wait, since Node corks the socket until the end of the turn; each second did so for all connections; and each piece copied the set of open requests. Change: answers are summed up when a write isn't taken at once, connections without a request are left out, and a read that is one piece is handed on as it is.

--- a/packages/gateway/src/connectionHolding.ts
+++ b/packages/gateway/src/connectionHolding.ts
@@ -22,17 +22,15 @@
 
 export class ConnectionHolding {
   private readonly holder: MemoryHolder | undefined
+  private headBytes = 0
   private sentBytes = 0
-  /** Time of the last byte that was sent. */
-  private sentAt = performance.now()
+  /** Time of the last byte that was sent, while some wait. */
+  private sentAt = 0
 
   constructor (private readonly options: ConnectionHoldingOptions) {
     const { socket, exchanges } = options
     this.holder = options.memory?.hold({
-      canGiveWay: () => {
-        this.recordSent()
-        return exchanges.size === 0 || this.unsentBytes > 0
-      },
+      canGiveWay: () => exchanges.size === 0 || this.recordSent(),
       giveWay: () => exchanges.size === 0 ? socket.destroy() : socket.resetAndDestroy()
     })
   }
@@ -42,33 +40,51 @@
     return this.holder?.grow(connectionCostBytes) !== false
   }
 
-  /** Counts what it holds now, with the bytes of a head that isn't complete. */
-  measure (headBytes = 0): void {
-    this.recordSent()
-    const { size } = this.options.exchanges
-    const unreadBytes = size < maximumOpenRequests ? 0 : unreadCostBytes
-    this.holder?.resize(connectionCostBytes + size * exchangeCostBytes + unreadBytes + headCostFactor * headBytes + this.unsentBytes)
+  /** Counts a request that has begun. */
+  begin (): void {
+    this.headBytes = 0
+    this.measure()
   }
 
-  /** Counts the rest of an answer that wasn't sent at once. */
-  recordWrite ({ writableLength }: ServerResponse): void {
-    if (writableLength > 0) this.measure()
+  /** Counts a request no more. */
+  end (): void {
+    if (this.options.exchanges.size === 0) this.holder?.restart()
+    this.measure()
+  }
+
+  /** Counts the bytes of a head that isn't complete. */
+  recordLongHead (bytes: number): void {
+    this.headBytes = bytes
+    this.measure()
+  }
+
+  /** Counts what waits to be sent. */
+  recordUnsent (): void {
+    this.recordSent()
+    this.measure()
   }
 
   /** Time for which the caller has read none of what is to be sent; 0 if nothing is. */
   unreadMilliseconds (now: number): number {
-    this.recordSent()
-    return this.unsentBytes === 0 ? 0 : now - this.sentAt
+    return this.recordSent() ? now - this.sentAt : 0
   }
 
   release (): void {
     this.holder?.release()
   }
 
+  private measure (): void {
+    if (this.holder === undefined) return
+    const { size } = this.options.exchanges
+    const unreadBytes = size < maximumOpenRequests ? 0 : unreadCostBytes
+    this.holder.resize(connectionCostBytes + size * exchangeCostBytes + unreadBytes + headCostFactor * this.headBytes + this.unsentBytes)
+  }
+
   /** Bytes of answers that wait in the responses and in the socket. */
   private get unsentBytes (): number {
     const { socket, exchanges } = this.options
     let bytes = socket.writableLength
+    if (exchanges.size < 2) return bytes
     for (const response of exchanges) {
       // That of a response with a socket includes the socket's.
       if (response.socket === null) bytes += response.writableLength
@@ -76,13 +92,15 @@
     return bytes
   }
 
-  private recordSent (): void {
+  /** Records what was sent since; false if nothing waits to be sent. */
+  private recordSent (): boolean {
+    if (this.unsentBytes === 0) return false
     const { socket } = this.options
     const sentBytes = socket.bytesWritten - socket.writableLength
-    if (sentBytes === this.sentBytes) return
+    if (sentBytes === this.sentBytes) return true
     this.holder?.recordProgress(sentBytes - this.sentBytes)
-    if (this.unsentBytes === 0) this.holder?.restart()
     this.sentBytes = sentBytes
     this.sentAt = performance.now()
+    return true
   }
 }
--- a/packages/gateway/src/exchangeServer.ts
+++ b/packages/gateway/src/exchangeServer.ts
@@ -78,12 +78,12 @@
     this.on('connection', (socket: Socket) => {
       this.acceptedCount += 1
       const exchanges = new Set<ServerResponse>()
-      const reading: PacedReading = new PacedReading({
+      const reading = new PacedReading({
         socket,
         turns: this.turns,
         mayRead: () => this.mayRead(socket),
         isInBody: () => lastOf(exchanges)?.req.complete === false,
-        onLongHead: () => holding.measure(reading.headBytes)
+        onLongHead: (bytes) => holding.recordLongHead(bytes)
       })
       const holding = new ConnectionHolding({ socket, exchanges, memory })
       this.openConnections.set(socket, { exchanges, reading, holding, openedAt: performance.now(), bytesReadAtEnd: undefined, idleSince: -Infinity, isClosing: false, isUnreadable: false, isHalfClosed: false, isUpgraded: false })
@@ -139,16 +139,16 @@
     return [...this.openConnections.values()].filter(({ isHalfClosed }) => isHalfClosed).length
   }
 
-  /** Counts the part of an answer that was written and not sent. */
-  recordWrite (response: ServerResponse): void {
-    this.openConnections.get(response.req.socket)?.holding.recordWrite(response)
+  /** Counts the part of an answer that waits to be sent. */
+  recordUnsent (response: ServerResponse): void {
+    this.openConnections.get(response.req.socket)?.holding.recordUnsent()
   }
 
   /** Resets the connections whose callers have read nothing of their answers for a time. */
   resetUnread (milliseconds: number): void {
     const now = performance.now()
-    for (const [socket, { holding }] of this.openConnections) {
-      if (holding.unreadMilliseconds(now) > milliseconds) socket.resetAndDestroy()
+    for (const [socket, { exchanges, holding }] of this.openConnections) {
+      if (exchanges.size > 0 && holding.unreadMilliseconds(now) > milliseconds) socket.resetAndDestroy()
     }
   }
 
@@ -283,8 +283,8 @@
       return false
     }
     connection.exchanges.add(response)
-    connection.reading.headBytes = 0
-    connection.holding.measure()
+    connection.reading.beginRequest()
+    connection.holding.begin()
     if (hasBody(request)) {
       // Node calls this after the answer, which may be a refusal that comes before the end of the body.
       socket.destroySoon = () => {
@@ -297,7 +297,7 @@
       partsUnderWay -= 1
       if (partsUnderWay > 0) return
       connection.exchanges.delete(response)
-      connection.holding.measure()
+      connection.holding.end()
       connection.reading.resume()
       connection.idleSince = performance.now()
       if (connection.isUnreadable && !hasReadRequest(connection)) closeUnreadable(socket, connection)
@@ -358,7 +358,11 @@
 
 const hasBody = ({ headers }: IncomingMessage): boolean => headers['content-length'] !== undefined || headers['transfer-encoding'] !== undefined
 
-const lastOf = (exchanges: ReadonlySet<ServerResponse>): ServerResponse | undefined => [...exchanges].at(-1)
+const lastOf = (exchanges: ReadonlySet<ServerResponse>): ServerResponse | undefined => {
+  let last: ServerResponse | undefined
+  for (const exchange of exchanges) last = exchange
+  return last
+}
 
 /** Status of a request that breaks the protocol (RFC 9110, sections 7.2 and 10.1.1); undefined for others. */
 const unhandledStatus = ({ headers, httpVersion }: IncomingMessage): number | undefined => {
--- a/packages/gateway/src/gatewayCallerServer.ts
+++ b/packages/gateway/src/gatewayCallerServer.ts
@@ -60,13 +60,12 @@
 
   data (chunk: Buffer): boolean {
     const isTaken = this.response.write(chunk)
-    this.options.server.recordWrite(this.response)
+    if (!isTaken) this.options.server.recordUnsent(this.response)
     return isTaken
   }
 
   end (): void {
     this.response.end()
-    this.options.server.recordWrite(this.response)
   }
 
   refuse (refusal: Refusal): void {
@@ -94,7 +93,6 @@
     headers.push('content-length', String(body.length))
     this.response.writeHead(status, this.withConnectionClose(headers))
     this.response.end(body)
-    this.options.server.recordWrite(this.response)
   }
 
   /** Adds `connection: close` to the last answer of a connection, also while this VM shuts down, so that callers connect to another one. */
--- a/packages/gateway/src/pacedReading.ts
+++ b/packages/gateway/src/pacedReading.ts
@@ -54,7 +54,7 @@
   /** Whether the next bytes are those of a body. */
   readonly isInBody: () => boolean
   /** Called when the head of a request is long, and goes on. */
-  readonly onLongHead: () => void
+  readonly onLongHead: (bytes: number) => void
 }
 
 export class PacedReading {
@@ -65,7 +65,7 @@
   private isHeld = false
   private hasEnded = false
   /** Bytes of the head of a request that isn't complete. */
-  headBytes = 0
+  private headBytes = 0
 
   /** For a socket on which Node's server has begun to parse. */
   constructor (private readonly options: PacedReadingOptions) {
@@ -81,6 +81,11 @@
     return this.isHeld || this.isWaiting
   }
 
+  /** Called once the head of a request is complete. */
+  beginRequest (): void {
+    this.headBytes = 0
+  }
+
   /** Reads on if the connection was held and may be read again. */
   resume (): void {
     if (!this.isHeld || this.isWaiting || this.hasEnded || !this.mayRead) return
@@ -114,20 +119,23 @@
     const { socket, turns, isInBody, onLongHead } = this.options
     if (this.isWaiting || !this.mayRead) return this.hold(chunk)
     this.isHeld = false
-    const until = performance.now() + sliceMilliseconds
-    for (let offset = 0; offset < chunk.length;) {
+    let until: number | undefined
+    for (let offset = 0; ;) {
       const isBody = isInBody()
-      const piece = chunk.subarray(offset, offset + (isBody ? bodyPieceBytes : headPieceBytes))
+      const end = offset + (isBody ? bodyPieceBytes : headPieceBytes)
+      const piece = offset === 0 && end >= chunk.length ? chunk : chunk.subarray(offset, end)
       offset += piece.length
       if (!isBody) this.headBytes += piece.length
       this.parse(piece)
-      if (this.headBytes >= longHeadBytes) onLongHead()
+      if (this.headBytes >= longHeadBytes) onLongHead(this.headBytes)
       if (offset === chunk.length || this.hasEnded || socket.destroyed) return
       const rest = chunk.subarray(offset)
       // Node has paused it until the body is read, and resumes it.
       if (socket.isPaused()) return socket.unshift(rest)
       if (!this.mayRead) return this.hold(rest)
-      if (performance.now() < until) continue
+      const now = performance.now()
+      until ??= now + sliceMilliseconds
+      if (now < until) continue
       this.hold(rest)
       this.isWaiting = true
       return turns.add(this)
