Count short bodies with their request

Cause: each body took 4 KiB of memory of its own and a holder in CallerMemory, with what it takes to release it. Change: a body of up to 4 KiB is counted with its request, which counts 16 KiB in place of 4 and 8, and comes from Node's own pool; a longer one gets a holder. A connection whose only request isn't whole may be closed for room. A request is refused at its head while the memory is full.

--- a/packages/gateway/src/blockBuffer.ts
+++ b/packages/gateway/src/blockBuffer.ts
@@ -4,7 +4,8 @@
  * refused one after the other would take far more than what is held of them.
  */
 
-const firstBlockBytes = 4_096
+/** Longest first block; shorter ones come from Node's own pool. */
+export const firstBlockBytes = 4_096
 const blockBytes = 65_536
 /** Free blocks that are kept; 8 MiB. */
 const maximumFreeBlocks = 128
@@ -23,7 +24,9 @@
 
 export interface BlockBufferOptions {
   readonly pool: BlockPool
-  /** Called before memory is taken; false if it may not be. */
+  /** Length that is expected; undefined if it isn't known. */
+  readonly expectedBytes?: number | undefined
+  /** Called before memory is taken beyond a first block; false if it may not be. */
   readonly grow: (bytes: number) => boolean
 }
 
@@ -65,9 +68,10 @@
   }
 
   private addBlock (): boolean {
+    const { pool, expectedBytes = firstBlockBytes, grow } = this.options
     const isFirst = this.blocks.length === 0
-    if (!this.options.grow(isFirst ? firstBlockBytes : blockBytes)) return false
-    const block = isFirst ? Buffer.allocUnsafeSlow(firstBlockBytes) : this.options.pool.take()
+    if (!isFirst && !grow(blockBytes)) return false
+    const block = isFirst ? Buffer.allocUnsafe(Math.min(expectedBytes, firstBlockBytes)) : pool.take()
     this.blocks.push(block)
     this.capacity += block.length
     return true
--- a/packages/gateway/src/bodyReading.ts
+++ b/packages/gateway/src/bodyReading.ts
@@ -18,8 +18,8 @@
   readonly response: ServerResponse
   /** Monotonic time until which the caller waits. */
   readonly deadlineAt: number
-  /** The holder is to be released once the request is answered. */
-  readonly onRead: (body: Buffer | null, holder: MemoryHolder) => void
+  /** The holder, if there is one, is to be released once the request is answered. */
+  readonly onRead: (body: Buffer | null, holder: MemoryHolder | undefined) => void
   /** With closes, nothing more is to be read on the connection. */
   readonly onRefused: (refusal: Refusal, options: { readonly closes: boolean }) => void
 }
@@ -39,8 +39,7 @@
   start (): void {
     const { request, response, onRead } = this.options
     if (this.body.isTooLong) return this.refuseAsTooLong()
-    this.body.open()
-    if (this.isOver) return
+    if (this.options.state.callerMemory.isFull) return this.refuseForRoom()
     if (request.headers.expect !== undefined) response.writeContinue()
     // All bodies have the same interval, since timers with a delay of their own cost more.
     this.timer = setInterval(() => this.checkTime(), checkIntervalMilliseconds)
--- a/packages/gateway/src/callerMemory.ts
+++ b/packages/gateway/src/callerMemory.ts
@@ -98,6 +98,11 @@
     return this.used
   }
 
+  /** Whether all of it is used, though all have given way that can. */
+  get isFull (): boolean {
+    return this.used > this.options.maximumBytes
+  }
+
   get now (): number {
     return this.options.clock.monotonic()
   }
--- a/packages/gateway/src/connectionHolding.ts
+++ b/packages/gateway/src/connectionHolding.ts
@@ -1,8 +1,8 @@
 /**
- * What a VM holds for one connection of a caller beside the bodies: the
+ * What a VM holds for one connection of a caller beside long bodies: the
  * connection itself, its open requests, and the answers that the caller doesn't
- * read. Without an open request it may be closed when there is no room, and with
- * unread answers reset.
+ * read. It may be closed when there is no room, unless a whole request waits for
+ * its answer; with unread answers it is reset.
  */
 
 import { connectionCostBytes, exchangeCostBytes, maximumOpenRequests, unreadCostBytes } from './constants.js'
@@ -30,8 +30,8 @@
   constructor (private readonly options: ConnectionHoldingOptions) {
     const { socket, exchanges } = options
     this.holder = options.memory?.hold({
-      canGiveWay: () => exchanges.size === 0 || this.recordSent(),
-      giveWay: () => exchanges.size === 0 ? socket.destroy() : socket.resetAndDestroy()
+      canGiveWay: () => exchanges.size === 0 || this.hasUnreadRequest || this.recordSent(),
+      giveWay: () => exchanges.size === 0 || this.hasUnreadRequest ? socket.destroy() : socket.resetAndDestroy()
     })
   }
 
@@ -73,6 +73,13 @@
     this.holder?.release()
   }
 
+  /** Whether its only open request isn't whole, and so has not run. */
+  private get hasUnreadRequest (): boolean {
+    const { exchanges } = this.options
+    const [first] = exchanges
+    return exchanges.size === 1 && first?.req.complete === false && !first.headersSent
+  }
+
   private measure (): void {
     if (this.holder === undefined) return
     const { size } = this.options.exchanges
--- a/packages/gateway/src/constants.ts
+++ b/packages/gateway/src/constants.ts
@@ -130,14 +130,12 @@
 export const maximumDiscardedBodyBytes = 1_048_576
 /** Memory that a connection of a caller takes: socket, parser, and its first read. */
 export const connectionCostBytes = 16_384
-/** Memory that a request and its response take beside that. */
-export const exchangeCostBytes = 4_096
+/** Memory that an open request takes beside that, with its head, its execution, and a short body. */
+export const exchangeCostBytes = 16_384
 /** Bytes that the kernel may have received on a connection that isn't read for now. */
 export const unreadCostBytes = 65_536
 /** Requests of one connection that are read before the first of them is answered. */
 export const maximumOpenRequests = 16
-/** Memory that an admitted request takes beside its body: its head and its execution. */
-export const requestCostBytes = 8_192
 /** Time after which a caller may return for whose request there was no memory. */
 export const noRoomRetryMilliseconds = 500
 /** Time for which the body of a refused request is still read. */
--- a/packages/gateway/src/forwardServer.ts
+++ b/packages/gateway/src/forwardServer.ts
@@ -66,8 +66,8 @@
 
 interface ReadForward {
   readonly message: Buffer
-  /** Counts the message until it is released. */
-  readonly holder: MemoryHolder
+  /** Counts the message until it is released; undefined for a short one. */
+  readonly holder: MemoryHolder | undefined
 }
 
 /** Rejects with a NoRoomError, after which the request has not run and never will. */
@@ -80,7 +80,7 @@
     reject(error)
   }
   const failAsTooLong = (): void => fail(new RangeError(`it is longer than ${maximumForwardBytes} bytes`))
-  body.open()
+  if (memory.isFull) return fail(new NoRoomError('no room'))
   if (body.isTooLong) return failAsTooLong()
   request.on('data', (chunk: Buffer) => {
     if (!body.append(chunk)) failAsTooLong()
@@ -103,8 +103,8 @@
     const origin = { vm: typeof sender === 'string' ? sender.slice(0, maximumLoggedNameLength) : undefined, format: readFormat(request.headers[formatHeader]) }
     this.state.recordPeerFormat('forward', origin.format)
     readBody(request, this.state.callerMemory).then(({ message, holder }) => {
-      if (response.destroyed) return holder.release()
-      response.once('close', () => holder.release())
+      if (response.destroyed) return holder?.release()
+      if (holder !== undefined) response.once('close', () => holder.release())
       this.runOrRefuse(message, response, origin)
     }).catch((error: Error) => {
       if (error instanceof NoRoomError) return this.refuseUnread(response)
--- a/packages/gateway/src/gatewayCallerServer.ts
+++ b/packages/gateway/src/gatewayCallerServer.ts
@@ -263,8 +263,8 @@
       deadlineAt: receivedAt + Math.min(admitted.head.deadlineMilliseconds ?? Infinity, admitted.route.timeoutMilliseconds),
       onRefused: (refusal, { closes }) => this.refuse(request, response, admitted.head, refusal, { closes }),
       onRead: (bytes, holder) => {
-        if (response.destroyed) return holder.release()
-        response.once('close', () => holder.release())
+        if (response.destroyed) return holder?.release()
+        if (holder !== undefined) response.once('close', () => holder.release())
         this.guard(request, response, () => this.intake.take(new ReadRequest(response, admitted, bytes, receivedAt)))
       }
     })
