Begin the time without progress anew with each request

Seen by reading: a connection that had been idle counted as behind by all of that time once a request began on it, so that an ordinary caller could give way before a crowd while its body was being read. Cause: since connections with one half-read request can give way, their time without progress went on from the last answer. Change: it begins anew with the first open request. Result: connectionHolding.test.ts, which fails without it ("ordinary" goes in place of "stalled").

--- a/packages/gateway/src/connectionHolding.ts
+++ b/packages/gateway/src/connectionHolding.ts
@@ -43,6 +43,8 @@
   /** Counts a request that has begun. */
   begin (): void {
     this.headBytes = 0
+    // The time for which it was idle is none without progress.
+    if (this.options.exchanges.size === 1) this.holder?.restart()
     this.measure()
   }
 
