Poll the sockets once more before requests end with the grace

Cause: the stop polls the sockets, looks at the clock and ends what is open. If the event loop stands still between that poll and the look, as a turn that polls may be long, requests end although their answers lie in the sockets. Change: once the time is over, the sockets are polled before requests are ended. The test paused its clock only then; now it pauses it at the signal, and advances it past the end of the grace itself, so that its checks, which are the same, don't hang on how busy the machine is.

--- a/packages/gateway/src/gatewayProcess.ts
+++ b/packages/gateway/src/gatewayProcess.ts
@@ -8,7 +8,7 @@
 import { discardBody } from './discardBody.js'
 import { connectionLimitsOf } from './connectionLimits.js'
 import { GatewayCallerServer } from './gatewayCallerServer.js'
-import { ExchangeServer } from './exchangeServer.js'
+import { ExchangeServer, polled } from './exchangeServer.js'
 import { ForwardServer } from './forwardServer.js'
 import { GatewayMetrics } from './gatewayMetrics.js'
 import { GatewayPeerLinks } from './gatewayPeerLinks.js'
@@ -197,6 +197,8 @@
       await delay(checkIntervalMilliseconds)
       await this.closeIdleCallers()
     }
+    // Answers may have arrived while the event loop was behind.
+    await polled()
     const abandoned = state.executions.size
     await this.runLeaveStep('end-requests', () => state.executions.close())
     log.info('left', { abandoned, ...this.requestLog.stopCounts, total: Math.round(clock.monotonic() - signalledAt) })
--- a/packages/gateway/src/stopTestSupport.ts
+++ b/packages/gateway/src/stopTestSupport.ts
@@ -13,7 +13,7 @@
 import type { Route } from '@cuminvale/serving'
 import type { ScriptedUpstream, TestGateway, UpstreamScript } from './testSupport.js'
 
-/** The runtime's clock, which can be paused, so that steps of a test take none of the time that it is about. */
+/** The runtime's clock, which can be paused and advanced, so that steps of a test take none of the time that it is about. */
 export class PausableClock implements Clock {
   private pausedAt: number | undefined
   private pausedMilliseconds = 0
@@ -30,6 +30,11 @@
     this.pausedAt = this.monotonic()
   }
 
+  /** Only while it is paused. */
+  advanceTo (time: number): void {
+    this.pausedAt = Math.max(this.monotonic(), time)
+  }
+
   resume (): void {
     if (this.pausedAt !== undefined) this.pausedMilliseconds = runtimeClock.monotonic() - this.pausedAt
     this.pausedAt = undefined
--- a/packages/gateway/src/stopWork.test.ts
+++ b/packages/gateway/src/stopWork.test.ts
@@ -1,5 +1,7 @@
+import { connect } from 'node:net'
 import { runtimeClock } from '@cuminvale/common'
-import { afterAll, describe, expect, it } from 'vitest'
+import { afterAll, describe, expect, it, vi } from 'vitest'
+import { ExchangeServer } from './exchangeServer.js'
 import { callGateway, sealedHead, startUpstream, testHeaders, testRoute, testSettings, wait } from './testSupport.js'
 import { PausableClock, openKeptCaller, reportSouth, startStopGateway, stopLikeProcess } from './stopTestSupport.js'
 import type { UpstreamScript } from './testSupport.js'
@@ -195,6 +197,15 @@
   while (performance.now() < until) { /* busy */ }
 }
 
+const isListening = async (port: number): Promise<boolean> => await new Promise((resolve) => {
+  const socket = connect(port, '127.0.0.1')
+  socket.on('error', () => resolve(false))
+  socket.on('connect', () => {
+    socket.destroy()
+    resolve(true)
+  })
+})
+
 describe('a VM whose event loop is behind when its grace ends', () => {
   const graceMilliseconds = 3_600
   const settings = { bounds: { ...testSettings.bounds, leavingGraceMilliseconds: graceMilliseconds } }
@@ -217,20 +228,40 @@
     const answered = callGateway({ port: vm.port, path: '/orders/held' })
     while (held.length < 2) await wait(10)
     const stopped = stopLikeProcess(vm)
-    await wait((vm.gateway.state.stopPlan?.endsAt ?? 0) - 400 - clock.monotonic())
-    // On a busy machine the grace would end before the loop falls behind.
+    // However busy the machine is, the grace ends when the test says so.
     clock.pause()
+    while (await isListening(vm.port)) await wait(50)
     held[0]?.()
     await caller.ended(1)
     caller.send('/orders/1', 'next', 5_000)
     held[1]?.()
+    clock.advanceTo((vm.gateway.state.stopPlan?.endsAt ?? 0) + 600)
     clock.resume()
-    block(1_000)
+    block(100)
     await stopped
     expect(await answered).toMatchObject({ status: 200, body: 'done' })
     expect(caller.seen.text.match(/HTTP\/1.1 \d+/g)).toHaveLength(2)
   })
 
+  // Guards against a request that fails although its answer came before the end of the grace was noticed.
+  it('passes on an answer that arrived since the sockets were polled last', async () => {
+    const held: Array<() => void> = []
+    const clock = new PausableClock()
+    const vm = await start({ settings, clock, script: (request, response) => { held.push(() => response.writeHead(200, sealedHead(request)).end('done')) } })
+    const answered = callGateway({ port: vm.port, path: '/orders/held' })
+    while (held.length === 0) await wait(10)
+    const stopped = stopLikeProcess(vm)
+    clock.pause()
+    while (await isListening(vm.port)) await wait(50)
+    const closeIdle = vi.spyOn(ExchangeServer.prototype, 'closeIdleConnections').mockImplementationOnce(() => {
+      held[0]?.()
+      clock.advanceTo((vm.gateway.state.stopPlan?.endsAt ?? 0) + 1)
+    })
+    await stopped
+    closeIdle.mockRestore()
+    expect(await answered).toMatchObject({ status: 200, body: 'done' })
+  })
+
   // Guards against a grace that is counted from the handling of a signal, which waits while the loop is busy.
   it('counts the time for which the signal may have waited', async () => {
     const vm = await start({ settings })
