Read requests sent ahead only while none waits for the processor

Cause: such requests pass admission, and wait for the processor as others do. Sixteen of each connection wait at once, and as soon as some are refused, the rest of the read has the next ones, so that a crowd without a pause fills the queue before an ordinary caller, which sends one request and waits, gets a turn. Ruled out: the memory (135 MB of 350), and the bound of new connections (the other caller kept its connection). Change: what follows a request without an answer, or one of the same read, is parsed in turns only, and, while requests that were read wait for the processor, by one connection in 50 ms.

--- a/packages/gateway/src/exchangeServer.ts
+++ b/packages/gateway/src/exchangeServer.ts
@@ -46,6 +46,8 @@
   readonly maximumConnections?: number
   /** Closes a connection on which a request is open; false if none may be. Asked when there is none that waits. */
   readonly makeRoom?: () => boolean
+  /** Whether requests may be read that were sent before the answers to earlier ones of their connection. */
+  readonly mayReadAhead?: () => boolean
   /** What counts connections, open requests and unread answers; they aren't counted if undefined. */
   readonly memory?: CallerMemory | undefined
 }
@@ -61,7 +63,7 @@
 
 export class ExchangeServer extends Server {
   private readonly openConnections = new Map<Socket, Connection>()
-  private readonly turns = new ReadingTurns()
+  private readonly turns: ReadingTurns
   private acceptedCount = 0
   /** Time from the end of an answer within which its connection doesn't count as idle, since the next request may be on its way. */
   nextRequestMilliseconds = 0
@@ -70,9 +72,10 @@
    * With refuseConnection, a new connection for which it returns an answer gets
    * that answer and is closed, without anything being read as a request.
    */
-  constructor ({ acceptsUpgrades = false, memory, maximumConnections = Infinity, makeRoom = () => false, ...options }: ExchangeServerOptions, handle: RequestListener, refuseConnection?: () => string | undefined) {
+  constructor ({ acceptsUpgrades = false, memory, maximumConnections = Infinity, makeRoom = () => false, mayReadAhead = () => true, ...options }: ExchangeServerOptions, handle: RequestListener, refuseConnection?: () => string | undefined) {
     // Node would answer such requests by itself, unseen.
     super({ ...options, requireHostHeader: false })
+    this.turns = new ReadingTurns(mayReadAhead)
     // No peer sends more before its upgrade was answered.
     if (acceptsUpgrades) this.on('upgrade', (_request, socket) => this.beginUpgrade(socket as Socket))
     this.on('connection', (socket: Socket) => {
@@ -83,6 +86,7 @@
         turns: this.turns,
         mayRead: () => this.mayRead(socket),
         isInBody: () => lastOf(exchanges)?.req.complete === false,
+        hasOpenRequest: () => exchanges.size > 0,
         onLongHead: (bytes) => holding.recordLongHead(bytes)
       })
       const holding = new ConnectionHolding({ socket, exchanges, memory })
--- a/packages/gateway/src/gatewayCallerServer.ts
+++ b/packages/gateway/src/gatewayCallerServer.ts
@@ -116,6 +116,7 @@
       memory: state.callerMemory,
       maximumConnections: connectionLimitsOf(state.settings).callers,
       makeRoom: () => state.callerMemory.giveWayOne(),
+      mayReadAhead: () => !this.intake.hasWaiting,
       maxHeaderSize: maximumRequestHeaderBytes,
       connectionsCheckingInterval: headerCheckIntervalMilliseconds,
       noDelay: true
--- a/packages/gateway/src/pacedReading.ts
+++ b/packages/gateway/src/pacedReading.ts
@@ -16,11 +16,17 @@
 const sliceMilliseconds = 1
 /** Time in a turn of the event loop for all connections that wait. */
 const turnMilliseconds = 5
+/** Time after which one of the requests sent ahead is read, however many others wait. */
+const maximumAheadWaitMilliseconds = 50
 
 /** Connections that have more to parse, each in its turn. */
 export class ReadingTurns {
   private readonly waiting = new Set<PacedReading>()
   private immediate: NodeJS.Immediate | undefined
+  private aheadReadAt = 0
+
+  /** With mayReadAhead, requests that were sent ahead wait for as long as it is false. */
+  constructor (private readonly mayReadAhead: () => boolean) {}
 
   add (reading: PacedReading): void {
     this.waiting.add(reading)
@@ -35,12 +41,20 @@
     this.immediate = undefined
     const until = performance.now() + turnMilliseconds
     for (const reading of [...this.waiting]) {
+      if (reading.isAhead && !this.takesAhead()) continue
       this.waiting.delete(reading)
       reading.takeTurn()
       if (performance.now() >= until) break
     }
     if (this.waiting.size > 0) this.immediate ??= setImmediate(() => this.serve())
   }
+
+  private takesAhead (): boolean {
+    const now = performance.now()
+    if (!this.mayReadAhead() && now - this.aheadReadAt < maximumAheadWaitMilliseconds) return false
+    this.aheadReadAt = now
+    return true
+  }
 }
 
 /** Whether Node's server waits until more of its answers were sent; its parser reads nothing then. */
@@ -53,6 +67,8 @@
   readonly mayRead: () => boolean
   /** Whether the next bytes are those of a body. */
   readonly isInBody: () => boolean
+  /** Whether a request waits for its answer. */
+  readonly hasOpenRequest: () => boolean
   /** Called when the head of a request is long, and goes on. */
   readonly onLongHead: (bytes: number) => void
 }
@@ -61,11 +77,15 @@
   private readonly parse: (chunk: Buffer) => void
   /** Whether it waits for its turn. */
   private isWaiting = false
+  private hasTurn = false
   /** Whether it has paused the socket, until it may be read. */
   private isHeld = false
+  /** Whether what it holds follows a request of the same read. */
+  private isRestAhead = false
   private hasEnded = false
   /** Bytes of the head of a request that isn't complete. */
   private headBytes = 0
+  private requestCount = 0
 
   /** For a socket on which Node's server has begun to parse. */
   constructor (private readonly options: PacedReadingOptions) {
@@ -81,16 +101,22 @@
     return this.isHeld || this.isWaiting
   }
 
+  /** Whether what comes next was sent before the answer to an earlier request. */
+  get isAhead (): boolean {
+    const { isInBody, hasOpenRequest } = this.options
+    return !isInBody() && (this.isRestAhead || hasOpenRequest())
+  }
+
   /** Called once the head of a request is complete. */
   beginRequest (): void {
     this.headBytes = 0
+    this.requestCount += 1
   }
 
   /** Reads on if the connection was held and may be read again. */
   resume (): void {
     if (!this.isHeld || this.isWaiting || this.hasEnded || !this.mayRead) return
-    this.isWaiting = true
-    this.options.turns.add(this)
+    this.awaitTurn()
   }
 
   /** Parses no more; what comes is left to others. */
@@ -106,9 +132,11 @@
     const { socket } = this.options
     this.isWaiting = false
     if (this.hasEnded || socket.destroyed || !this.mayRead) return
+    this.hasTurn = true
     socket.resume()
     // Emits what the socket holds as data.
     socket.read()
+    this.hasTurn = false
   }
 
   private get mayRead (): boolean {
@@ -116,9 +144,11 @@
   }
 
   private readonly receive = (chunk: Buffer): void => {
-    const { socket, turns, isInBody, onLongHead } = this.options
+    const { socket, isInBody, onLongHead } = this.options
     if (this.isWaiting || !this.mayRead) return this.hold(chunk)
-    this.isHeld = false
+    if (!this.hasTurn && this.isAhead) return this.holdForTurn(chunk)
+    this.isHeld = this.isRestAhead = false
+    const { requestCount } = this
     let until: number | undefined
     for (let offset = 0; ;) {
       const isBody = isInBody()
@@ -130,18 +160,27 @@
       if (this.headBytes >= longHeadBytes) onLongHead(this.headBytes)
       if (offset === chunk.length || this.hasEnded || socket.destroyed) return
       const rest = chunk.subarray(offset)
+      this.isRestAhead = this.requestCount > requestCount
       // Node has paused it until the body is read, and resumes it.
       if (socket.isPaused()) return socket.unshift(rest)
       if (!this.mayRead) return this.hold(rest)
+      if (!this.hasTurn && this.isAhead) return this.holdForTurn(rest)
       const now = performance.now()
       until ??= now + sliceMilliseconds
-      if (now < until) continue
-      this.hold(rest)
-      this.isWaiting = true
-      return turns.add(this)
+      if (now >= until) return this.holdForTurn(rest)
     }
   }
 
+  private holdForTurn (rest: Buffer): void {
+    this.hold(rest)
+    this.awaitTurn()
+  }
+
+  private awaitTurn (): void {
+    this.isWaiting = true
+    this.options.turns.add(this)
+  }
+
   /** In the socket, so that its end isn't seen before the rest was parsed. */
   private hold (rest: Buffer): void {
     const { socket } = this.options
--- a/packages/gateway/src/requestIntake.ts
+++ b/packages/gateway/src/requestIntake.ts
@@ -51,6 +51,11 @@
     this.overloadLog = new OverloadLog(log)
   }
 
+  /** Whether requests that were read wait for the processor. */
+  get hasWaiting (): boolean {
+    return this.queue.size > 0
+  }
+
   /** Upper bound of the time for which a request that is read now has lain in its socket; 0 unless turns are long. */
   unreadMilliseconds (now: number): number {
     return this.unreadSince === undefined ? 0 : now - this.unreadSince
--- a/packages/gateway/src/requestsAhead.test.ts
+++ b/packages/gateway/src/requestsAhead.test.ts
@@ -2,6 +2,7 @@
 import { ExchangeServer } from './exchangeServer.js'
 import { callGateway, listen, openRawClient, patiently, sealedHead, startTestGateway, startUpstream, testDocument, testHeaders, testRoute, wait } from './testSupport.js'
 import type { ServerResponse } from 'node:http'
+import type { ExchangeServerOptions } from './exchangeServer.js'
 import type { RawClient, TestGateway } from './testSupport.js'
 
 const stops: Array<() => void> = []
@@ -21,9 +22,9 @@
 }
 
 /** A server whose answers the test gives. */
-const startServer = async (): Promise<Held> => {
+const startServer = async (options: ExchangeServerOptions = {}): Promise<Held> => {
   const responses: ServerResponse[] = []
-  const server = new ExchangeServer({}, (request, response) => {
+  const server = new ExchangeServer(options, (request, response) => {
     request.resume()
     responses.push(response)
   })
@@ -61,6 +62,16 @@
     expect(responses).toHaveLength(200)
   })
 
+  // Guards against a caller that is never answered while others wait for the processor all the time.
+  it('are read now and then though others wait for the processor, and the first of them at once', async () => {
+    const { client, responses } = await startServer({ mayReadAhead: () => false })
+    client.socket.write(requestText('/').repeat(20))
+    for (let index = 0; index < 20; index += 1) {
+      await vi.waitUntil(() => responses.length > index, patiently)
+      responses[index]?.end('done')
+    }
+  })
+
   it('do not keep the body of the last of them from being read', async () => {
     const { client, responses } = await startServer()
     client.socket.write(`${requestText('/').repeat(15)}POST / HTTP/1.1\r\nhost: shop.example\r\ncontent-length: 100000\r\n\r\n${'x'.repeat(100_000)}`)
