Count answers that the kernel holds for callers who send ahead

Cause: answers that the kernel has taken were counted nowhere. A connection gives way only if bytes wait in the process, which begins once the kernel has taken more than a megabyte. Ruled out: the answers of upstreams that are held (22 to 35 MB at most), and bodies (there are none). Change: beyond 64 KiB, and up to 4 MiB, a connection counts what was sent since its caller has shown that it has read. That is a request that came after the answers to all others; who has sent ahead once shows nothing any more.

--- a/packages/gateway/src/connectionHolding.test.ts
+++ b/packages/gateway/src/connectionHolding.test.ts
@@ -24,8 +24,31 @@
     stalled.grow(40_000)
     now += stalledMilliseconds
     exchanges.add({ req: { complete: false }, headersSent: false } as unknown as ServerResponse)
-    holding.begin()
+    holding.begin({ hasSentAhead: false })
     memory.hold({ canGiveWay: () => false, giveWay: () => { /* stays */ } }).grow(40_000)
     expect(gone).toEqual(['stalled'])
   })
+
+  // Guards against answers that lie in the kernel until the machine is out of memory, as nobody reads them.
+  it('counts what was sent to a caller that sends ahead, and not what one has read that waits for its answers', () => {
+    const memory = new CallerMemory({ clock: runtimeClock, maximumBytes: 100_000_000 })
+    const open = (hasSentAhead: boolean): void => {
+      const socket = { writableLength: 0, bytesWritten: 0 }
+      const exchanges = new Set<ServerResponse>()
+      const holding = new ConnectionHolding({ socket: socket as Socket, exchanges, memory })
+      holding.open()
+      for (let answer = 0; answer < 20; answer += 1) {
+        const response = {} as ServerResponse
+        exchanges.add(response)
+        holding.begin({ hasSentAhead })
+        socket.bytesWritten += 100_000
+        exchanges.delete(response)
+        holding.end()
+      }
+    }
+    open(false)
+    expect(memory.total).toBeLessThan(100_000)
+    open(true)
+    expect(memory.total).toBeGreaterThan(1_900_000)
+  })
 })
--- a/packages/gateway/src/connectionHolding.ts
+++ b/packages/gateway/src/connectionHolding.ts
@@ -12,6 +12,10 @@
 
 /** The parser keeps the fields of a head as strings beside the bytes that it copies. */
 const headCostFactor = 2
+/** Sent bytes that are counted with their connection; ordinary answers are shorter. */
+const ordinarySentBytes = 65_536
+/** Most that the kernel holds of what is sent on a connection, by its default. */
+const sendBufferBytes = 4_194_304
 
 export interface ConnectionHoldingOptions {
   readonly socket: Socket
@@ -24,6 +28,8 @@
   private readonly holder: MemoryHolder | undefined
   private headBytes = 0
   private sentBytes = 0
+  /** Bytes that were sent by the time at which the caller last asked for more than it had. */
+  private readBytes = 0
   /** Time of the last byte that was sent, while some wait. */
   private sentAt = 0
 
@@ -40,9 +46,10 @@
     return this.holder?.grow(connectionCostBytes) !== false
   }
 
-  /** Counts a request that has begun. */
-  begin (): void {
+  /** Counts a request that has begun. A caller that waits for its answers shows with the next request that it has read them. */
+  begin ({ hasSentAhead }: { readonly hasSentAhead: boolean }): void {
     this.headBytes = 0
+    if (!hasSentAhead) this.readBytes = this.takenBytes
     // The time for which it was idle is none without progress.
     if (this.options.exchanges.size === 1) this.holder?.restart()
     this.measure()
@@ -86,7 +93,18 @@
     if (this.holder === undefined) return
     const { size } = this.options.exchanges
     const unreadBytes = size < maximumOpenRequests ? 0 : unreadCostBytes
-    this.holder.resize(connectionCostBytes + size * exchangeCostBytes + unreadBytes + headCostFactor * this.headBytes + this.unsentBytes)
+    this.holder.resize(connectionCostBytes + size * exchangeCostBytes + unreadBytes + headCostFactor * this.headBytes + this.unsentBytes + this.kernelBytes)
+  }
+
+  /** Bytes that the kernel has taken. */
+  private get takenBytes (): number {
+    const { socket } = this.options
+    return socket.bytesWritten - socket.writableLength
+  }
+
+  /** What the kernel may hold of answers, as the caller hasn't shown that it has read them. */
+  private get kernelBytes (): number {
+    return Math.min(sendBufferBytes, Math.max(0, this.takenBytes - this.readBytes - ordinarySentBytes))
   }
 
   /** Bytes of answers that wait in the responses and in the socket. */
@@ -104,8 +122,7 @@
   /** Records what was sent since; false if nothing waits to be sent. */
   private recordSent (): boolean {
     if (this.unsentBytes === 0) return false
-    const { socket } = this.options
-    const sentBytes = socket.bytesWritten - socket.writableLength
+    const sentBytes = this.takenBytes
     if (sentBytes === this.sentBytes) return true
     this.holder?.recordProgress(sentBytes - this.sentBytes)
     this.sentBytes = sentBytes
--- a/packages/gateway/src/exchangeServer.ts
+++ b/packages/gateway/src/exchangeServer.ts
@@ -288,7 +288,7 @@
     }
     connection.exchanges.add(response)
     connection.reading.beginRequest()
-    connection.holding.begin()
+    connection.holding.begin({ hasSentAhead: connection.reading.hasSentAhead })
     if (hasBody(request)) {
       // Node calls this after the answer, which may be a refusal that comes before the end of the body.
       socket.destroySoon = () => {
--- a/packages/gateway/src/pacedReading.ts
+++ b/packages/gateway/src/pacedReading.ts
@@ -80,12 +80,13 @@
   private hasTurn = false
   /** Whether it has paused the socket, until it may be read. */
   private isHeld = false
-  /** Whether what it holds follows a request of the same read. */
-  private isRestAhead = false
+  /** Whether what is parsed next follows a request of the same read, or one that waits for its answer. */
+  private followsRequest = false
   private hasEnded = false
   /** Bytes of the head of a request that isn't complete. */
   private headBytes = 0
-  private requestCount = 0
+  /** Whether a request has come on it before the answer to an earlier one was sent. */
+  hasSentAhead = false
 
   /** For a socket on which Node's server has begun to parse. */
   constructor (private readonly options: PacedReadingOptions) {
@@ -104,13 +105,14 @@
   /** Whether what comes next was sent before the answer to an earlier request. */
   get isAhead (): boolean {
     const { isInBody, hasOpenRequest } = this.options
-    return !isInBody() && (this.isRestAhead || hasOpenRequest())
+    return !isInBody() && (this.followsRequest || hasOpenRequest())
   }
 
   /** Called once the head of a request is complete. */
   beginRequest (): void {
     this.headBytes = 0
-    this.requestCount += 1
+    if (this.followsRequest) this.hasSentAhead = true
+    this.followsRequest = true
   }
 
   /** Reads on if the connection was held and may be read again. */
@@ -147,8 +149,8 @@
     const { socket, isInBody, onLongHead } = this.options
     if (this.isWaiting || !this.mayRead) return this.hold(chunk)
     if (!this.hasTurn && this.isAhead) return this.holdForTurn(chunk)
-    this.isHeld = this.isRestAhead = false
-    const { requestCount } = this
+    this.followsRequest = this.isAhead
+    this.isHeld = false
     let until: number | undefined
     for (let offset = 0; ;) {
       const isBody = isInBody()
@@ -158,9 +160,9 @@
       if (!isBody) this.headBytes += piece.length
       this.parse(piece)
       if (this.headBytes >= longHeadBytes) onLongHead(this.headBytes)
+      if (offset === chunk.length) this.followsRequest = false
       if (offset === chunk.length || this.hasEnded || socket.destroyed) return
       const rest = chunk.subarray(offset)
-      this.isRestAhead = this.requestCount > requestCount
       // Node has paused it until the body is read, and resumes it.
       if (socket.isPaused()) return socket.unshift(rest)
       if (!this.mayRead) return this.hold(rest)
