Count messages that links between VMs haven't brought to their end

Cause: a message has a limit of 16 MiB and their sum had none; anybody who reaches the port can open a link. By reading: a message in parts of a byte took an object for each of them, up to 16,384. Ruled out: the memory after a whole message, which is dropped at once. Change: what has come of a message counts in CallerMemory until the message is whole, with 256 bytes for each read; beyond 64 KiB the link may be closed when there is no room. A message has 64 parts at most; VMs send one.

--- a/packages/gateway/src/endlessLinks.test.ts
+++ b/packages/gateway/src/endlessLinks.test.ts
@@ -104,6 +104,20 @@
   })
 })
 
+// Guards against parts of messages that end the process, as each of them costs far more than its bytes.
+describe('a message between VMs in very short parts', () => {
+  it('closes its link', async () => {
+    const { port } = await startLinks()
+    const socket = new WebSocket(`ws://127.0.0.1:${port}${linkPath}`)
+    const closed = new Promise<number>((resolve) => socket.on('close', resolve))
+    socket.on('error', () => { /* 'close' follows */ })
+    await new Promise((resolve) => socket.on('open', resolve))
+    for (let sent = 0; sent < 1_000; sent += 1) socket.send('x', { fin: false })
+    expect([1_006, 1_008]).toContain(await closed)
+    expect(uncaught).toEqual([])
+  })
+})
+
 // Guards against a link that is dialled for ever, so that its VM is never reached again.
 describe.each(senders)('a VM that answers a dial %s and without end', (_speed, send) => {
   it.each([['in a head', 'HTTP/1.1 101 Switching Protocols\r\n', 'x-a: b\r\n'], ['in informational heads', '', 'HTTP/1.1 103 Early\r\n\r\n'], ['in a body', 'HTTP/1.1 200 OK\r\n\r\n', 'x']])('%s is given up at the time limit', async (_case, head, unit) => {
--- a/packages/gateway/src/gatewayPeerLinks.ts
+++ b/packages/gateway/src/gatewayPeerLinks.ts
@@ -16,6 +16,7 @@
 import { LinkedPeers } from './linkedPeers.js'
 import { OutgoingLink, linkPath } from './outgoingLink.js'
 import { readFrame } from './linkFrames.js'
+import { holdUnfinishedMessages, maximumMessageParts } from './linkHolding.js'
 import { packMessage } from './linkMessages.js'
 import { describeError } from './errors.js'
 import { RecordFeed } from './recordFeed.js'
@@ -128,8 +129,11 @@
     state.limitExchange.sendToRegion = (message) => this.sendToRegion(message)
     state.starts.announceCold = (message) => this.sendToRegion(message)
     state.announceLeaving = ({ id, startedAt }) => this.sendToRegion(packMessage({ kind: 'upstream-leaving', upstream: id, startedAt }))
-    this.webSocketServer = new WebSocketServer({ server, path: linkPath, perMessageDeflate: false, maxPayload: maximumLinkMessageBytes })
-    this.webSocketServer.on('connection', (socket) => this.accept(socket))
+    this.webSocketServer = new WebSocketServer({ server, path: linkPath, perMessageDeflate: false, maxPayload: maximumLinkMessageBytes, maxFragments: maximumMessageParts })
+    this.webSocketServer.on('connection', (link, request) => {
+      holdUnfinishedMessages({ link, socket: request.socket, memory: state.callerMemory })
+      this.accept(link)
+    })
     this.webSocketServer.on('error', (error) => state.log.warn('link-server-error', { detail: error.message }))
   }
 
