Let connections with several requests give way

Cause: a whole request may run, and can't be refused any more. But its connection can be reset, which promises nothing. Change: a connection with several open requests may be reset when there is no room; one with a single whole request stays. One request on each connection doesn't fill the memory, as 1,462 connections with 32 KiB take 48 of 70 MB (arithmetic).

--- a/packages/gateway/src/connectionHolding.test.ts
+++ b/packages/gateway/src/connectionHolding.test.ts
@@ -29,6 +29,24 @@
     expect(gone).toEqual(['stalled'])
   })
 
+  // Guards against callers that are turned away since others have sent whole requests ahead, which wait for slow upstreams.
+  it('gives way with several whole requests, and not with one', () => {
+    const memory = new CallerMemory({ clock: runtimeClock, maximumBytes: 200_000 })
+    const gone: number[] = []
+    for (const requests of [1, 2, 1, 3]) {
+      const socket = { writableLength: 0, bytesWritten: 0, resetAndDestroy: () => { gone.push(requests) } } as unknown as Socket
+      const exchanges = new Set<ServerResponse>()
+      const holding = new ConnectionHolding({ socket, exchanges, memory })
+      holding.open()
+      for (let request = 0; request < requests; request += 1) {
+        exchanges.add({ req: { complete: true }, headersSent: false, socket: null, writableLength: 0 } as unknown as ServerResponse)
+        holding.begin({ hasSentAhead: request > 0 })
+      }
+    }
+    while (memory.giveWayOne()) { /* all that can */ }
+    expect(gone.sort()).toEqual([2, 3])
+  })
+
   // Guards against answers that lie in the kernel until the machine is out of memory, as nobody reads them.
   it('counts what was sent to a caller that sends ahead, and not what one has read that waits for its answers', () => {
     const memory = new CallerMemory({ clock: runtimeClock, maximumBytes: 100_000_000 })
--- a/packages/gateway/src/connectionHolding.ts
+++ b/packages/gateway/src/connectionHolding.ts
@@ -1,8 +1,8 @@
 /**
  * What a VM holds for one connection of a caller beside long bodies: the
  * connection itself, its open requests, and the answers that the caller doesn't
- * read. It may be closed when there is no room, unless a whole request waits for
- * its answer; with unread answers it is reset.
+ * read. It may be closed when there is no room, unless it has one whole request
+ * that waits for its answer; with unread answers, or several requests, it is reset.
  */
 
 import { connectionCostBytes, exchangeCostBytes, maximumOpenRequests, unreadCostBytes } from './constants.js'
@@ -36,7 +36,7 @@
   constructor (private readonly options: ConnectionHoldingOptions) {
     const { socket, exchanges } = options
     this.holder = options.memory?.hold({
-      canGiveWay: () => exchanges.size === 0 || this.hasUnreadRequest || this.recordSent(),
+      canGiveWay: () => exchanges.size !== 1 || this.hasUnreadRequest || this.recordSent(),
       giveWay: () => exchanges.size === 0 || this.hasUnreadRequest ? socket.destroy() : socket.resetAndDestroy()
     })
   }
