Run the tests of streams of several versions apart from others

Cause, by the times of the failing runs: eight gateways and their upstreams share one process, which needs most of a core, while as many other test files run as there are cores; streams then end at their deadline. Not traced stream by stream. Change: the file runs with those that measure whole processes, one at a time after all others. Its checks are the same.

--- a/vitest.isolated.config.ts
+++ b/vitest.isolated.config.ts
@@ -1,7 +1,9 @@
 import config from './vitest.config'
 
-/** Tests that measure a whole process: one at a time, apart from all others. */
+const folders = ['packages/*/src', 'platform/src', 'platform/soak/src']
+
+/** Tests that measure a whole process, or what is served in real time: one at a time, apart from all others. */
 export default {
   ...config,
-  test: { ...config.test, include: ['platform/src/**/*.isolated.test.ts', 'platform/soak/src/**/*.isolated.test.ts'], exclude: [], fileParallelism: false }
+  test: { ...config.test, include: folders.map((folder) => `${folder}/**/*.isolated.test.ts`), exclude: [], fileParallelism: false }
 }
