Count the body of a request that goes on after its caller has left

Cause: the body's holder was released as the connection closed. The order goes on at the upstream without its caller, and the HTTP client keeps the body until the answer, so that each connection left one behind for each place of a slow upstream. Evidence: the resident set has it, while the sum of CallerMemory stays under its limit of 44 MB. Ruled out: bodies that wait for a place, whose requests end with the connection. Change: a call whose listener has left counts its body until it ends, and may give way as other holders do: its connection to the upstream is closed, as nobody waits for the answer.

--- a/packages/gateway/src/gatewayState.ts
+++ b/packages/gateway/src/gatewayState.ts
@@ -174,12 +174,12 @@
     })
     this.signs = new UpstreamSigns({ clock, log: options.log, upstreams: this.upstreams, reach: this.reach, starts: this.starts, isHere })
     this.rateLimiter = new TeamRateLimiter({ clock, heardShare: () => this.peers.heardShare() })
-    const { bounds } = settings
     this.retries = new RetryBudget({
-      clock, draw: rendezvousScore('retry-margin', settings.vm), ratio: bounds.retryRatio, margin: bounds.retryMargin, windowSeconds: bounds.retryWindowSeconds, vmCount: () => this.peers.count + spareVmCount
+      clock, draw: rendezvousScore('retry-margin', settings.vm), ratio: settings.bounds.retryRatio, margin: settings.bounds.retryMargin, windowSeconds: settings.bounds.retryWindowSeconds, vmCount: () => this.peers.count + spareVmCount
     })
     this.connections = new UpstreamConnections({
       clock,
+      memory: this.callerMemory,
       onOpened: () => options.metrics.connections.inc(),
       onLost: (upstream) => this.signs.connectionEnded(upstream, StartSign.Lost),
       onUnwatched: (upstream) => this.signs.connectionEnded(upstream, StartSign.Unwatched)
--- a/packages/gateway/src/upstreamCall.ts
+++ b/packages/gateway/src/upstreamCall.ts
@@ -3,10 +3,12 @@
  */
 
 import { AnswerFraming, framingOf } from './answerFraming.js'
+import { firstBlockBytes } from './blockBuffer.js'
 import { CallFailure, CallFailureKind } from './errors.js'
 import { detachedRunTimeoutMilliseconds, discardedAnswerTimeoutMilliseconds, maximumDiscardedAnswerBytes, misdirectedStatus, refusedStatus } from './constants.js'
 import type { AdmittedRequest, AnswerNaming } from '@cuminvale/serving'
 import type { Dispatcher } from 'undici'
+import type { MemoryHolder } from './callerMemory.js'
 import type { AnswerHead } from './types.js'
 import type { UpstreamConnection, UpstreamConnections } from './upstreamConnections.js'
 
@@ -50,6 +52,9 @@
   /** Bytes of the body that were read after the listener was detached. */
   private discardedBytes = 0
   private framing: AnswerFraming = AnswerFraming.Length
+  private bodyBytes = 0
+  /** Counts the body once nobody else does, as the client keeps it until the answer. */
+  private holder: MemoryHolder | undefined
 
   constructor (
     private readonly connections: UpstreamConnections,
@@ -58,6 +63,7 @@
   ) {}
 
   send ({ method, path, headers, body }: UpstreamCallOptions): void {
+    this.bodyBytes = body?.length ?? 0
     this.connection.overhead.mark()
     this.connection.client.dispatch({ method: method as Dispatcher.HttpMethod, path, headers, body }, this)
   }
@@ -86,9 +92,8 @@
   /** Cancels the call and closes its connection; the listener is not called again. */
   abort (): void {
     if (this.isOver) return
-    this.isOver = true
+    this.finish()
     this.connections.drop(this.connection)
-    this.connections.detachedCalls.delete(this)
   }
 
   /**
@@ -98,6 +103,8 @@
   detach ({ answerTimeoutMilliseconds = detachedRunTimeoutMilliseconds }: DetachOptions = {}): void {
     if (this.isOver) return
     this.isDetached = true
+    this.holdBody()
+    if (this.isOver) return
     this.connections.detachedCalls.add(this, this.isAnswered ? discardedAnswerTimeoutMilliseconds : answerTimeoutMilliseconds)
     this.controller?.resume()
   }
@@ -140,9 +147,8 @@
     if (this.isOver) return
     const { wasReset, wasEnded } = this.connection
     if (wasReset || (wasEnded && this.framing === AnswerFraming.Chunks)) return this.fail(CallFailureKind.Broken, 'the connection ended before the answer did')
-    this.isOver = true
+    this.finish()
     this.connection.overhead.mark()
-    this.connections.detachedCalls.delete(this)
     const isWhole = this.isDetached || this.listener.onEnd(this.framing)
     if (isWhole && this.mayReuse) this.connections.release(this.connection)
     else this.connections.drop(this.connection)
@@ -163,10 +169,21 @@
     if (this.discardedBytes > maximumDiscardedAnswerBytes) this.abort()
   }
 
-  private fail (kind: CallFailureKind, detail: string): void {
+  private holdBody (): void {
+    if (this.bodyBytes <= firstBlockBytes) return
+    this.holder ??= this.connections.memory.hold({ canGiveWay: () => true, giveWay: () => this.abort() })
+    this.holder.resize(this.bodyBytes)
+  }
+
+  private finish (): void {
     this.isOver = true
-    this.connections.drop(this.connection)
+    this.holder?.release()
     this.connections.detachedCalls.delete(this)
+  }
+
+  private fail (kind: CallFailureKind, detail: string): void {
+    this.finish()
+    this.connections.drop(this.connection)
     if (!this.isDetached) this.listener.onFailure(new CallFailure(kind, detail))
   }
 }
--- a/packages/gateway/src/upstreamConnections.ts
+++ b/packages/gateway/src/upstreamConnections.ts
@@ -11,6 +11,7 @@
 import type { Socket } from 'node:net'
 import type { Clock, UpstreamId } from '@cuminvale/common'
 import type { AnnouncedUpstream } from '@cuminvale/serving'
+import type { CallerMemory } from './callerMemory.js'
 
 export interface UpstreamConnection {
   readonly client: Client
@@ -43,6 +44,8 @@
 
 export interface UpstreamConnectionsOptions {
   readonly clock: Clock
+  /** Counts the bodies of calls whose answers nobody waits for. */
+  readonly memory: CallerMemory
   readonly onOpened: () => void
   /** Called when a connection on which an upstream had answered ends other than by its keep-alive. */
   readonly onLost?: (upstream: UpstreamId) => void
@@ -75,6 +78,10 @@
     this.detachedCalls = new DetachedCalls(options.clock)
   }
 
+  get memory (): CallerMemory {
+    return this.options.memory
+  }
+
   /** Returns the most recently used idle connection, or a new one. */
   acquire (upstream: AnnouncedUpstream, { isOrder, isSingleUse }: ConnectionNeeds): UpstreamConnection {
     if (isSingleUse) return this.open(upstream, isSingleUse)
--- a/packages/gateway/src/withheldRequests.test.ts
+++ b/packages/gateway/src/withheldRequests.test.ts
@@ -1,5 +1,6 @@
 import { runtimeClock } from '@cuminvale/common'
 import { afterEach, describe, expect, it } from 'vitest'
+import { CallerMemory } from './callerMemory.js'
 import { CallFailureKind } from './errors.js'
 import { callGateway, sealedHead, startTestGateway, startUpstream, testDocument, testRoute } from './testSupport.js'
 import { UpstreamCall } from './upstreamCall.js'
@@ -14,7 +15,7 @@
   // Guards against requests that were placed while their upstream was warm, and reach its new start together.
   it('is not written, and fails as one that was not sent', async () => {
     const upstream = await startUpstream('u1', (request, response) => { response.writeHead(200, sealedHead(request)).end('done') })
-    const connections = new UpstreamConnections({ clock: runtimeClock, onOpened: () => { /* not counted */ } })
+    const connections = new UpstreamConnections({ clock: runtimeClock, memory: new CallerMemory({ clock: runtimeClock, maximumBytes: Infinity }), onOpened: () => { /* not counted */ } })
     const failure = await new Promise<CallFailure>((resolve, reject) => {
       const unexpected = (): never => { throw new Error('the request was answered') }
       const connection = connections.acquire(upstream.announced, { isOrder: true, isSingleUse: false })
