Let the event loop wait while only requests ahead are held back

Seen by reading: while all connections that wait have requests ahead that may not be read yet, as always at readiness, directory and metrics, each turn of the event loop asked for the next one, so that the process never slept. Change: if none was read, the next look comes after 5 ms; a body that waits still gets the next turn. A listener that throws in a turn no longer leaves the connection with one.

--- a/packages/gateway/src/pacedReading.ts
+++ b/packages/gateway/src/pacedReading.ts
@@ -18,6 +18,8 @@
 const turnMilliseconds = 5
 /** Time after which one of the requests sent ahead is read, however many others wait. */
 const maximumAheadWaitMilliseconds = 50
+/** Interval at which is looked whether they may be read, while nothing else is. */
+const aheadCheckMilliseconds = 5
 /** Part of a request that is parsed as it comes, though other connections wait. */
 const ordinaryRequestBytes = 65_536
 
@@ -25,6 +27,7 @@
 export class ReadingTurns {
   private readonly waiting = new Set<PacedReading>()
   private immediate: NodeJS.Immediate | undefined
+  private timer: NodeJS.Timeout | undefined
   private aheadReadAt = 0
 
   /** With mayReadAhead, requests that were sent ahead wait for as long as it is false. */
@@ -36,23 +39,33 @@
 
   add (reading: PacedReading): void {
     this.waiting.add(reading)
-    this.immediate ??= setImmediate(() => this.serve())
+    this.serveNext()
   }
 
   delete (reading: PacedReading): void {
     this.waiting.delete(reading)
   }
 
+  private serveNext (): void {
+    clearTimeout(this.timer)
+    this.immediate ??= setImmediate(() => this.serve())
+  }
+
   private serve (): void {
     this.immediate = undefined
+    let hasServed = false
     const until = performance.now() + turnMilliseconds
     for (const reading of [...this.waiting]) {
       if (reading.isAhead && !this.takesAhead()) continue
       this.waiting.delete(reading)
       reading.takeTurn()
+      hasServed = true
       if (performance.now() >= until) break
     }
-    if (this.waiting.size > 0) this.immediate ??= setImmediate(() => this.serve())
+    if (this.waiting.size === 0) return
+    if (hasServed) return this.serveNext()
+    // An immediate would keep the event loop from waiting for the sockets.
+    this.timer = setTimeout(() => this.serve(), aheadCheckMilliseconds)
   }
 
   private takesAhead (): boolean {
@@ -143,10 +156,13 @@
     this.isWaiting = false
     if (this.hasEnded || socket.destroyed || !this.mayRead) return
     this.hasTurn = true
-    socket.resume()
-    // Emits what the socket holds as data.
-    socket.read()
-    this.hasTurn = false
+    try {
+      socket.resume()
+      // Emits what the socket holds as data.
+      socket.read()
+    } finally {
+      this.hasTurn = false
+    }
   }
 
   private get mayRead (): boolean {
