Count whole bodies for a moment after they are dropped

Cause: most of these bodies are refused as soon as they are whole, as the upstream is full. Each leaves 4 MB in one piece and the blocks that it came in, which are free only when the collector has come. It comes later on a busy machine, and bodies do not wait for it, as nothing held shows them. Ruled out: what is held (44 MB at most), and the kernel (14 MB). Change: up to 32 MiB of blocks are kept for the next body in place of 8, so that half-read ones leave none behind. A whole body counts for 0.5 s after it is dropped: while that and what is held exceed the limit, half-read bodies beyond 4 KiB are refused as for want of room. Short requests are not, and in calm nobody is.

--- a/packages/gateway/src/blockBuffer.ts
+++ b/packages/gateway/src/blockBuffer.ts
@@ -7,8 +7,8 @@
 /** Longest first block; shorter ones come from Node's own pool. */
 export const firstBlockBytes = 4_096
 const blockBytes = 65_536
-/** Free blocks that are kept; 8 MiB. */
-const maximumFreeBlocks = 128
+/** Free blocks that are kept; 32 MiB. */
+const maximumFreeBlocks = 512
 
 export class BlockPool {
   private readonly free: Buffer[] = []
--- a/packages/gateway/src/callerMemory.test.ts
+++ b/packages/gateway/src/callerMemory.test.ts
@@ -83,6 +83,19 @@
     expect(gone).toEqual(['long'])
   })
 
+  // Guards against bodies that come faster than those before them are collected, which no sum of what is held shows.
+  it('knows of whole bodies that were dropped a moment ago', () => {
+    const { memory, hold } = create()
+    for (const name of ['first', 'second']) {
+      const body = hold(name, 0)
+      body.holdWhole(600_000)
+      body.release()
+    }
+    expect([memory.total, memory.awaitsCollection]).toEqual([0, true])
+    now = 1_000
+    expect(memory.awaitsCollection).toBe(false)
+  })
+
   it('counts what is released no more', () => {
     const { memory, hold } = create()
     const holder = hold('one', 500)
--- a/packages/gateway/src/callerMemory.ts
+++ b/packages/gateway/src/callerMemory.ts
@@ -13,6 +13,8 @@
 const longHolderShare = 0.75
 /** Share of the limit down to which room is made, so that not each growth looks for the next holder. */
 const roomShare = 0.95
+/** Time for which a whole body still takes memory after it is dropped: until the collector has come, also on a busy machine. */
+const collectingMilliseconds = 500
 /** Rate at which what comes or goes moves a holder on in time. */
 const progressBytesPerSecond = 65_536
 
@@ -25,6 +27,7 @@
 export class MemoryHolder {
   private held = 0
   private hasEnded = false
+  private isCollected = false
   /** Time up to which its bytes would have come at the rate of progress. */
   private progressAt: number
 
@@ -52,6 +55,12 @@
     return this.memory.add(bytes, this) && !this.hasEnded
   }
 
+  /** Sets what it holds, in memory that isn't used again: it is free once it is collected. */
+  holdWhole (bytes: number): void {
+    this.isCollected = true
+    this.resize(bytes)
+  }
+
   /** Sets what it holds. */
   resize (bytes: number): boolean {
     return this.grow(bytes - this.held)
@@ -70,6 +79,7 @@
     if (this.hasEnded) return
     this.hasEnded = true
     this.memory.remove(this)
+    if (this.isCollected && this.held > ordinaryBytes) this.memory.recordDropped(this.held)
   }
 
   /** Called by CallerMemory. */
@@ -90,6 +100,9 @@
   /** The memory of bodies. */
   readonly blocks = new BlockPool()
   private used = 0
+  /** What was dropped, and is not collected yet, the oldest first. */
+  private readonly dropped: Array<{ readonly bytes: number, readonly collectedAt: number }> = []
+  private droppedBytes = 0
   private readonly holders = new Set<MemoryHolder>()
 
   constructor (private readonly options: CallerMemoryOptions) {}
@@ -121,6 +134,17 @@
     return bytes <= 0 || this.used <= limit || this.makeRoom(limit, holder)
   }
 
+  /** Whether there would be room, but for what was dropped and isn't collected yet. */
+  get awaitsCollection (): boolean {
+    return this.used + this.countDropped() > this.options.maximumBytes
+  }
+
+  /** Counts bytes that nobody holds any more, until they are collected. */
+  recordDropped (bytes: number): void {
+    this.dropped.push({ bytes, collectedAt: this.now + collectingMilliseconds })
+    this.droppedBytes += bytes
+  }
+
   remove (holder: MemoryHolder): void {
     if (this.holders.delete(holder)) this.used -= holder.bytes
   }
@@ -132,6 +156,20 @@
     return worst !== undefined
   }
 
+  letGiveWay (holder: MemoryHolder): void {
+    this.options.onGivenWay?.(holder.bytes)
+    holder.giveWay()
+  }
+
+  private countDropped (): number {
+    const { now } = this
+    for (let [oldest] = this.dropped; oldest !== undefined && oldest.collectedAt <= now; [oldest] = this.dropped) {
+      this.dropped.shift()
+      this.droppedBytes -= oldest.bytes
+    }
+    return this.droppedBytes
+  }
+
   private makeRoom (limit: number, grown: MemoryHolder): boolean {
     for (const holder of this.ranked()) {
       if (this.used <= limit * roomShare) break
@@ -143,11 +181,6 @@
     return this.used <= limit
   }
 
-  private letGiveWay (holder: MemoryHolder): void {
-    this.options.onGivenWay?.(holder.bytes)
-    holder.giveWay()
-  }
-
   /** Those that can give way, the first one first. */
   private ranked (): readonly MemoryHolder[] {
     const { now } = this
--- a/packages/gateway/src/countedBody.ts
+++ b/packages/gateway/src/countedBody.ts
@@ -47,7 +47,7 @@
   take (): { readonly bytes: Buffer, readonly holder: MemoryHolder | undefined } {
     this.isOver = true
     const bytes = this.buffer.take()
-    this.holder?.resize(bytes.length)
+    this.holder?.holdWhole(bytes.length)
     return { bytes, holder: this.holder }
   }
 
@@ -66,6 +66,8 @@
         this.options.onNoRoom()
       }
     })
-    return this.holder.grow(bytes) && !this.isOver
+    const { memory } = this.options
+    if (this.holder.grow(bytes) && memory.awaitsCollection) memory.letGiveWay(this.holder)
+    return !this.isOver
   }
 }
--- a/packages/gateway/src/upstreamCall.ts
+++ b/packages/gateway/src/upstreamCall.ts
@@ -172,7 +172,7 @@
   private holdBody (): void {
     if (this.bodyBytes <= firstBlockBytes) return
     this.holder ??= this.connections.memory.hold({ canGiveWay: () => true, giveWay: () => this.abort() })
-    this.holder.resize(this.bodyBytes)
+    this.holder.holdWhole(this.bodyBytes)
   }
 
   private finish (): void {
