--- a/packages/gateway/src/callerMemory.ts
+++ b/packages/gateway/src/callerMemory.ts
@@ -27,6 +27,7 @@
 export class MemoryHolder {
   private held = 0
   private hasEnded = false
+  /** Whether its memory is free only once it is collected. */
   private isCollected = false
   /** Time up to which its bytes would have come at the rate of progress. */
   private progressAt: number
@@ -55,7 +56,7 @@
     return this.memory.add(bytes, this) && !this.hasEnded
   }
 
-  /** Sets what it holds, in memory that isn't used again: it is free once it is collected. */
+  /** Sets what it holds, in one piece that no other holder uses afterwards. */
   holdWhole (bytes: number): void {
     this.isCollected = true
     this.resize(bytes)
--- a/packages/gateway/src/pacedReading.ts
+++ b/packages/gateway/src/pacedReading.ts
@@ -16,9 +16,9 @@
 const sliceMilliseconds = 1
 /** Time in a turn of the event loop for all connections that wait. */
 const turnMilliseconds = 5
-/** Time after which one of the requests sent ahead is read, however many others wait. */
+/** Time after which one connection may read requests ahead in any case. */
 const maximumAheadWaitMilliseconds = 50
-/** Interval at which is looked whether they may be read, while nothing else is. */
+/** Interval of the check whether they may be read, while no connection is read. */
 const aheadCheckMilliseconds = 5
 /** Part of a request that is parsed as it comes, though other connections wait. */
 const ordinaryRequestBytes = 65_536
@@ -30,7 +30,7 @@
   private timer: NodeJS.Timeout | undefined
   private aheadReadAt = 0
 
-  /** With mayReadAhead, requests that were sent ahead wait for as long as it is false. */
+  /** While mayReadAhead is false, requests that were sent ahead are read only now and then. */
   constructor (private readonly mayReadAhead: () => boolean) {}
 
   get hasWaiting (): boolean {
@@ -96,6 +96,7 @@
   private readonly parse: (chunk: Buffer) => void
   /** Whether it waits for its turn. */
   private isWaiting = false
+  /** Whether what it holds is being parsed in its turn. */
   private hasTurn = false
   /** Whether it has paused the socket, until it may be read. */
   private isHeld = false
