--- a/review/support-2/standIns.mjs
+++ b/review/support-2/standIns.mjs
@@ -156,7 +156,17 @@
       this.running -= 1
       this.journal.note(`runner ${this.id} ends ${attempt} ${how}`)
     }
-    response.on('close', () => end('connection closed'))
+    response.on('close', () => {
+      clearTimeout(deadline)
+      end('connection closed')
+    })
+    // A runner stops work at the time that it was handed; its 504 counts as run.
+    const deadline = setTimeout(() => {
+      if (isOver) return
+      end('deadline')
+      if (response.headersSent) response.destroy()
+      else response.writeHead(504, { ...head, 'response-seal': `${this.id}.${attempt}`, 'content-length': 0 }).end()
+    }, Number(request.headers['request-deadline-ms'] ?? 60_000))
     this.run({ request, response, head: { ...head, 'response-seal': `${this.id}.${attempt}` }, end, isOver: () => isOver })
   }
 
