Review: streams that nobody takes up at the begin of a release (LOST)

Three of eight runners are replaced by ones of the next software version, one after the other; a second after the first of them is there, the process of one machine is killed. Streams of a service with one version are told to no other machine, since all conclude that version, and are not told when a second one is announced.

--- /dev/null
+++ b/review/9/run.sh
@@ -0,0 +1,9 @@
+#!/bin/sh
+# Exits with 1 if the rule was broken, 0 if it held, 2 if the case couldn't run. TROUBLE=0: without the release and the kill.
+cd "$(dirname "$0")" || exit 2
+node run.mjs
+case $? in
+  0) exit 0 ;;
+  10) exit 1 ;;
+  *) exit 2 ;;
+esac
