--- a/review/6/run.mjs
+++ b/review/6/run.mjs
@@ -2,7 +2,8 @@
  * All machines but one are stopped and started in turn, as in a roll; then the
  * process of the last one is killed. Fails if of the streams that its clients
  * take up at the other machines, less than half as many go on as new ones begin.
- * PART=kill leaves out the roll.
+ * PART=kill leaves out the roll; PART=outage has an outage of the store in its
+ * place.
  */
 
 import { mkdtempSync, rmSync } from 'node:fs'
@@ -14,11 +15,13 @@
 
 const brokenExitCode = 10
 const hasTrouble = process.env.TROUBLE !== '0'
-const hasRoll = hasTrouble && process.env.PART !== 'kill'
+const hasRoll = hasTrouble && !['kill', 'outage'].includes(process.env.PART)
+const hasOutage = hasTrouble && process.env.PART === 'outage'
 /** Time after the start in which all machines learn of each other and of the runners. */
 const settledSeconds = 30
 const rollGapSeconds = 1.3
 const contactSeconds = 5
+const outageSeconds = 4.5
 const rounds = 2
 const streamsPerSecondAndMachine = 6
 const events = 15
@@ -149,6 +152,15 @@
   journal.note(`process ${machine.name} is ready again`)
 }
 
+const breakStore = async () => {
+  const { port } = store
+  store.stop()
+  journal.note('the store is down')
+  await pause(outageSeconds * 1_000)
+  await store.start(port)
+  journal.note('the store is back')
+}
+
 // What was started ends with the script, also if that is stopped.
 process.once('exit', () => machines.forEach(({ child }) => child?.kill('SIGKILL')))
 for (const signal of ['SIGTERM', 'SIGINT']) process.once(signal, () => process.exit(2))
@@ -201,8 +213,9 @@
         await roll(machine, seeds)
         await pause(rollGapSeconds * 1_000)
       }
-      await pause(contactSeconds * 1_000)
     }
+    if (hasOutage) await breakStore()
+    if (hasRoll || hasOutage) await pause(contactSeconds * 1_000)
     if (hasTrouble) {
       journal.note(`process ${last.name} is killed`)
       last.isListed = false
--- a/review/support-2/standIns.mjs
+++ b/review/support-2/standIns.mjs
@@ -57,9 +57,10 @@
   changes = []
   watchers = new Set()
 
-  async start () {
+  /** With a port, at the address that it had. */
+  async start (port = 0) {
     this.server = createHttpServer((request, response) => this.answer(request, response))
-    this.port = await listen(this.server)
+    this.port = await listen(this.server, port)
   }
 
   put (key, value) {
