--- a/review/9/run.mjs
+++ b/review/9/run.mjs
@@ -3,7 +3,8 @@
  * software version. Shortly after the first of them is there, the process of a
  * machine is killed. Fails if of the streams that its clients take up at the
  * other machines, less than half as many go on as new ones begin. PART=kill
- * leaves out the release, PART=release the kill.
+ * leaves out the release, PART=release the kill; PART=split has in place of the
+ * release a configuration that splits the route.
  */
 
 import { mkdtempSync, rmSync } from 'node:fs'
@@ -15,7 +16,8 @@
 
 const brokenExitCode = 10
 const hasTrouble = process.env.TROUBLE !== '0'
-const hasRelease = hasTrouble && process.env.PART !== 'kill'
+const hasRelease = hasTrouble && !['kill', 'split'].includes(process.env.PART)
+const hasSplit = hasTrouble && process.env.PART === 'split'
 const hasKill = hasTrouble && process.env.PART !== 'release'
 /** Time after the start in which all machines learn of each other and of the runners. */
 const settledSeconds = 30
@@ -74,16 +76,16 @@
 
 const runners = []
 
-const startRunner = async (version) => {
+const startRunner = async (version, service = 'redattore') => {
   const runner = new ReplacedRunner({ id: `i-${runners.length + 1}f3a91c2`, slots: 64, journal, run: stream })
   await runner.start()
-  Object.assign(runner, { version, born: Date.now() })
+  Object.assign(runner, { service, version, born: Date.now() })
   runners.push(runner)
   journal.note(`runner ${runner.id} serves, version ${version}`)
   announce(runner, 'ready', 1)
 }
 
-const announce = ({ id, port, version, born }, state, sequence) => store.put(`servers/${id}`, { service: 'redattore', address: `${host}:${port}`, zone: 'monza-a', version, slots: 64, state, coldRemainingMs: 0, stage: 'both', models: [], sequence, born })
+const announce = ({ id, port, service, version, born }, state, sequence) => store.put(`servers/${id}`, { service, address: `${host}:${port}`, zone: 'monza-a', version, slots: 64, state, coldRemainingMs: 0, stage: 'both', models: [], sequence, born })
 
 /** The runner drains, and leaves once its streams have ended. */
 const drain = async (runner) => {
@@ -200,6 +202,29 @@
   journal.note(`process ${machine.name} is ready again`)
 }
 
+const configure = (version, targets) => store.put('op/config', {
+  version,
+  routes: [{
+    name: 'r-query',
+    hostname: 'ficu95.example',
+    pathPrefix: '/draft/',
+    type: 'streaming',
+    timeoutMs: deadlineMilliseconds,
+    targetLatencyMs: 600,
+    priority: 0,
+    ...targets.length === 1 ? { service: targets[0] } : { trafficSplit: targets.map((service) => ({ service, weight: 1 })) },
+    maxAttempts: 2,
+    public: false,
+    sessionAffinity: true,
+    resumable: true,
+    gapTargetMs: 400,
+    homeRegions: []
+  }],
+  services: targets.map((name) => ({ name, healthPath: '/health', maxConnections: 370, coldStartS: 0, coldPerS: 0, engine: { slots: 64, kvTokens: 333_465 } })),
+  limits: { maxHeaderBytes: 16_384, maxBodyBytes: 4_194_304, headerTimeoutMs: 3_000, idleTimeoutMs: 15_000 },
+  tenants: [{ name: 'huka270', apiKeys: ['i9n73hh2b9wu3fexd9dn'], priority: 1, unit: 'tokens', plainTokens: 200, ratePerS: 0, burst: 0, homeRegions: [] }]
+})
+
 // What was started ends with the script, also if that is stopped.
 process.once('exit', () => machines.forEach(({ child }) => child?.kill('SIGKILL')))
 for (const signal of ['SIGTERM', 'SIGINT']) process.once(signal, () => process.exit(2))
@@ -207,29 +232,9 @@
 let code = 2
 try {
   await store.start()
-  store.put('op/config', {
-    version: 1,
-    routes: [{
-      name: 'r-query',
-      hostname: 'ficu95.example',
-      pathPrefix: '/draft/',
-      type: 'streaming',
-      timeoutMs: deadlineMilliseconds,
-      targetLatencyMs: 600,
-      priority: 0,
-      service: 'redattore',
-      maxAttempts: 2,
-      public: false,
-      sessionAffinity: true,
-      resumable: true,
-      gapTargetMs: 400,
-      homeRegions: []
-    }],
-    services: [{ name: 'redattore', healthPath: '/health', maxConnections: 370, coldStartS: 0, coldPerS: 0, engine: { slots: 64, kvTokens: 333_465 } }],
-    limits: { maxHeaderBytes: 16_384, maxBodyBytes: 4_194_304, headerTimeoutMs: 3_000, idleTimeoutMs: 15_000 },
-    tenants: [{ name: 'huka270', apiKeys: ['i9n73hh2b9wu3fexd9dn'], priority: 1, unit: 'tokens', plainTokens: 200, ratePerS: 0, burst: 0, homeRegions: [] }]
-  })
+  configure(1, ['redattore'])
   for (let count = 0; count < runnerCount; count += 1) await startRunner('v1')
+  if (hasSplit) for (let count = 0; count < 2; count += 1) await startRunner('v1', 'redattore-2')
   for (let number = 1; number <= 3; number += 1) machines.push(new Machine({ name: `edge-monza-a-${number}`, region: 'lombardia', zone: 'monza-a', zones, folder, storePort: store.port, delayMilliseconds: 0, journal }))
   for (const machine of machines) await machine.prepare()
   const seeds = machines.map(({ linkAddress }) => linkAddress)
@@ -242,6 +247,10 @@
   const timers = machines.map((machine) => setInterval(() => { if (machine.isListed) asked.push(ask(machine)) }, 1_000 / streamsPerSecondAndMachine))
   await pause(settledSeconds * 1_000)
   const released = hasRelease ? release() : Promise.resolve()
+  if (hasSplit) {
+    journal.note('the operator splits the route')
+    configure(2, ['redattore', 'redattore-2'])
+  }
   await pause(killAfterSeconds * 1_000)
   if (hasKill) await killMachine(machines[0], seeds)
   await released
