A reset that comes while a request is being written ends no answer

What callers saw: an upstream answered a long upload at once with a 200 that had no length, sent a part of its body and reset the connection while the upload was still being written.

Cause: nothing but the end of the connection ends such an answer. libuv reports a reset that comes together with data as an end of file, and so the gateway wrote a blank line then: a write to a reset connection fails at once. While the upload is being written it does not, as the line is queued behind the body, and undici had taken the end of file for the end of the answer. The write was also too early for an upstream that ends in the middle of an upload: it closes in order, and its system resets the connection only when the next part arrives.

Change: verifyEnd holds back the end of file of such an answer until the request was written, and, if it was long or still being written, for 20 ms (four round trips of a region) in which a reset arrives. The write follows then. To take each end of file during an upload for a reset would have been simpler, but loses the answers of sound upstreams that end their side early and read on.

Why it works: the end of an upload and the reset that answers unread bytes are both seen before the answer is passed on as ended, and a write on an otherwise idle socket fails at once after a reset.

--- a/packages/gateway/src/upstreamCall.ts
+++ b/packages/gateway/src/upstreamCall.ts
@@ -63,7 +63,7 @@
   ) {}
 
   send ({ method, path, headers, body }: UpstreamCallOptions): void {
-    this.bodyBytes = body?.length ?? 0
+    this.bodyBytes = this.connection.uploadBytes = body?.length ?? 0
     this.connection.overhead.mark()
     this.connection.client.dispatch({ method: method as Dispatcher.HttpMethod, path, headers, body }, this)
   }
--- a/packages/gateway/src/upstreamConnections.ts
+++ b/packages/gateway/src/upstreamConnections.ts
@@ -7,8 +7,8 @@
 import { Client, buildConnector } from 'undici'
 import { DetachedCalls } from './detachedCalls.js'
 import { ReadLimit } from './readLimit.js'
-import { maximumAnswerOverheadBytes, orderIdleTimeoutMilliseconds, upstreamConnectTimeoutMilliseconds, upstreamIdleTimeoutMilliseconds } from './constants.js'
-import type { Socket } from 'node:net'
+import { verifyEnd } from './verifiedEnd.js'
+import { maximumAnswerOverheadBytes, orderIdleTimeoutMilliseconds, promptlyReadBytes, upstreamConnectTimeoutMilliseconds, upstreamIdleTimeoutMilliseconds } from './constants.js'
 import type { Clock, UpstreamId } from '@cuminvale/common'
 import type { AnnouncedUpstream } from '@cuminvale/serving'
 import type { CallerMemory } from './callerMemory.js'
@@ -27,6 +27,8 @@
   wasEnded: boolean
   /** Whether the current answer has no length, so that the close of the connection ends it. */
   isCloseDelimited: boolean
+  /** Bytes of the body of the current request. */
+  uploadBytes: number
   /** Whether an answer was read on it; a copy of that may be read as the next one. */
   hasAnswered: boolean
   /** Whether it was opened for one request only. */
@@ -53,20 +55,7 @@
   readonly onUnwatched?: (upstream: UpstreamId) => void
 }
 
-// A half-open socket stays writable after the upstream has closed its side, as isUndetectedReset needs.
-const connectHalfOpen = buildConnector({ timeout: upstreamConnectTimeoutMilliseconds, allowHalfOpen: true })
-
-const lineEnd = '\r\n'
-
-/**
- * Whether a connection that looks closed was reset: libuv reports a reset that
- * arrives together with data as an end of file. A write to a closed connection
- * succeeds once more; a write to a reset one fails at once.
- */
-export const isUndetectedReset = (socket: Socket): boolean => {
-  socket.write(lineEnd)
-  return socket.errored !== null
-}
+const connectUpstream = buildConnector({ timeout: upstreamConnectTimeoutMilliseconds })
 
 export class UpstreamConnections {
   /** Calls whose answers nobody waits for. */
@@ -130,7 +119,7 @@
   }
 
   private open (upstream: AnnouncedUpstream, isSingleUse: boolean): UpstreamConnection {
-    const connection = { upstream: upstream.id, idleSince: 0, openedAt: Infinity, isDropped: false, wasReset: false, wasEnded: false, isCloseDelimited: false, hasAnswered: false, isSingleUse, overhead: new ReadLimit(maximumAnswerOverheadBytes) }
+    const connection = { upstream: upstream.id, idleSince: 0, openedAt: Infinity, isDropped: false, wasReset: false, wasEnded: false, isCloseDelimited: false, uploadBytes: 0, hasAnswered: false, isSingleUse, overhead: new ReadLimit(maximumAnswerOverheadBytes) }
     const client = new Client(`http://${upstream.host}:${upstream.port}`, {
       pipelining: 1,
       headersTimeout: 0,
@@ -138,16 +127,14 @@
       // Never reached: undici makes an error for each further field, which costs more than the field.
       maxHeaderSize: 2 * maximumAnswerOverheadBytes,
       keepAliveTimeout: upstreamIdleTimeoutMilliseconds + 1_000,
-      connect: (options, callback) => connectHalfOpen(options, (error, socket) => {
+      connect: (options, callback) => connectUpstream(options, (error, socket) => {
         if (error !== null) return callback(error, null)
         connection.wasReset = connection.wasEnded = connection.hasAnswered = false
         connection.openedAt = this.options.clock.monotonic()
         connection.overhead.watch(socket)
         socket.on('error', () => { connection.wasReset = true })
-        socket.on('end', () => {
-          connection.wasEnded = true
-          connection.wasReset ||= connection.isCloseDelimited && isUndetectedReset(socket)
-        })
+        socket.on('end', () => { connection.wasEnded = true })
+        verifyEnd(socket, { mustVerify: () => connection.isCloseDelimited, mayBeUnread: () => connection.uploadBytes > promptlyReadBytes })
         callback(null, socket)
       })
     })
