An answer whose status is none of HTTP is taken for broken

What callers saw: an upstream answered with status 600 or 999, and the caller got it as the answer. After 000 to 099 and 101 the caller got a 502 whose text was that of a failed assertion ("assert(statusCode >= 100)"), and which hung on that assertion.

Cause: nothing looked at the status. Undici passes on what its parser reads, 0 to 999, takes all below 200 for interim answers, and asserts only when these end that the status is 100 or more. The head frames of other VMs were taken with any status from 200 to 999.

Ruled out: interim answers before a sound one (102, 103, 199) are left out, as before; a sound answer behind a broken one on the same connection is not read.

Change: UpstreamCall aborts an answer whose status is neither one of an answer (200 to 599, RFC 9110, section 15) nor of an interim answer, before undici goes on; readAnswerFrame takes the same statuses. A safe request goes to another upstream, anything else gets 502.

Why it works: the status is looked at where the head arrives, before anything is passed on, and an aborted answer closes its connection.

--- a/packages/gateway/src/answerFrames.ts
+++ b/packages/gateway/src/answerFrames.ts
@@ -7,6 +7,7 @@
 import { validateHeaderName, validateHeaderValue } from 'node:http'
 import { RefusalReason } from '@cuminvale/common'
 import { AnswerFailureKind } from './answerSink.js'
+import { isAnswerStatus } from './answerStatus.js'
 import { FrameKind, decodePackedContent } from './forwardFrames.js'
 import type { Refusal } from '@cuminvale/common'
 import type { AttemptId } from '@cuminvale/serving'
@@ -65,7 +66,7 @@
 }
 
 const isHead = (value: Unchecked<ForwardedHead>): value is ForwardedHead => {
-  if (!Number.isInteger(value?.status) || (value?.status as number) < 200 || (value?.status as number) > 999) return false
+  if (!isAnswerStatus(value?.status as number)) return false
   const headers = value?.headers
   if (!Array.isArray(headers) || headers.length % 2 !== 0 || !headers.every((text) => typeof text === 'string')) return false
   headers.forEach((text: string, index) => {
--- a/packages/gateway/src/malformedForwards.test.ts
+++ b/packages/gateway/src/malformedForwards.test.ts
@@ -51,8 +51,7 @@
 const end = encodeFrame(FrameKind.End)
 
 describe('a malformed frame of another VM', () => {
-  // Guards against a caller that waits until its deadline, or gets no answer, for an answer that can't be read.
-  it.each([
+  const cases: ReadonlyArray<readonly [string, Buffer]> = [
     ['a refusal that is no message', encodeFrame(FrameKind.Refused, noMessage)],
     ['a refusal without a reason', frame(FrameKind.Refused, {})],
     ['a refusal that is null', frame(FrameKind.Refused, null)],
@@ -61,12 +60,17 @@
     ['a head that is null', frame(FrameKind.Head, null)],
     ['a head with a status of text', Buffer.concat([frame(FrameKind.Head, { ...head, status: 'x' }), data, end])],
     ['a head with a status of 42', Buffer.concat([frame(FrameKind.Head, { ...head, status: 42 }), data, end])],
+    ...[0, 99, 101, 600, 999].map((status) => [`a head with a status of ${status}`, Buffer.concat([frame(FrameKind.Head, { ...head, status }), data, end])] as const),
+    ...['x name', 'x-name ', ' x-name', 'x\tname', 'x\u0000name', 'x\u0001name', 'x\u007fname', ''].map((name) => [`a head with the header name ${JSON.stringify(name)}`, Buffer.concat([frame(FrameKind.Head, { ...head, headers: [name, 'c'] }), data, end])] as const),
     ['a head whose headers are numbers', Buffer.concat([frame(FrameKind.Head, { ...head, headers: [1, 2] }), data, end])],
     ['a head with a header name of two lines', Buffer.concat([frame(FrameKind.Head, { ...head, headers: ['a\r\nb', 'c'] }), data, end])],
     ['data before a head', Buffer.concat([data, end])],
     ['an end without a head', end],
     ['a second head', Buffer.concat([frame(FrameKind.Head, { ...head, headers: ['content-length', '4'] }), frame(FrameKind.Head, null), data, end])]
-  ])('(%s) fails the request at once, as one that may have run', async (_case, frames) => {
+  ]
+
+  // Guards against a caller that waits until its deadline, or gets no answer, for an answer that can't be read.
+  it.each(cases)('(%s) fails the request at once, as one that may have run', async (_case, frames) => {
     running = await startTestGateway(testDocument([testRoute({ timeoutMilliseconds: 1_500 })]), [])
     await startPeer(running, frames)
     const startedAt = performance.now()
--- a/packages/gateway/src/upstreamCall.ts
+++ b/packages/gateway/src/upstreamCall.ts
@@ -3,6 +3,7 @@
  */
 
 import { AnswerFraming, framingOf } from './answerFraming.js'
+import { isAnswerStatus, isInterimStatus } from './answerStatus.js'
 import { firstBlockBytes } from './blockBuffer.js'
 import { CallFailure, CallFailureKind } from './errors.js'
 import { detachedRunTimeoutMilliseconds, discardedAnswerTimeoutMilliseconds, maximumDiscardedAnswerBytes, misdirectedStatus, refusedStatus } from './constants.js'
@@ -122,7 +123,9 @@
     this.controller = controller
   }
 
-  onResponseStart (_controller: Dispatcher.DispatchController, status: number, headers: Readonly<Record<string, string | string[] | undefined>>): void {
+  onResponseStart (controller: Dispatcher.DispatchController, status: number, headers: Readonly<Record<string, string | string[] | undefined>>): void {
+    // Undici would go on to take any status below 200 for that of an interim answer.
+    if (!isAnswerStatus(status) && !isInterimStatus(status)) return controller.abort(new CallFailure(CallFailureKind.Broken, `status ${status} is none of HTTP, or was not asked for`))
     this.framing = framingOf(status, headers)
     this.connection.isCloseDelimited = this.framing === AnswerFraming.Close
     if (this.isOver || status < 200) return
