cuminvaled takes no part of an answer for a whole one after a reset

A reset that comes with data is reported as an end of file, also by the recoding of ECONNRESET unseen, with or without an upload under way.

Ruled out: streams, which end with an event; answers with a length or chunks.

Change: verifyEnd moves to the package `connections`, below the gateway and the daemon, which imports nothing of the gateway, and cuminvaled uses it too. It doesn't know at its sockets whether an answer is under way, and so doesn't wait at the end of a connection that has nothing to write: an idle one must be seen to end at once.

Why it works: as in the gateway.

--- /dev/null
+++ b/packages/connections/src/index.ts
@@ -0,0 +1,1 @@
+export * from './verifiedEnd.js'
--- a/packages/gateway/src/verifiedEnd.ts
+++ b/packages/connections/src/verifiedEnd.ts
@@ -7,10 +7,11 @@
  * arrived. A write then shows whether there was one.
  */
 
-import { resetNoticeMilliseconds } from './constants.js'
 import type { Socket } from 'node:net'
 
 const lineEnd = '\r\n'
+/** Time in which a reset arrives that answers bytes which an upstream of the region hasn't read: four round trips. */
+const resetNoticeMilliseconds = 20
 
 /** Whether a connection was reset without an error so far. A write to a closed connection succeeds once more; a write to a reset one fails at once, unless earlier ones wait to be written. */
 export const isUndetectedReset = (socket: Socket): boolean => {
--- a/packages/daemon/src/upstreamClient.test.ts
+++ b/packages/daemon/src/upstreamClient.test.ts
@@ -1,7 +1,7 @@
 import { once } from 'node:events'
 import { createServer } from 'node:http'
 import { afterEach, beforeEach, describe, expect, it } from 'vitest'
-import type { Server } from 'node:http'
+import type { IncomingMessage, Server } from 'node:http'
 import type { AddressInfo, Socket } from 'node:net'
 import { collectAnswer } from './collectAnswer.js'
 import { UpstreamErrorKind } from './errors.js'
@@ -100,4 +100,55 @@
       expect(collected.isOk ? collected.value.body.toString() : collected.error.kind).toBe(expected)
     }
   })
+
+  const longUploadBytes = 12_000_000
+  const uploadsTo = async (answer: (socket: Socket, incoming: IncomingMessage) => void, body: Buffer, usesNewConnection: boolean): Promise<string> => {
+    server.removeAllListeners('request')
+    server.on('request', (incoming: IncomingMessage) => answer(incoming.socket, incoming))
+    const result = await client.exchange({ ...requestTo('/upload', usesNewConnection), body })
+    const collected = result.isOk ? await collectAnswer(result.value) : result
+    return collected.isOk ? collected.value.body.toString() : collected.error.kind
+  }
+  const shortUpload = Buffer.from('{}')
+  const longUpload = Buffer.alloc(longUploadBytes, 'x')
+
+  // Guards against the same after a reset that comes with the last bytes, or while the upload is being written.
+  it.each([
+    ['resets it with the first bytes', (socket: Socket, head: string) => {
+      socket.write(`${head}half`)
+      socket.resetAndDestroy()
+    }],
+    ['resets it with later bytes', (socket: Socket, head: string) => {
+      socket.write(head)
+      setTimeout(() => {
+        socket.write('half')
+        socket.resetAndDestroy()
+      }, 5)
+    }]
+  ])('takes no part of an answer for a whole one if the upstream %s', async (_case, breakOff) => {
+    for (const header of ['', 'connection: close\r\n']) {
+      for (const body of [shortUpload, longUpload]) {
+        for (const usesNewConnection of [true, false]) {
+          expect(await uploadsTo((socket) => breakOff(socket, `HTTP/1.1 200 OK\r\n${header}\r\n`), body, usesNewConnection)).toBe(UpstreamErrorKind.Broken)
+        }
+      }
+    }
+  })
+
+  it('takes a part for none if the upstream ends its side during the upload, and resets it then', async () => {
+    const answer = (socket: Socket): void => {
+      socket.write('HTTP/1.1 200 OK\r\n\r\nhalf')
+      socket.end(() => setTimeout(() => socket.resetAndDestroy(), 5))
+    }
+    expect([await uploadsTo(answer, longUpload, true), await uploadsTo(answer, longUpload, false)]).toEqual([UpstreamErrorKind.Broken, UpstreamErrorKind.Broken])
+  })
+
+  it('takes the whole answer of an upstream that answers early, reads the upload and closes', async () => {
+    const answer = (socket: Socket, incoming: IncomingMessage): void => {
+      socket.write('HTTP/1.1 200 OK\r\n\r\nwho')
+      setTimeout(() => incoming.resume(), 5)
+      incoming.on('end', () => socket.end('le'))
+    }
+    expect([await uploadsTo(answer, longUpload, true), await uploadsTo(answer, longUpload, false)]).toEqual(['whole', 'whole'])
+  })
 })
--- a/packages/daemon/src/upstreamClient.ts
+++ b/packages/daemon/src/upstreamClient.ts
@@ -3,6 +3,7 @@
  * exchange destroys its connection, so that no later request can read its answer.
  */
 
+import { verifyEnd } from '@cuminvale/connections'
 import { Client, Pool, buildConnector, errors } from 'undici'
 import { Result } from 'true-myth'
 import type { Dispatcher } from 'undici'
@@ -43,6 +44,8 @@
   socket.on('error', (socketError: NodeJS.ErrnoException) => {
     if (socketError.code === 'ECONNRESET') socketError.code = resetCode
   })
+  // Whether an answer is under way, and what ends it, isn't known here; an idle connection ends without a delay.
+  verifyEnd(socket, { mustVerify: () => true, mayBeUnread: () => false })
   callback(null, socket)
 })
 
--- a/packages/gateway/src/constants.ts
+++ b/packages/gateway/src/constants.ts
@@ -78,8 +78,6 @@
 export const recordRequestIntervalMilliseconds = 500
 /** Assumed round trip within a region. */
 export const regionRoundTripMilliseconds = 5
-/** Time in which a reset arrives that answers bytes which an upstream of the region hasn't read. */
-export const resetNoticeMilliseconds = 4 * regionRoundTripMilliseconds
 /** Bytes of a request that an upstream receives in one piece, so that it has read them if it answers. */
 export const promptlyReadBytes = 4_096
 /** Assumed round trip to any other region; round trips are not measured. */
--- a/packages/gateway/src/upstreamConnections.ts
+++ b/packages/gateway/src/upstreamConnections.ts
@@ -4,10 +4,10 @@
  * late answer can't be taken for that of the next request.
  */
 
+import { verifyEnd } from '@cuminvale/connections'
 import { Client, buildConnector } from 'undici'
 import { DetachedCalls } from './detachedCalls.js'
 import { ReadLimit } from './readLimit.js'
-import { verifyEnd } from './verifiedEnd.js'
 import { maximumAnswerOverheadBytes, orderIdleTimeoutMilliseconds, promptlyReadBytes, upstreamConnectTimeoutMilliseconds, upstreamIdleTimeoutMilliseconds } from './constants.js'
 import type { Clock, UpstreamId } from '@cuminvale/common'
 import type { AnnouncedUpstream } from '@cuminvale/serving'
--- a/packages/repository/src/packageLayers.ts
+++ b/packages/repository/src/packageLayers.ts
@@ -8,7 +8,7 @@
   ['documents'],
   ['messages'],
   ['keys', 'orders', 'configuration', 'limits', 'entries', 'admission', 'routing', 'membership', 'metering'],
-  ['serving', 'logs'],
+  ['serving', 'logs', 'connections'],
   ['services', 'simulation', 'gateway'],
   ['fakes', 'caller'],
   ['daemon', 'cli'],
