cuminvaled takes an answer whose status is none of HTTP for broken

What callers saw: cuminvaled passed on answers with status 600 and 999, as the gateway did.

Cause: the same; undici passes on any status over 199. Statuses below 100 and 101 failed in undici already.

Change: isAnswerStatus moves to `common`; UpstreamClient fails an answer that has another status, and closes its connection.

Why it works: all answers of upstreams and other VMs come by UpstreamClient.

--- a/packages/daemon/src/upstreamClient.test.ts
+++ b/packages/daemon/src/upstreamClient.test.ts
@@ -151,4 +151,16 @@
     }
     expect([await uploadsTo(answer, longUpload, true), await uploadsTo(answer, longUpload, false)]).toEqual(['whole', 'whole'])
   })
+
+  // Guards against an answer that callers can't read, and against one whose head was not the upstream's.
+  it.each([
+    ...['000', '001', '099', '101', '600', '999'].map((status) => [status, '']),
+    ...['x name: 1', 'x-name : 1', 'x\u0001name: 1', 'x\u0000name: 1', ' x-name: 1', ': 1'].map((line) => ['200', `${line}\r\n`])
+  ])('takes an answer for broken with status %s and the field line %j', async (status, line) => {
+    for (const framed of ['content-length: 0\r\n\r\n', 'content-length: 4\r\n\r\nbody', 'transfer-encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\n\r\n', '\r\nbody']) {
+      for (const usesNewConnection of [true, false]) {
+        expect(await uploadsTo((socket) => { socket.end(`HTTP/1.1 ${status} x\r\n${line}${framed}`, 'latin1') }, shortUpload, usesNewConnection)).toBe(UpstreamErrorKind.Broken)
+      }
+    }
+  })
 })
--- a/packages/daemon/src/upstreamClient.ts
+++ b/packages/daemon/src/upstreamClient.ts
@@ -3,6 +3,7 @@
  * exchange destroys its connection, so that no later request can read its answer.
  */
 
+import { isAnswerStatus } from '@cuminvale/common'
 import { verifyEnd } from '@cuminvale/connections'
 import { Client, Pool, buildConnector, errors } from 'undici'
 import { Result } from 'true-myth'
@@ -86,6 +87,10 @@
         headersTimeout: request.headTimeoutMilliseconds,
         bodyTimeout: request.idleTimeoutMilliseconds
       })
+      if (!isAnswerStatus(response.statusCode)) {
+        response.body.on('error', () => { /* nobody waits for it */ }).destroy()
+        throw new Error(`status ${response.statusCode} is none of HTTP`)
+      }
       if (request.usesNewConnection) response.body.once('close', () => { dispatcher.destroy().catch(() => {}) })
       return Result.ok({ status: response.statusCode, headers: response.headers, body: response.body })
     } catch (error) {
--- a/packages/gateway/src/answerFrames.ts
+++ b/packages/gateway/src/answerFrames.ts
@@ -5,9 +5,8 @@
  */
 
 import { validateHeaderName, validateHeaderValue } from 'node:http'
-import { RefusalReason } from '@cuminvale/common'
+import { RefusalReason, isAnswerStatus } from '@cuminvale/common'
 import { AnswerFailureKind } from './answerSink.js'
-import { isAnswerStatus } from './answerStatus.js'
 import { FrameKind, decodePackedContent } from './forwardFrames.js'
 import type { Refusal } from '@cuminvale/common'
 import type { AttemptId } from '@cuminvale/serving'
--- a/packages/gateway/src/upstreamCall.ts
+++ b/packages/gateway/src/upstreamCall.ts
@@ -2,8 +2,8 @@
  * One request of the gateway process on one upstream connection.
  */
 
+import { isAnswerStatus, isInterimStatus } from '@cuminvale/common'
 import { AnswerFraming, framingOf } from './answerFraming.js'
-import { isAnswerStatus, isInterimStatus } from './answerStatus.js'
 import { firstBlockBytes } from './blockBuffer.js'
 import { CallFailure, CallFailureKind } from './errors.js'
 import { detachedRunTimeoutMilliseconds, discardedAnswerTimeoutMilliseconds, maximumDiscardedAnswerBytes, misdirectedStatus, refusedStatus } from './constants.js'
