A connection on which a request is still being written gets no further one

What callers saw: after an upstream had answered a long upload early, with a length or chunks, and read no more of it, the next order at that VM got 504 at its deadline. It was found while other ends of early answers were tried.

Cause: the answer was whole, so the connection was used again at once; the next request waited in it behind the rest of the upload.

Change: a connection is released only if all of its request was written, and closed otherwise. The answer is whole by then, so nothing is lost with the rest.

Open, by reading: the pooled connections of cuminvaled are undici's, which uses them again; a silent one is retired there, and its orders use new ones.

--- a/packages/gateway/src/earlyAnswers.test.ts
+++ b/packages/gateway/src/earlyAnswers.test.ts
@@ -191,6 +191,21 @@
   })
 })
 
+describe('an upstream that answers an upload early, with a length or chunks', () => {
+  // Guards against the next request on its connection, which waits behind the rest of the upload until its deadline.
+  it.each([
+    ['a length', 'content-length: 2\r\n\r\nok'],
+    ['chunks', 'transfer-encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n']
+  ])('gets no further request on that connection (%s)', async (_framing, frame) => {
+    const upstream = await startRawUpstream('u0', async ({ socket, attempt }) => {
+      socket.write(`HTTP/1.1 200 OK\r\n${testHeaders.attempt}: ${attempt}\r\n${testHeaders.seal}: s1\r\n${frame}`)
+    })
+    const port = await startDirect(testRoute(), [upstream])
+    for (const bytes of [longUploadBytes, 2]) expect(await call(port, bytes)).toMatchObject({ status: 200, isWhole: true, body: 'ok' })
+    expect(upstream.exchanges).toHaveLength(2)
+  })
+})
+
 /** How a sound upstream that reads the whole upload may answer it, and end the answer by its close. */
 const orderlyAnswers: ReadonlyArray<readonly [string, (exchange: RawExchange, begin: string, rest: string) => Promise<void>]> = [
   ['before it reads the upload', async (exchange, begin, rest) => {
--- a/packages/gateway/src/upstreamCall.ts
+++ b/packages/gateway/src/upstreamCall.ts
@@ -153,7 +153,9 @@
     this.finish()
     this.connection.overhead.mark()
     const isWhole = this.isDetached || this.listener.onEnd(this.framing)
-    if (isWhole && this.mayReuse) this.connections.release(this.connection)
+    // The next request would wait behind the rest of this one.
+    const isWritten = this.connection.socket?.writableLength === 0
+    if (isWhole && this.mayReuse && isWritten) this.connections.release(this.connection)
     else this.connections.drop(this.connection)
   }
 
--- a/packages/gateway/src/upstreamConnections.ts
+++ b/packages/gateway/src/upstreamConnections.ts
@@ -9,6 +9,7 @@
 import { DetachedCalls } from './detachedCalls.js'
 import { ReadLimit } from './readLimit.js'
 import { maximumAnswerOverheadBytes, orderIdleTimeoutMilliseconds, promptlyReadBytes, upstreamConnectTimeoutMilliseconds, upstreamIdleTimeoutMilliseconds } from './constants.js'
+import type { Socket } from 'node:net'
 import type { Clock, UpstreamId } from '@cuminvale/common'
 import type { AnnouncedUpstream } from '@cuminvale/serving'
 import type { CallerMemory } from './callerMemory.js'
@@ -29,6 +30,8 @@
   isCloseDelimited: boolean
   /** Bytes of the body of the current request. */
   uploadBytes: number
+  /** Undefined before the connection was made. */
+  socket: Socket | undefined
   /** Whether an answer was read on it; a copy of that may be read as the next one. */
   hasAnswered: boolean
   /** Whether it was opened for one request only. */
@@ -119,7 +122,7 @@
   }
 
   private open (upstream: AnnouncedUpstream, isSingleUse: boolean): UpstreamConnection {
-    const connection = { upstream: upstream.id, idleSince: 0, openedAt: Infinity, isDropped: false, wasReset: false, wasEnded: false, isCloseDelimited: false, uploadBytes: 0, hasAnswered: false, isSingleUse, overhead: new ReadLimit(maximumAnswerOverheadBytes) }
+    const connection = { upstream: upstream.id, idleSince: 0, openedAt: Infinity, isDropped: false, wasReset: false, wasEnded: false, isCloseDelimited: false, uploadBytes: 0, socket: undefined as Socket | undefined, hasAnswered: false, isSingleUse, overhead: new ReadLimit(maximumAnswerOverheadBytes) }
     const client = new Client(`http://${upstream.host}:${upstream.port}`, {
       pipelining: 1,
       headersTimeout: 0,
@@ -131,6 +134,7 @@
         if (error !== null) return callback(error, null)
         connection.wasReset = connection.wasEnded = connection.hasAnswered = false
         connection.openedAt = this.options.clock.monotonic()
+        connection.socket = socket
         connection.overhead.watch(socket)
         socket.on('error', () => { connection.wasReset = true })
         socket.on('end', () => { connection.wasEnded = true })
