--- a/packages/gateway/src/earlyAnswers.test.ts
+++ b/packages/gateway/src/earlyAnswers.test.ts
@@ -1,8 +1,7 @@
-import { toFailureDomainId, toRegionId, toVmId } from '@cuminvale/common'
-import { afterEach, beforeEach, describe, expect, it, vi } from 'vitest'
+import { afterEach, beforeEach, describe, expect, it } from 'vitest'
 import { OpenedConnections } from './endlessTestSupport.js'
-import { startRawUpstream } from './rawUpstreamTestSupport.js'
-import { callGateway, domain, freePort, patiently, region, silentLog, startTestGateway, testDocument, testHeaders, testRoute, wait } from './testSupport.js'
+import { startForwardingGateways, startRawUpstream } from './rawUpstreamTestSupport.js'
+import { callGateway, startTestGateway, testDocument, testHeaders, testRoute, wait } from './testSupport.js'
 import type { Route, ServingDocument } from '@cuminvale/serving'
 import type { CallerAnswer, TestGateway } from './testSupport.js'
 import type { RawExchange, RawUpstream } from './rawUpstreamTestSupport.js'
@@ -103,18 +102,10 @@
   return gateway.port
 }
 
-const southA = toFailureDomainId('south-a')
-const domainRegions = new Map([[domain, region], [southA, toRegionId('south')]])
-
-/** Starts a VM that forwards to one of the other region, which has the only upstream. */
 const startForwarding = async (route: Route, upstream: RawUpstream): Promise<number> => {
-  const south = { ...upstream, announced: { ...upstream.announced, failureDomain: southA } }
-  const linkPort = await freePort()
-  const behind = await startTestGateway(documentOf(route), [south], silentLog, undefined, { vm: toVmId('vm-south'), region: toRegionId('south'), failureDomain: southA, domainRegions, linkPort })
-  const front = await startTestGateway(documentOf(route), [south], silentLog, undefined, { domainRegions, linkPort: await freePort(), seeds: [`127.0.0.1:${linkPort}`] })
-  running.push(front, behind)
-  await vi.waitUntil(() => front.gateway.state.forecasts.find(toRegionId('south'), upstream.announced.service) !== undefined, patiently)
-  return front.port
+  const gateways = await startForwardingGateways(documentOf(route), upstream)
+  running.push(...gateways)
+  return gateways[0].port
 }
 
 const isWholeSuccess = ({ status, isWhole }: CallerAnswer): boolean => status === 200 && isWhole
--- a/packages/gateway/src/invalidFieldNames.test.ts
+++ b/packages/gateway/src/invalidFieldNames.test.ts
@@ -1,8 +1,7 @@
 import { once } from 'node:events'
-import { toFailureDomainId, toRegionId, toVmId } from '@cuminvale/common'
-import { afterEach, describe, expect, it, vi } from 'vitest'
-import { startRawUpstream } from './rawUpstreamTestSupport.js'
-import { domain, freePort, openRawClient, patiently, region, silentLog, startTestGateway, testDocument, testHeaders, testRoute } from './testSupport.js'
+import { afterEach, describe, expect, it } from 'vitest'
+import { startForwardingGateways, startRawUpstream } from './rawUpstreamTestSupport.js'
+import { openRawClient, startTestGateway, testDocument, testHeaders, testRoute } from './testSupport.js'
 import type { Route } from '@cuminvale/serving'
 import type { RawExchange, RawUpstream } from './rawUpstreamTestSupport.js'
 import type { TestGateway } from './testSupport.js'
@@ -82,18 +81,10 @@
   return gateway.port
 }
 
-const southA = toFailureDomainId('south-a')
-const domainRegions = new Map([[domain, region], [southA, toRegionId('south')]])
-
-/** Starts a VM that forwards to one of the other region, which has the only upstream. */
 const startForwarding = async (route: Route, upstream: RawUpstream): Promise<number> => {
-  const south = { ...upstream, announced: { ...upstream.announced, failureDomain: southA } }
-  const linkPort = await freePort()
-  const behind = await startTestGateway(testDocument([route]), [south], silentLog, undefined, { vm: toVmId('vm-south'), region: toRegionId('south'), failureDomain: southA, domainRegions, linkPort })
-  const front = await startTestGateway(testDocument([route]), [south], silentLog, undefined, { domainRegions, linkPort: await freePort(), seeds: [`127.0.0.1:${linkPort}`] })
-  running.push(front, behind)
-  await vi.waitUntil(() => front.gateway.state.forecasts.find(toRegionId('south'), upstream.announced.service) !== undefined, patiently)
-  return front.port
+  const gateways = await startForwardingGateways(testDocument([route]), upstream)
+  running.push(...gateways)
+  return gateways[0].port
 }
 
 describe('an answer in whose head the name of a field is none', () => {
--- a/packages/gateway/src/rawUpstreamTestSupport.ts
+++ b/packages/gateway/src/rawUpstreamTestSupport.ts
@@ -4,9 +4,12 @@
  */
 
 import { once } from 'node:events'
-import { startUpstream, testHeaders } from './testSupport.js'
+import { toFailureDomainId, toRegionId, toVmId } from '@cuminvale/common'
+import { vi } from 'vitest'
+import { domain, freePort, patiently, region, silentLog, startTestGateway, startUpstream, testHeaders } from './testSupport.js'
 import type { Socket } from 'node:net'
-import type { ScriptedUpstream } from './testSupport.js'
+import type { ServingDocument } from '@cuminvale/serving'
+import type { ScriptedUpstream, TestGateway } from './testSupport.js'
 
 const headEnd = '\r\n\r\n'
 
@@ -72,3 +75,16 @@
   const closeAllConnections = (): void => { exchanges.forEach(({ socket }) => socket.destroy()) }
   return { ...upstream, server: Object.assign(upstream.server, { closeAllConnections }), exchanges }
 }
+
+const southA = toFailureDomainId('south-a')
+const domainRegions = new Map([[domain, region], [southA, toRegionId('south')]])
+
+/** Starts a VM that forwards to one of another region, which has the only upstream; the first of both is the one to call. */
+export const startForwardingGateways = async (document: ServingDocument, upstream: RawUpstream): Promise<readonly [TestGateway, TestGateway]> => {
+  const south = { ...upstream, announced: { ...upstream.announced, failureDomain: southA } }
+  const linkPort = await freePort()
+  const behind = await startTestGateway(document, [south], silentLog, undefined, { vm: toVmId('vm-south'), region: toRegionId('south'), failureDomain: southA, domainRegions, linkPort })
+  const front = await startTestGateway(document, [south], silentLog, undefined, { domainRegions, linkPort: await freePort(), seeds: [`127.0.0.1:${linkPort}`] })
+  await vi.waitUntil(() => front.gateway.state.forecasts.find(toRegionId('south'), upstream.announced.service) !== undefined, patiently)
+  return [front, behind]
+}
