--- a/review/14/case.mjs
+++ b/review/14/case.mjs
@@ -7,7 +7,7 @@
 import { request as httpRequest } from 'node:http'
 import { dirname, join } from 'node:path'
 import { fileURLToPath } from 'node:url'
-import { Deployment, Record, bounds, newAttempt, sealOf, sleep, soundRunner } from '../support-3/deployment.mjs'
+import { Deployment, Record, judge, bounds, newAttempt, sealOf, sleep, soundRunner } from '../support-3/deployment.mjs'
 
 const isTroubled = process.env.TROUBLE !== '0'
 const record = new Record(join(dirname(fileURLToPath(import.meta.url)), 'record.txt'))
@@ -167,20 +167,14 @@
     const late = fifthAt === undefined ? [] : results.filter(({ sentAt }) => sentAt > fifthAt + 2 * bounds.contactMs && sentAt < endedAt)
     const [shareBefore, shareLate] = [shareOf(before), shareOf(late)]
     record.write(`RESULT ${sharedParts} shared parts: crashes ${crashes.length}; requests with the crashing part that reached runners later than ${bounds.contactMs} ms after the fifth crash: ${lateArrivals.length}; sound requests that began at the first attempt: ${before.length} before, share ${shareBefore.toFixed(2)}; ${late.length} later than ${2 * bounds.contactMs} ms after the fifth crash, share ${shareLate.toFixed(2)}`)
-    if (shareBefore < 0.9 || before.length < fewestSound) return 2
+    if (shareBefore < 0.9 || before.length < fewestSound) return undefined
     const isOverBudget = lateArrivals.length > lateCrashingAtMost
     const isLost = late.length >= fewestSound && shareLate < shareBefore / 2
-    return isOverBudget || isLost ? 1 : 0
+    return isOverBudget || isLost
   } finally {
     timers.forEach(clearInterval)
     deployment.stop()
   }
 }
 
-run().then((code) => {
-  record.write(`exit ${code}`)
-  process.exit(code)
-}, (error) => {
-  record.write(`could not run: ${error.stack}`)
-  process.exit(2)
-})
+judge(run, record)
--- a/review/15/case.mjs
+++ b/review/15/case.mjs
@@ -7,7 +7,7 @@
 import { request as httpRequest } from 'node:http'
 import { dirname, join } from 'node:path'
 import { fileURLToPath } from 'node:url'
-import { Deployment, Record, newAttempt, sealOf, sleep, soundRunner } from '../support-3/deployment.mjs'
+import { Deployment, Record, judge, newAttempt, sealOf, sleep, soundRunner } from '../support-3/deployment.mjs'
 
 const isTroubled = process.env.TROUBLE !== '0'
 const hasRelease = process.env.RELEASE !== '0'
@@ -28,7 +28,8 @@
 const events = 12
 const pauseMilliseconds = 200
 const streamsPerSecond = 12
-const maximumTries = 4
+/** The sheet: one retry. */
+const maximumTries = 2
 
 const configuration = {
   version: 7,
@@ -189,19 +190,13 @@
     const freshShare = fresh.length === 0 ? 0 : begun.length / fresh.length
     record.write(`taken up: ${takenUp.length}, of which go on: ${goOn.length} (${share.toFixed(2)}); new streams: ${fresh.length}, of which begin: ${begun.length} (${freshShare.toFixed(2)})`)
     record.write(`streams of two versions: ${mixed.length}; with pieces missing or twice: ${faulty.length}`)
-    if (freshShare < 0.5) return 2
+    if (freshShare < 0.5) return undefined
     const isLost = takenUp.length >= 12 && share < freshShare / 2
-    return isLost || mixed.length > 2 || faulty.length > 0 ? 1 : 0
+    return isLost || mixed.length > 2 || faulty.length > 0
   } finally {
     for (const { child } of deployment.machines) child?.kill('SIGCONT')
     deployment.stop()
   }
 }
 
-run().then((code) => {
-  record.write(`exit ${code}`)
-  process.exit(code)
-}, (error) => {
-  record.write(`could not run: ${error.stack}`)
-  process.exit(2)
-})
+judge(run, record)
--- a/review/support-3/deployment.mjs
+++ b/review/support-3/deployment.mjs
@@ -171,6 +171,27 @@
   server.listen({ host, port, backlog: 512 }, () => resolve(server.address().port))
 })
 
+/** Processes that run; none outlives the script, whatever ends it. */
+const started = new Set()
+process.on('exit', () => { for (const child of started) child.kill('SIGKILL') })
+for (const signal of ['SIGTERM', 'SIGINT', 'SIGHUP']) process.on(signal, () => process.exit(exitCodes.notRun))
+
+/** Told apart from the 1 with which Node.js ends for an error of its own; run.sh translates them. */
+export const exitCodes = { held: 0, broken: 10, notRun: 2 }
+
+/** Runs a case and ends the script with its result: whether the rule was broken, or undefined if that can't be judged. */
+export const judge = (run, record) => {
+  const fail = (error) => {
+    record.write(`could not run: ${error.stack}`)
+    process.exit(exitCodes.notRun)
+  }
+  process.on('uncaughtException', fail)
+  run().then((isBroken) => {
+    record.write(isBroken === undefined ? 'could not be judged' : isBroken ? 'the rule was broken' : 'the rule held')
+    process.exit(isBroken === undefined ? exitCodes.notRun : isBroken ? exitCodes.broken : exitCodes.held)
+  }, fail)
+}
+
 /** An address block of this run, so that two runs don't meet. */
 const block = `127.${20 + process.pid % 200}.${1 + Math.floor(Math.random() * 250)}`
 
@@ -218,6 +239,9 @@
     child.once('exit', (code, signal) => { machine.ended = { code, signal, at: Date.now() } })
     machine.ended = undefined
     machine.child = child
+    machine.starts = (machine.starts ?? 0) + 1
+    started.add(child)
+    child.once('exit', () => started.delete(child))
     return child
   }
 
--- a/review/support-3/orderClients.mjs
+++ b/review/support-3/orderClients.mjs
@@ -41,6 +41,8 @@
     const agent = new Agent({ keepAlive: true, maxSockets: 1 })
     while (!this.isOver) {
       const attempt = newAttempt()
+      // One that was started again isn't in touch for a time.
+      const isFirstStart = machine.starts === 1
       const { isKept, outcome } = await this.call({ machine, agent, attempt })
       this.asked += 1
       if (outcome === '200') {
@@ -48,7 +50,7 @@
         continue
       }
       const hasRun = this.ran.has(attempt)
-      const isLost = isKept && hasRun && outcome !== cutInAnswer && !/^\d+$/.test(outcome)
+      const isLost = isFirstStart && isKept && hasRun && outcome !== cutInAnswer && !/^\d+$/.test(outcome)
       if (isLost) this.lost += 1
       this.record.write(`request ${attempt} to ${machine.name} on a ${isKept ? 'kept' : 'new'} connection: ${outcome}${hasRun ? '; a runner has run it' : ''}${isLost ? ' LOST' : ''}`)
       await sleep(500)
